--- /dev/null
+++ b/src/backends/http_model_servers.ts
@@ -0,0 +1,130 @@
+/** Model servers over HTTP, by the usual chat API. */
+
+import { type Dispatcher, request } from "undici";
+import type { BackendServer } from "../core/config/configuration.ts";
+import type { RequestId } from "../core/ids.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import { chatAnswerSchema, loadReportSchema } from "../protocol/chat_schema.ts";
+import { type BackendError, backendErrorOf } from "./backend_error.ts";
+import { readChatStream } from "./chat_stream_reader.ts";
+import type {
+  ChatStream,
+  ModelCall,
+  ModelServers,
+  ReportedLoad,
+  WholeAnswer,
+} from "./model_servers.ts";
+
+const CONTROL_TIMEOUT_MS = 1_000;
+/** Part of a server's error text that is kept. */
+const REASON_LENGTH = 200;
+
+/** Client of model servers; one pool of connections for each. */
+export class HttpModelServers implements ModelServers {
+  readonly #dispatcher: Dispatcher;
+
+  constructor(dispatcher: Dispatcher) {
+    this.#dispatcher = dispatcher;
+  }
+
+  async chat(call: ModelCall): Promise<Result<WholeAnswer, BackendError>> {
+    try {
+      const res = await this.#post(call);
+      const text = await res.body.text();
+      if (res.statusCode !== 200) return fail(rejected(res.statusCode, text));
+      return parseWhole(text, call.requestId);
+    } catch (err) {
+      return fail(backendErrorOf(err));
+    }
+  }
+
+  async stream(call: ModelCall): Promise<Result<ChatStream, BackendError>> {
+    try {
+      const res = await this.#post(call);
+      if (res.statusCode !== 200) {
+        return fail(rejected(res.statusCode, await res.body.text()));
+      }
+      return ok(readChatStream(res.body, call.requestId));
+    } catch (err) {
+      return fail(backendErrorOf(err));
+    }
+  }
+
+  cancel(server: BackendServer, requestId: RequestId): void {
+    const sent = this.#control(server, {
+      path: "/v1/cancel",
+      body: JSON.stringify({ request_id: requestId }),
+    });
+    // A lost cancel costs some tokens only; nobody waits for the answer.
+    sent.then((res) => res.body.dump(), () => {});
+  }
+
+  async load(
+    server: BackendServer,
+  ): Promise<Result<ReportedLoad, BackendError>> {
+    try {
+      const res = await this.#control(server, { path: "/load" });
+      const parsed = loadReportSchema.safeParse(await res.body.json());
+      if (parsed.success) return ok(parsed.data);
+      return fail({
+        tag: "wrong_answer",
+        reason: "load report of an unknown form",
+      });
+    } catch (err) {
+      return fail(backendErrorOf(err));
+    }
+  }
+
+  #post(call: ModelCall): Promise<Dispatcher.ResponseData> {
+    return request(`${call.server.url}/v1/chat/completions`, {
+      method: "POST",
+      dispatcher: this.#dispatcher,
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": call.requestId,
+        "x-priority": call.priority,
+      },
+      body: call.body,
+      signal: call.deadline.signal,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  #control(
+    server: BackendServer,
+    { path, body }: { path: string; body?: string },
+  ): Promise<Dispatcher.ResponseData> {
+    return request(`${server.url}${path}`, {
+      method: body === undefined ? "GET" : "POST",
+      dispatcher: this.#dispatcher,
+      headers: { "content-type": "application/json" },
+      body,
+      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+    });
+  }
+}
+
+function parseWhole(
+  text: string,
+  requestId: RequestId,
+): Result<WholeAnswer, BackendError> {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch {
+    return fail({ tag: "wrong_answer", reason: "answer is not JSON" });
+  }
+  const parsed = chatAnswerSchema.safeParse(body);
+  if (!parsed.success) {
+    return fail({ tag: "wrong_answer", reason: "answer of an unknown form" });
+  }
+  if (parsed.data.id !== requestId) {
+    return fail({ tag: "wrong_answer", reason: "answer to another request" });
+  }
+  return ok({ text, answer: parsed.data });
+}
+
+function rejected(status: number, text: string): BackendError {
+  return { tag: "rejected", status, reason: text.slice(0, REASON_LENGTH) };
+}
--- /dev/null
+++ b/src/cli/apply_command.ts
@@ -0,0 +1,113 @@
+/** `fieldrack apply DIR`. */
+
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import type { CommandModule } from "yargs";
+import { Applier, type ApplyOutcome } from "../configuration/applier.ts";
+import type { Revision } from "../core/ids.ts";
+import { readConfigurationDirectory } from "../files/configuration_directory.ts";
+import { SystemClock } from "../runtime/clock.ts";
+import { Deadline } from "../runtime/deadline.ts";
+import { ExitCode } from "./exit_code.ts";
+import { printError, printJson, printLine, printProblems } from "./output.ts";
+import { platformOption, withPlatform } from "./platform_option.ts";
+
+const MS_PER_SECOND = 1_000;
+
+interface Arguments {
+  readonly directory: string;
+  readonly platform: string;
+  readonly json: boolean;
+  readonly expect?: number;
+  readonly "apply-id": string;
+  readonly timeout: number;
+}
+
+/** Applies a directory as a whole. */
+export const applyCommand: CommandModule<object, Arguments> = {
+  command: "apply <directory>",
+  describe: "Apply a directory of configuration files as a whole",
+  builder: (args) =>
+    args.positional("directory", { type: "string", demandOption: true })
+      .option("platform", platformOption)
+      .option("expect", {
+        type: "number",
+        describe: "Revision that must be in force, as `diff` printed it",
+      })
+      .option("apply-id", {
+        type: "string",
+        default: randomUUID(),
+        defaultDescription: "a new one",
+        describe: "Id of an earlier try, to settle whether it took effect",
+      })
+      .option("timeout", {
+        type: "number",
+        default: 15,
+        describe: "Seconds to go on while the platform is away",
+      })
+      .option("json", {
+        type: "boolean",
+        default: false,
+        describe: "Print JSON",
+      })
+      .example(
+        "$0 apply examples/garden --platform http://10.0.0.9:9000",
+        "Apply the example of the garden centres",
+      ),
+  handler: async (args) => {
+    const cfg = readConfigurationDirectory(args.directory);
+    if (!cfg.ok) {
+      printProblems(cfg.error, args);
+      process.exitCode = ExitCode.Failed;
+      return;
+    }
+    const deadline = new Deadline(args.timeout * MS_PER_SECOND);
+    const outcome = await withPlatform(
+      args.platform,
+      (platform) =>
+        new Applier({ platform, clock: new SystemClock() }).apply({
+          configuration: cfg.value,
+          applyId: args["apply-id"],
+          expectedRevision: args.expect as Revision | undefined,
+          deadline,
+        }),
+    );
+    deadline.close();
+    process.exitCode = exitCodeOf(outcome);
+    if (args.json) printJson({ ...outcome, apply_id: args["apply-id"] });
+    else if (process.exitCode === ExitCode.Done) {
+      printLine(describe(outcome, args));
+    } else printError(describe(outcome, args));
+  },
+};
+
+function exitCodeOf(outcome: ApplyOutcome): number {
+  switch (outcome.tag) {
+    case "accepted":
+    case "unchanged":
+      return ExitCode.Done;
+    case "conflict":
+      return ExitCode.Conflict;
+    case "unavailable":
+      return ExitCode.Unreachable;
+    case "unknown":
+      return ExitCode.Unknown;
+  }
+}
+
+function describe(outcome: ApplyOutcome, args: Arguments): string {
+  switch (outcome.tag) {
+    case "accepted":
+      return `Accepted as revision ${outcome.revision}`;
+    case "unchanged":
+      return `Unchanged; revision ${outcome.revision} is in force`;
+    case "conflict":
+      return `Conflict: this was based on revision ${outcome.basedOn}, but revision ` +
+        `${outcome.current} is in force; nothing was applied; run diff, then apply again`;
+    case "unavailable":
+      return `Nothing was applied: ${outcome.reason}; try again when the platform is back`;
+    case "unknown":
+      return `Outcome is unknown: ${outcome.reason}; run the same command with ` +
+        `--apply-id ${args["apply-id"]} to settle it`;
+  }
+}
--- /dev/null
+++ b/src/cli/check_command.ts
@@ -0,0 +1,45 @@
+/** `fieldrack check DIR`. */
+
+import process from "node:process";
+import type { CommandModule } from "yargs";
+import { SECTIONS } from "../core/config/configuration.ts";
+import { readConfigurationDirectory } from "../files/configuration_directory.ts";
+import { ExitCode } from "./exit_code.ts";
+import { printJson, printLine, printProblems } from "./output.ts";
+
+interface Arguments {
+  readonly directory: string;
+  readonly json: boolean;
+}
+
+/** Checks a directory without applying it. */
+export const checkCommand: CommandModule<object, Arguments> = {
+  command: "check <directory>",
+  describe: "Check a directory of configuration files",
+  builder: (args) =>
+    args.positional("directory", { type: "string", demandOption: true })
+      .option("json", {
+        type: "boolean",
+        default: false,
+        describe: "Print JSON",
+      })
+      .example(
+        "$0 check examples/garden",
+        "Check the example of the garden centres",
+      ),
+  handler: ({ directory, json }) => {
+    const cfg = readConfigurationDirectory(directory);
+    if (!cfg.ok) {
+      printProblems(cfg.error, { json });
+      process.exitCode = ExitCode.Failed;
+      return;
+    }
+    const counts = SECTIONS.map((section) =>
+      [section, cfg.value[section].length] as const
+    );
+    if (json) printJson({ ok: true, counts: Object.fromEntries(counts) });
+    else {printLine(`Good: ${
+        counts.map(([name, count]) => `${count} ${name}`).join(", ")
+      }`);}
+  },
+};
--- /dev/null
+++ b/src/configuration/configuration_follower.ts
@@ -0,0 +1,133 @@
+/** Keeps the configuration in force up to date, by the platform and by peers. */
+
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { Peers } from "../peers/peers.ts";
+import type { Platform, PlatformError } from "../platform/platform.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { RepeatedTask } from "../runtime/repeated_task.ts";
+import { parseHead } from "./head_reader.ts";
+import type { ConfigurationLoader } from "./configuration_loader.ts";
+
+/** How long one watch call waits for a change. */
+const WATCH_WAIT_MS = 20_000;
+/** Wait before the platform is asked again after an error. */
+const RETRY_MS = 500;
+/** Time between looks for a peer with a later revision. */
+const PEER_CHECK_MS = 200;
+
+interface Deps {
+  readonly platform: Platform;
+  readonly peers: Peers;
+  readonly memberTable: MemberTable;
+  readonly configurationStore: ConfigurationStore;
+  readonly configurationLoader: ConfigurationLoader;
+  readonly entryMetrics: EntryMetrics;
+  readonly logger: Logger;
+}
+
+/** Follows the head. */
+export class ConfigurationFollower {
+  readonly #deps: Deps;
+  readonly #peerCheck = new RepeatedTask({
+    intervalMs: PEER_CHECK_MS,
+    run: () => this.#learnFromPeers(),
+  });
+  readonly #stop = new AbortController();
+  #headVersion = 0;
+  #platformAway = false;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    this.#peerCheck.start();
+    void this.#watchLoop();
+  }
+
+  /** Stops to follow. */
+  stop(): void {
+    this.#peerCheck.stop();
+    this.#stop.abort();
+  }
+
+  async #watchLoop(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      const changed = await this.#deps.platform.watch(HEAD_KEY, {
+        afterVersion: this.#headVersion,
+        waitMs: WATCH_WAIT_MS,
+        signal: this.#stop.signal,
+      });
+      if (this.#stop.signal.aborted) return;
+      const outcome = changed.ok ? "answered" : changed.error.tag;
+      this.#deps.entryMetrics.platformCalls.inc({ kind: "watch", outcome });
+      if (!changed.ok) {
+        this.#notePlatform(changed.error);
+        await pause(RETRY_MS);
+        continue;
+      }
+      this.#notePlatform(undefined);
+      if (changed.value === undefined) continue;
+      const taken = await this.#takeText(changed.value.value);
+      if (taken) this.#headVersion = changed.value.version;
+      else await pause(RETRY_MS);
+    }
+  }
+
+  async #takeText(text: string): Promise<boolean> {
+    const head = parseHead(text);
+    if (head === undefined) {
+      this.#deps.logger.warn("Head in the platform is not understood");
+      return false;
+    }
+    return await this.#take(head, undefined);
+  }
+
+  async #learnFromPeers(): Promise<void> {
+    const { memberTable, configurationStore, peers } = this.#deps;
+    const ahead = memberTable.others()
+      .filter((member) => member.revision > configurationStore.revision)
+      .sort((a, b) => b.revision - a.revision)[0];
+    if (ahead === undefined) return;
+    const head = await peers.head(ahead.peers);
+    if (head.ok) await this.#take(head.value, ahead.peers);
+  }
+
+  async #take(head: Head, peer: string | undefined): Promise<boolean> {
+    const { configurationStore, configurationLoader, memberTable, logger } =
+      this.#deps;
+    if (head.revision <= configurationStore.revision) return true;
+    const loaded = await configurationLoader.load(head, peer);
+    if (!loaded.ok) {
+      logger.warn("Configuration cannot be loaded", {
+        revision: head.revision,
+        reason: loaded.error,
+      });
+      return false;
+    }
+    if (!configurationStore.offer(loaded.value)) return true;
+    memberTable.setOwnRevision(head.revision);
+    this.#deps.entryMetrics.revision.set(head.revision);
+    logger.info("Configuration is in force", {
+      revision: head.revision,
+      source: peer ?? "platform",
+    });
+    return true;
+  }
+
+  #notePlatform(err: PlatformError | undefined): void {
+    const away = err !== undefined && err.tag !== "missing";
+    if (away === this.#platformAway) return;
+    this.#platformAway = away;
+    if (away) this.#deps.logger.warn("Platform is away", { reason: err.tag });
+    else this.#deps.logger.info("Platform is back");
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/core/config/configuration_store.ts
@@ -0,0 +1,57 @@
+/** The configuration in force at one entry; its revision never falls. */
+
+import { NO_REVISION, type Revision, type Sha256 } from "../ids.ts";
+import type { Configuration } from "./configuration.ts";
+import { ConfigurationIndex } from "./configuration_index.ts";
+import type { Head } from "./stored_configuration.ts";
+
+/** A head with the texts of all its objects. */
+export interface LoadedConfiguration {
+  readonly head: Head;
+  readonly texts: ReadonlyMap<Sha256, string>;
+  readonly configuration: Configuration;
+}
+
+/** Holds the configuration in force, and its objects for other entries. */
+export class ConfigurationStore {
+  #loaded: LoadedConfiguration | undefined;
+  #index: ConfigurationIndex | undefined;
+  readonly #listeners: ((index: ConfigurationIndex) => void)[] = [];
+
+  /** Revision in force. */
+  get revision(): Revision {
+    return this.#loaded?.head.revision ?? NO_REVISION;
+  }
+
+  /** Head in force. */
+  get head(): Head | undefined {
+    return this.#loaded?.head;
+  }
+
+  /** Look-ups over the configuration in force; undefined before the first. */
+  get index(): ConfigurationIndex | undefined {
+    return this.#index;
+  }
+
+  /** Text of an object of the configuration in force. */
+  objectText(sha256: Sha256): string | undefined {
+    return this.#loaded?.texts.get(sha256);
+  }
+
+  /** Calls `listener` after each change. */
+  onChange(listener: (index: ConfigurationIndex) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Puts a configuration in force unless a later one is; returns whether it did. */
+  offer(loaded: LoadedConfiguration): boolean {
+    if (loaded.head.revision <= this.revision) return false;
+    this.#loaded = loaded;
+    this.#index = new ConfigurationIndex(
+      loaded.head.revision,
+      loaded.configuration,
+    );
+    for (const listener of this.#listeners) listener(this.#index);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/entry/backend_selector.ts
@@ -0,0 +1,150 @@
+/** Finds the server that a request goes to next, by the configuration in force. */
+
+import type {
+  BackendServer,
+  ModelVersion,
+} from "../core/config/configuration.ts";
+import type { ConfigurationIndex } from "../core/config/configuration_index.ts";
+import { planRequest, type PlanStep } from "../core/cascade/cascade_plan.ts";
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { BackendId, ServiceId } from "../core/ids.ts";
+import type { RequestError } from "../core/request_error.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import type { ServerChooser } from "../core/routing/server_chooser.ts";
+import type { ServerPool } from "../core/routing/server_pool.ts";
+import { chooseSubset } from "../core/routing/server_subset.ts";
+import { versionsInOrder } from "../core/routing/version_choice.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
+import { unitHash } from "../runtime/hashing.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** When a caller should come back if no server can take its request. */
+const RETRY_AFTER_MS = 1_000;
+
+/** A model server and the version it is to use. */
+export interface Target {
+  readonly server: BackendServer;
+  readonly step: PlanStep;
+  readonly version: ModelVersion;
+}
+
+interface Deps {
+  readonly configurationStore: ConfigurationStore;
+  readonly serverPool: ServerPool;
+  readonly serverChooser: ServerChooser;
+  readonly settings: Settings;
+  readonly clock: Clock;
+}
+
+/**
+ * Selects servers. It looks the configuration up anew at each call, so that a
+ * retry or an escalation sees what has been accepted meanwhile.
+ */
+export class BackendSelector {
+  readonly #deps: Deps;
+  readonly #subsets = new Map<string, readonly BackendServer[]>();
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    deps.configurationStore.onChange(() => this.#subsets.clear());
+  }
+
+  /** Steps for the name that a caller gave, by what its account allows now. */
+  plan(ctx: RequestContext, name: string): Result<PlanStep[], RequestError> {
+    const { index } = this.#deps.configurationStore;
+    const account = index?.accountByKey(ctx.keyHash);
+    if (index === undefined || account === undefined) {
+      return fail({ tag: "unauthorised", reason: "Key is no longer valid" });
+    }
+    return planRequest(index, { account, name });
+  }
+
+  /** Server for one step; versions are tried in order of preference. */
+  target(
+    step: PlanStep,
+    { ctx, tried }: { ctx: RequestContext; tried: ReadonlySet<BackendId> },
+  ): Result<Target, RequestError> {
+    const index = this.#index();
+    const { model } = step;
+    const versions = versionsInOrder({
+      index,
+      model,
+      stickyKey: ctx.stickyKey,
+      unitHash,
+    });
+    for (const version of versions) {
+      const candidates = this.#subset(
+        `${model.id}@${version.id}`,
+        () => index.serversOf(model.id, version.id),
+      );
+      const server = this.#choose(candidates, tried);
+      if (server !== undefined) return ok({ server, step, version });
+    }
+    return fail(noServer(model.id));
+  }
+
+  /** Server for a call of a plain service. */
+  serviceServer(
+    service: ServiceId,
+    tried: ReadonlySet<BackendId>,
+  ): Result<BackendServer, RequestError> {
+    const candidates = this.#subset(
+      service,
+      () => this.#index().serversOfService(service),
+    );
+    const server = this.#choose(candidates, tried);
+    return server === undefined ? fail(noServer(service)) : ok(server);
+  }
+
+  /** All servers that this entry uses, for load reports. */
+  usedModelServers(): BackendServer[] {
+    const { index } = this.#deps.configurationStore;
+    if (index === undefined) return [];
+    const used = new Map<BackendId, BackendServer>();
+    for (const model of index.configuration.models) {
+      for (const version of model.versions) {
+        const subset = this.#subset(
+          `${model.id}@${version.id}`,
+          () => index.serversOf(model.id, version.id),
+        );
+        for (const server of subset) used.set(server.id, server);
+      }
+    }
+    return [...used.values()];
+  }
+
+  #index(): ConfigurationIndex {
+    // A plan exists, so there is a configuration, and its revision never falls.
+    return this.#deps.configurationStore.index as ConfigurationIndex;
+  }
+
+  #choose(
+    candidates: readonly BackendServer[],
+    tried: ReadonlySet<BackendId>,
+  ): BackendServer | undefined {
+    const nowMs = this.#deps.clock.monotonicMs();
+    return this.#deps.serverChooser.choose({ candidates, tried, nowMs });
+  }
+
+  #subset(
+    key: string,
+    servers: () => readonly BackendServer[],
+  ): readonly BackendServer[] {
+    const known = this.#subsets.get(key);
+    if (known !== undefined) return known;
+    const { entry, backends } = this.#deps.settings;
+    const subset = chooseSubset(servers(), {
+      entry: entry.id,
+      dataCentre: entry.data_centre,
+      size: backends.subset_size,
+      unitHash,
+    });
+    this.#subsets.set(key, subset);
+    return subset;
+  }
+}
+
+function noServer(wanted: string): RequestError {
+  return { tag: "no_server", wanted, retryAfterMs: RETRY_AFTER_MS };
+}
--- /dev/null
+++ b/src/entry/error_reply.ts
@@ -0,0 +1,56 @@
+/** Answers a request with an error, in the one form that all errors have. */
+
+import type { FastifyReply } from "fastify";
+import type { RequestId } from "../core/ids.ts";
+import {
+  messageOf,
+  ranOf,
+  type RequestError,
+  retryAfterOf,
+  statusOf,
+} from "../core/request_error.ts";
+
+const MS_PER_SECOND = 1_000;
+
+/** Body of every error. */
+export interface ErrorBody {
+  readonly error: {
+    readonly code: RequestError["tag"];
+    readonly message: string;
+    /** `"no"` only when no byte of the request was sent to a backend server. */
+    readonly ran: "no" | "maybe";
+    readonly request_id: RequestId;
+    /** When to come back, where coming back helps. */
+    readonly retry_after_ms?: number;
+    /** Part of the request that is at fault. */
+    readonly where?: string;
+  };
+}
+
+/** Returns the body for an error. */
+export function errorBody(err: RequestError, requestId: RequestId): ErrorBody {
+  return {
+    error: {
+      code: err.tag,
+      message: messageOf(err),
+      ran: ranOf(err),
+      request_id: requestId,
+      retry_after_ms: retryAfterOf(err),
+      where: err.tag === "malformed" ? err.where : undefined,
+    },
+  };
+}
+
+/** Sends an error. */
+export function replyError(
+  reply: FastifyReply,
+  { err, requestId }: { err: RequestError; requestId: RequestId },
+): FastifyReply {
+  const retryAfterMs = retryAfterOf(err);
+  if (retryAfterMs !== undefined) {
+    void reply.header("retry-after", Math.ceil(retryAfterMs / MS_PER_SECOND));
+  }
+  return reply.code(statusOf(err))
+    .header("fieldrack-request-id", requestId)
+    .send(errorBody(err, requestId));
+}
--- /dev/null
+++ b/src/entry/model_dispatcher.ts
@@ -0,0 +1,139 @@
+/** Sends one step of a plan to model servers, with retries, until one answers. */
+
+import type { BackendError } from "../backends/backend_error.ts";
+import type { ModelCall, ModelServers } from "../backends/model_servers.ts";
+import type { PlanStep } from "../core/cascade/cascade_plan.ts";
+import type { BackendId } from "../core/ids.ts";
+import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type { RequestError } from "../core/request_error.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import type { ServerPool, TryOutcome } from "../core/routing/server_pool.ts";
+import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { ChatRequest } from "../protocol/chat_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { BackendSelector, Target } from "./backend_selector.ts";
+import type { RequestContext } from "./request_context.ts";
+import { mayRetry, requestErrorOf, tryOutcomeOf } from "./retry_policy.ts";
+
+/** Servers that one step is tried on, at most. */
+const MAX_TRIES = 3;
+
+/** A request and the step to take with it. */
+export interface StepInput {
+  readonly ctx: RequestContext;
+  readonly req: ChatRequest;
+  readonly step: PlanStep;
+  /** Servers that were tried for this step already; grows with each try. */
+  readonly tried: Set<BackendId>;
+}
+
+/** An answer and who gave it. Call `done` once its work has ended. */
+export interface Dispatched<T> {
+  readonly target: Target;
+  readonly answer: T;
+  /** Ends the count of the request at its server. */
+  readonly done: (outcome: TryOutcome) => void;
+}
+
+/** How an answer is asked for: whole or as a stream. */
+export type Ask<T> = (call: ModelCall) => Promise<Result<T, BackendError>>;
+
+interface Deps {
+  readonly backendSelector: BackendSelector;
+  readonly modelServers: ModelServers;
+  readonly serverPool: ServerPool;
+  readonly retryBudget: RetryBudget;
+  readonly entryMetrics: EntryMetrics;
+  readonly clock: Clock;
+}
+
+/** Tries the servers of one step after another. */
+export class ModelDispatcher {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Returns the first answer, or why there is none. */
+  async dispatch<T>(
+    input: StepInput,
+    ask: Ask<T>,
+  ): Promise<Result<Dispatched<T>, RequestError>> {
+    const { tried } = input;
+    let sentBefore = false;
+    let lastError: RequestError | undefined;
+    this.#deps.retryBudget.earn();
+    while (tried.size < MAX_TRIES) {
+      const target = this.#nextTarget(input);
+      if (!target.ok) return lastError === undefined ? target : fail(lastError);
+      tried.add(target.value.server.id);
+      const answer = await this.#tryOnce(target.value, { input, ask });
+      if (answer.ok) return answer;
+      const { deadline } = input.ctx;
+      lastError = requestErrorOf(answer.error, { deadline, sentBefore });
+      sentBefore ||= answer.error.tag !== "refused";
+      const budget = this.#deps.retryBudget;
+      if (!mayRetry(answer.error, { repeatable: true, budget })) break;
+    }
+    return fail(lastError ?? noMoreTries(input.step));
+  }
+
+  /** A retry must still be allowed by the configuration that is in force by then. */
+  #nextTarget(
+    { ctx, req, step, tried }: StepInput,
+  ): Result<Target, RequestError> {
+    const plan = this.#deps.backendSelector.plan(ctx, req.model);
+    if (!plan.ok) return plan;
+    const current = plan.value.find(({ model }) => model.id === step.model.id);
+    if (current === undefined) {
+      return fail({ tag: "not_allowed", name: req.model });
+    }
+    return this.#deps.backendSelector.target(
+      { ...step, model: current.model },
+      {
+        ctx,
+        tried,
+      },
+    );
+  }
+
+  async #tryOnce<T>(
+    target: Target,
+    { input, ask }: { input: StepInput; ask: Ask<T> },
+  ): Promise<Result<Dispatched<T>, BackendError>> {
+    const { serverPool, clock, entryMetrics } = this.#deps;
+    const { server } = target;
+    serverPool.begin(server.id);
+    const done = (outcome: TryOutcome) =>
+      serverPool.end(server.id, { outcome, nowMs: clock.monotonicMs() });
+    const answer = await ask(modelCall(target, input));
+    entryMetrics.tries.inc({
+      outcome: answer.ok ? "answered" : answer.error.tag,
+    });
+    if (answer.ok) return ok({ target, answer: answer.value, done });
+    done(tryOutcomeOf(answer.error));
+    if (answer.error.tag !== "refused") {
+      this.#deps.modelServers.cancel(server, input.ctx.requestId);
+    }
+    return answer;
+  }
+}
+
+function noMoreTries(step: PlanStep): RequestError {
+  const reason = `${MAX_TRIES} servers of ${step.model.id} failed`;
+  return { tag: "backend_failed", reason, ran: "maybe" };
+}
+
+function modelCall(target: Target, { ctx, req }: StepInput): ModelCall {
+  const model = `${target.step.model.id}@${target.version.id}`;
+  const judged = target.step.judge !== undefined;
+  const body = judged ? { ...req, model, logprobs: true } : { ...req, model };
+  return {
+    server: target.server,
+    requestId: ctx.requestId,
+    body: JSON.stringify(body),
+    priority: ctx.account.priority,
+    deadline: ctx.deadline,
+  };
+}
--- /dev/null
+++ b/src/entry/operator_server.ts
@@ -0,0 +1,64 @@
+/** The HTTP server that operators and their metrics system use. */
+
+import fastify, { type FastifyInstance } from "fastify";
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { InFlightLimits } from "../core/limits/in_flight_limits.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { EntryStatus } from "../protocol/status_schema.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import { listenHttp } from "../runtime/listen.ts";
+
+interface Deps {
+  readonly settings: Settings;
+  readonly configurationStore: ConfigurationStore;
+  readonly memberTable: MemberTable;
+  readonly inFlightLimits: InFlightLimits;
+  readonly entryMetrics: EntryMetrics;
+}
+
+/** Serves operators. */
+export class OperatorServer {
+  readonly #deps: Deps;
+  readonly #http: FastifyInstance;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#http = fastify({ forceCloseConnections: true });
+    this.#http.get("/healthz", () => ({ ok: true }));
+    this.#http.get("/status", () => this.#status());
+    this.#http.get("/metrics", async (_req, reply) => {
+      const { registry } = this.#deps.entryMetrics;
+      void reply.header("content-type", registry.contentType);
+      return await registry.metrics();
+    });
+  }
+
+  /** Starts to listen; returns the address in use. */
+  async listen(): Promise<string> {
+    return await listenHttp(this.#http, this.#deps.settings.listen.operators);
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#http.close();
+  }
+
+  #status(): EntryStatus {
+    const { memberTable, configurationStore, inFlightLimits } = this.#deps;
+    const members = [memberTable.self, ...memberTable.others()];
+    return {
+      entry: memberTable.self.id,
+      data_centre: memberTable.self.data_centre,
+      revision: configurationStore.revision,
+      in_flight: inFlightLimits.total,
+      members: members.map(({ id, data_centre, state, revision, callers }) => ({
+        id,
+        data_centre,
+        state,
+        revision,
+        callers,
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/src/files/yaml_file.ts
@@ -0,0 +1,105 @@
+/** One YAML file, parsed so that problems can be traced to lines. */
+
+import { readFileSync } from "node:fs";
+import { type Document, isNode, LineCounter, parseDocument } from "yaml";
+import type { z } from "zod";
+import { fail, ok, type Result } from "../core/result.ts";
+import { type FileProblem, formatKey } from "./file_problem.ts";
+
+/** Aliases that a file may expand to; stops files that grow without bound. */
+const MAX_ALIASES = 100;
+
+/** A parsed YAML file. */
+export class YamlFile {
+  readonly file: string;
+  readonly #document: Document;
+  readonly #lines: LineCounter;
+
+  private constructor(
+    file: string,
+    { document, lines }: { document: Document; lines: LineCounter },
+  ) {
+    this.file = file;
+    this.#document = document;
+    this.#lines = lines;
+  }
+
+  /** Reads and parses a file. */
+  static read(path: string, shownAs = path): Result<YamlFile, FileProblem[]> {
+    let bytes: Uint8Array;
+    try {
+      bytes = readFileSync(path);
+    } catch (err) {
+      const reason = (err as NodeJS.ErrnoException).code ?? String(err);
+      return fail([atStart(shownAs, `File cannot be read (${reason})`)]);
+    }
+    try {
+      const text = new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+      return YamlFile.parse(text, shownAs);
+    } catch {
+      return fail([atStart(shownAs, "File is not valid UTF-8")]);
+    }
+  }
+
+  /** Parses a text. */
+  static parse(text: string, file: string): Result<YamlFile, FileProblem[]> {
+    const lines = new LineCounter();
+    const document = parseDocument(text, {
+      lineCounter: lines,
+      prettyErrors: false,
+    });
+    if (document.errors.length > 0) {
+      return fail(document.errors.map((err) => {
+        const { line, col } = lines.linePos(err.pos[0]);
+        return { file, line, column: col, key: "", message: err.message };
+      }));
+    }
+    return ok(new YamlFile(file, { document, lines }));
+  }
+
+  /** Content as plain values. */
+  get content(): unknown {
+    return this.#document.toJS({ maxAliasCount: MAX_ALIASES });
+  }
+
+  /** Checks the content. */
+  check<T>(schema: z.ZodType<T>): Result<T, FileProblem[]> {
+    let content: unknown;
+    try {
+      content = this.content;
+    } catch (err) {
+      return fail([atStart(this.file, (err as Error).message)]);
+    }
+    const parsed = schema.safeParse(content);
+    if (parsed.success) return ok(parsed.data);
+    return fail(
+      parsed.error.issues.map((issue) =>
+        this.problemAt(issue.path, issue.message)
+      ),
+    );
+  }
+
+  /** Describes a problem at a path of keys, or at its nearest parent. */
+  problemAt(path: readonly PropertyKey[], message: string): FileProblem {
+    const { line, col } = this.#lines.linePos(this.#offsetOf(path));
+    return {
+      file: this.file,
+      line,
+      column: col,
+      key: formatKey(path),
+      message,
+    };
+  }
+
+  #offsetOf(path: readonly PropertyKey[]): number {
+    for (let length = path.length; length >= 0; length--) {
+      const node = this.#document.getIn(path.slice(0, length), true);
+      if (isNode(node) && node.range) return node.range[0];
+    }
+    return 0;
+  }
+}
+
+function atStart(file: string, message: string): FileProblem {
+  return { file, line: 1, column: 1, key: "", message };
+}
--- /dev/null
+++ b/src/peers/peer_server.ts
@@ -0,0 +1,80 @@
+/** The HTTP server that other entry VMs use; it asks for the shared secret first. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { Buffer } from "node:buffer";
+import { timingSafeEqual } from "node:crypto";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import type { Settings } from "../protocol/settings_schema.ts";
+import { parseAddress } from "../runtime/address.ts";
+import { boundAddress } from "../runtime/listen.ts";
+import { sha256 } from "../runtime/hashing.ts";
+import { createPeerRouter, type PeerRouterDeps } from "./peer_router.ts";
+
+const MAX_BODY_BYTES = 2 * 1024 * 1024;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+
+interface Deps extends PeerRouterDeps {
+  readonly settings: Settings;
+  readonly peerSecret: string;
+}
+
+/** Serves other entry VMs. */
+export class PeerServer {
+  readonly #server: Server;
+  readonly #address: string;
+  readonly #secretHash: Buffer;
+
+  constructor(deps: Deps) {
+    this.#address = deps.settings.listen.peers;
+    this.#secretHash = Buffer.from(sha256(deps.peerSecret));
+    const handle = createHTTPHandler({
+      router: createPeerRouter(deps),
+      maxBodySize: MAX_BODY_BYTES,
+    });
+    this.#server = createServer((req, res) => {
+      if (this.#knowsSecret(req)) handle(req, res);
+      else refuse(res);
+    });
+    this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+  }
+
+  /** Starts to listen; returns the address in use. */
+  listen(): Promise<string> {
+    const { host, port } = parseAddress(this.#address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(
+        port,
+        host,
+        () => resolve(boundAddress(this.#server)),
+      );
+    });
+  }
+
+  /** Ends all connections. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
+  }
+
+  /** Hashes are compared, since they are of equal length whatever was sent. */
+  #knowsSecret(req: IncomingMessage): boolean {
+    const header = req.headers.authorization ?? "";
+    const hash = Buffer.from(sha256(header.replace(/^Bearer /, "")));
+    return timingSafeEqual(hash, this.#secretHash);
+  }
+}
+
+function refuse(res: ServerResponse): void {
+  res.writeHead(401, { "content-type": "application/json" });
+  res.end(
+    '{"error":{"message":"Peer secret is wrong; check peers.secret_file"}}',
+  );
+}
--- /dev/null
+++ b/src/peers/prober.ts
@@ -0,0 +1,130 @@
+/** Probes other entry VMs in turn, and so finds failures and spreads news. */
+
+import type { Member } from "../core/membership/member.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { ProbeOrder } from "../core/membership/probe_order.ts";
+import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { RepeatedTask } from "../runtime/repeated_task.ts";
+import type { Peers } from "./peers.ts";
+
+/** Entry VMs asked to probe one that did not answer. */
+const INDIRECT_PROBES = 3;
+/** Every so many rounds a seed is probed, so that fleets that were apart join again. */
+const SEED_EVERY_ROUNDS = 15;
+
+interface Deps {
+  readonly settings: Settings;
+  readonly memberTable: MemberTable;
+  readonly probeOrder: ProbeOrder;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly entryMetrics: EntryMetrics;
+}
+
+/** Runs the probes of one entry VM. */
+export class Prober {
+  readonly #deps: Deps;
+  readonly #task: RepeatedTask;
+  #listed: readonly string[] = [];
+  #rounds = 0;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    const intervalMs = deps.settings.peers.probe_interval_ms;
+    this.#task = new RepeatedTask({ intervalMs, run: () => this.#round() });
+  }
+
+  /** Starts to probe. */
+  start(): void {
+    this.#task.start();
+  }
+
+  /** Stops to probe. */
+  stop(): void {
+    this.#task.stop();
+  }
+
+  /** Peer addresses from the platform's list, used like seeds. */
+  setListed(addresses: readonly string[]): void {
+    this.#listed = addresses;
+  }
+
+  /** Probes once for another entry VM. */
+  async probeFor(target: string): Promise<boolean> {
+    return await this.#probe(target, false);
+  }
+
+  /** Tells some entry VMs the newest about this one, without waiting for a round. */
+  async announce(): Promise<void> {
+    const members = this.#deps.memberTable.others();
+    await Promise.all(
+      members.map((member) => this.#probe(member.peers, false)),
+    );
+  }
+
+  async #round(): Promise<void> {
+    const { memberTable, probeOrder, entryMetrics, clock, logger } = this.#deps;
+    const members = memberTable.others();
+    entryMetrics.members.set(members.length);
+    this.#rounds += 1;
+    if (members.length === 0 || this.#rounds % SEED_EVERY_ROUNDS === 0) {
+      await this.#joinBySeeds(members);
+    }
+    const member = probeOrder.next(members);
+    if (member !== undefined) await this.#probeMember(member);
+    for (const id of memberTable.expire(clock.monotonicMs())) {
+      logger.warn("Entry is dead", { peer: id });
+    }
+  }
+
+  async #joinBySeeds(members: readonly Member[]): Promise<void> {
+    const known = new Set(members.map((member) => member.peers));
+    known.add(this.#deps.settings.listen.peers);
+    const seeds = [...this.#deps.settings.peers.seeds, ...this.#listed];
+    const unknown = [...new Set(seeds)].filter((seed) => !known.has(seed));
+    await Promise.all(unknown.map((seed) => this.#probe(seed, true)));
+  }
+
+  async #probeMember(member: Member): Promise<void> {
+    if (await this.#probe(member.peers, false)) return;
+    if (await this.#probeIndirectly(member)) return;
+    const { memberTable, clock, logger } = this.#deps;
+    if (memberTable.suspect(member.id, clock.monotonicMs())) {
+      logger.warn("Entry is suspected", { peer: member.id });
+    }
+  }
+
+  async #probeIndirectly(member: Member): Promise<boolean> {
+    const { memberTable, probeOrder, peers } = this.#deps;
+    const helpers = probeOrder.some(memberTable.others(), {
+      count: INDIRECT_PROBES,
+      except: member.id,
+    });
+    const answers = await Promise.all(
+      helpers.map((helper) => peers.probeFor(helper.peers, member.peers)),
+    );
+    return answers.some((answer) => answer.ok && answer.value);
+  }
+
+  async #probe(address: string, joining: boolean): Promise<boolean> {
+    const { peers, memberTable, clock, entryMetrics, logger } = this.#deps;
+    const news = memberTable.newsToTell();
+    const answer = await peers.probe(address, { news, joining });
+    entryMetrics.probes.inc({
+      outcome: answer.ok ? "answered" : answer.error.tag,
+    });
+    if (!answer.ok) return false;
+    const told = [answer.value.self, ...answer.value.news];
+    for (const member of memberTable.merge(told, clock.monotonicMs())) {
+      logger.info("Entry changed state", {
+        peer: member.id,
+        state: member.state,
+      });
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/peers/trpc_peers.ts
@@ -0,0 +1,132 @@
+/** Client of other entry VMs by tRPC. */
+
+import {
+  createTRPCClient,
+  httpLink,
+  type TRPCClient,
+  TRPCClientError,
+} from "@trpc/client";
+import { Agent, fetch as undiciFetch } from "undici";
+import type { Head } from "../core/config/stored_configuration.ts";
+import type { Sha256 } from "../core/ids.ts";
+import type { Member } from "../core/membership/member.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import { probeAnswerSchema } from "../protocol/peer_schema.ts";
+import { headSchema } from "../protocol/stored_schema.ts";
+import type { Settings } from "../protocol/settings_schema.ts";
+import type { PeerRouter, ProbeAnswer } from "./peer_router.ts";
+import type { PeerError, Peers } from "./peers.ts";
+
+/** Clients kept; more than the entry VMs that are alive at once. */
+const MAX_CLIENTS = 1_024;
+/** Wait for a part of the configuration, which may be large. */
+const OBJECT_TIMEOUT_MS = 2_000;
+/** Idle connections are given up, since each entry VM is probed rarely. */
+const KEEP_ALIVE_MS = 60_000;
+
+interface Deps {
+  readonly settings: Settings;
+  readonly peerSecret: string;
+}
+
+/** One tRPC client for each address. */
+export class TrpcPeers implements Peers {
+  readonly #deps: Deps;
+  readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
+  readonly #agent = new Agent({
+    connections: 2,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+  });
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  probe(
+    address: string,
+    { news, joining }: { news: readonly Member[]; joining: boolean },
+  ): Promise<Result<ProbeAnswer, PeerError>> {
+    return this.#call(this.#probeTimeoutMs(), async (signal) => {
+      const client = this.#client(address);
+      const answer = await client.probe.mutate({ news: [...news], joining }, {
+        signal,
+      });
+      return probeAnswerSchema.parse(answer);
+    });
+  }
+
+  probeFor(
+    address: string,
+    target: string,
+  ): Promise<Result<boolean, PeerError>> {
+    // The asked entry VM waits as long for its own probe.
+    const timeoutMs = 2 * this.#probeTimeoutMs();
+    return this.#call(
+      timeoutMs,
+      (signal) => this.#client(address).probeFor.mutate({ target }, { signal }),
+    );
+  }
+
+  head(address: string): Promise<Result<Head, PeerError>> {
+    return this.#call(
+      OBJECT_TIMEOUT_MS,
+      async (signal) =>
+        headSchema.parse(
+          await this.#client(address).head.query(undefined, { signal }),
+        ),
+    );
+  }
+
+  object(address: string, sha256: Sha256): Promise<Result<string, PeerError>> {
+    return this.#call(
+      OBJECT_TIMEOUT_MS,
+      (signal) => this.#client(address).object.query({ sha256 }, { signal }),
+    );
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #probeTimeoutMs(): number {
+    return this.#deps.settings.peers.probe_timeout_ms;
+  }
+
+  async #call<T>(
+    timeoutMs: number,
+    call: (signal: AbortSignal) => Promise<T>,
+  ): Promise<Result<T, PeerError>> {
+    try {
+      return ok(await call(AbortSignal.timeout(timeoutMs)));
+    } catch (err) {
+      return fail(peerErrorOf(err));
+    }
+  }
+
+  #client(address: string): TRPCClient<PeerRouter> {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    if (this.#clients.size >= MAX_CLIENTS) this.#clients.clear();
+    const client = createTRPCClient<PeerRouter>({
+      links: [httpLink({
+        url: `http://${address}`,
+        headers: { authorization: `Bearer ${this.#deps.peerSecret}` },
+        fetch: (url, options) => this.#fetch(String(url), options),
+      })],
+    });
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  #fetch(url: string, options: unknown): Promise<Response> {
+    const init = { ...(options as object), dispatcher: this.#agent };
+    return undiciFetch(url, init) as unknown as Promise<Response>;
+  }
+}
+
+function peerErrorOf(err: unknown): PeerError {
+  const reason = err instanceof Error ? err.message : String(err);
+  const answered = err instanceof TRPCClientError && err.data !== undefined;
+  return { tag: answered ? "refused" : "unreachable", reason };
+}
--- /dev/null
+++ b/src/protocol/chat_schema.ts
@@ -0,0 +1,65 @@
+/** Messages of the chat API, towards callers and model servers. */
+
+import { z } from "zod";
+
+const messageSchema = z.looseObject({
+  role: z.enum(["system", "user", "assistant", "tool", "developer"]),
+  content: z.union([
+    z.string(),
+    z.array(z.looseObject({ type: z.string() })),
+    z.null(),
+  ]),
+});
+
+/** A caller's request; fields that fieldrack does not know are passed on. */
+export const chatRequestSchema = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(messageSchema).min(1),
+  stream: z.boolean().optional(),
+});
+
+/** A caller's request. */
+export type ChatRequest = z.infer<typeof chatRequestSchema>;
+
+const logprobsSchema = z.object({
+  content: z.array(z.object({ logprob: z.number() })).nullish(),
+}).nullish();
+
+/** A whole answer of a model server. */
+export const chatAnswerSchema = z.looseObject({
+  id: z.string(),
+  choices: z.array(z.looseObject({
+    message: z.looseObject({ content: z.string().nullish() }),
+    finish_reason: z.string().nullish(),
+    logprobs: logprobsSchema,
+  })).min(1),
+  usage: z.looseObject({
+    prompt_tokens: z.number(),
+    completion_tokens: z.number(),
+  }).optional(),
+});
+
+/** A whole answer of a model server. */
+export type ChatAnswer = z.infer<typeof chatAnswerSchema>;
+
+/** One event of a streamed answer. */
+export const chatChunkSchema = z.looseObject({
+  id: z.string(),
+  choices: z.array(z.looseObject({
+    delta: z.looseObject({ content: z.string().nullish() }),
+    finish_reason: z.string().nullish(),
+    logprobs: logprobsSchema,
+  })),
+});
+
+/** One event of a streamed answer. */
+export type ChatChunk = z.infer<typeof chatChunkSchema>;
+
+/** Load as a model server reports it. */
+export const loadReportSchema = z.object({
+  running: z.number().min(0),
+  waiting: z.number().min(0),
+});
+
+/** Data of the event that ends a whole stream. */
+export const END_OF_STREAM = "[DONE]";
--- /dev/null
+++ b/src/protocol/ids_schema.ts
@@ -0,0 +1,20 @@
+/** Schemas of ids, shared by all wire and file formats. */
+
+import { z } from "zod";
+
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const SHA256_PATTERN = /^[0-9a-f]{64}$/;
+
+/** Returns a schema of one kind of id: lower case, digits, `.`, `_` and `-`. */
+export function nameSchema<Id extends string>(): z.ZodType<Id, string> {
+  return z.string().regex(
+    NAME_PATTERN,
+    "Expected 1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit",
+  ) as unknown as z.ZodType<Id, string>;
+}
+
+/** Schema of a lower-case hex SHA-256. */
+export const sha256Schema = z.string().regex(
+  SHA256_PATTERN,
+  "Expected 64 lower-case hex digits",
+);
--- /dev/null
+++ b/src/protocol/settings_schema.ts
@@ -0,0 +1,81 @@
+/** Schema of the settings file of an entry. */
+
+import { z } from "zod";
+import type { DataCentreId, EntryId } from "../core/ids.ts";
+import { nameSchema } from "./ids_schema.ts";
+import { strictObject } from "./strict_object.ts";
+
+const MEGABYTE = 1024 * 1024;
+
+const addressSchema = z.string().regex(
+  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
+  "Expected an IP number and a port, such as 10.0.0.5:8080",
+);
+
+/** Schema of the settings file. */
+export const settingsSchema = strictObject({
+  entry: strictObject({
+    id: nameSchema<EntryId>().describe("Name of this entry VM; unique"),
+    data_centre: nameSchema<DataCentreId>().describe(
+      "Data centre it stands in",
+    ),
+  }),
+  listen: strictObject({
+    callers: addressSchema.describe("Where callers connect"),
+    peers: addressSchema.describe("Where other entry VMs connect"),
+    operators: addressSchema
+      .describe("Where operators and their metrics system connect"),
+  }),
+  platform: strictObject({
+    url: z.url().describe("Base URL of the platform's object API"),
+    timeout_ms: z.int().min(10).max(60_000).default(2_000)
+      .describe("Longest wait for an answer other than a watch"),
+  }),
+  peers: strictObject({
+    secret_file: z.string().optional()
+      .describe("File with the secret that entry VMs share"),
+    secret: z.string().min(16).optional()
+      .describe("The secret itself, for tests; use secret_file elsewhere"),
+    seeds: z.array(addressSchema).default([])
+      .describe("Other entry VMs to ask while the platform's list is away"),
+    probe_interval_ms: z.int().min(50).max(60_000).default(1_000)
+      .describe("Time between probes of other entry VMs"),
+    probe_timeout_ms: z.int().min(10).max(10_000).default(500)
+      .describe("Longest wait for the answer to a probe"),
+  }),
+  limits: strictObject({
+    max_body_bytes: z.int().min(1_024).default(8 * MEGABYTE)
+      .describe("Largest body of a caller's request"),
+    max_in_flight: z.int().min(1).default(4_000)
+      .describe("Requests in flight at this entry, at most"),
+    max_connections: z.int().min(1).default(10_000)
+      .describe("Connections of callers, at most"),
+    deadline_ms: z.int().min(100).max(3_600_000).default(120_000)
+      .describe("Deadline of a request whose caller names none"),
+    header_timeout_ms: z.int().min(100).default(10_000)
+      .describe("Longest wait for the headers of a request"),
+    body_timeout_ms: z.int().min(100).default(30_000)
+      .describe("Longest wait for a whole request"),
+  }).prefault({}),
+  callers: strictObject({
+    address_max_age_s: z.int().min(1).max(3_600).default(30)
+      .describe("How long callers may keep an answer of /addresses"),
+    drain_grace_ms: z.int().min(0).default(5_000)
+      .describe("Wait beyond address_max_age_s before a planned stop"),
+  }).prefault({}),
+  backends: strictObject({
+    subset_size: z.int().min(1).default(24)
+      .describe(
+        "Backend servers of one version or service that this entry uses",
+      ),
+    connections: z.int().min(1).default(128)
+      .describe("Connections to one backend server, at most"),
+    connect_timeout_ms: z.int().min(10).default(1_000)
+      .describe("Longest wait for a connection"),
+    report_interval_ms: z.int().min(50).default(1_000)
+      .describe("Time between load reports of one model server"),
+  }).prefault({}),
+});
+
+/** Checked settings of an entry. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/src/runtime/listen.ts
@@ -0,0 +1,21 @@
+/** Listening on addresses from settings; port 0 lets the system choose one. */
+
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { FastifyInstance } from "fastify";
+import { formatAddress, parseAddress } from "./address.ts";
+
+/** Starts a fastify server; returns the address in use. */
+export async function listenHttp(
+  http: FastifyInstance,
+  address: string,
+): Promise<string> {
+  await http.listen(parseAddress(address));
+  return boundAddress(http.server as Server);
+}
+
+/** Address on which a server listens. */
+export function boundAddress(server: Server): string {
+  const { address, port } = server.address() as AddressInfo;
+  return formatAddress({ host: address, port });
+}
--- /dev/null
+++ b/src/standins/plain_service_standin.ts
@@ -0,0 +1,70 @@
+/** Stand-in for a plain service; counts each call by the key it carries. */
+
+import fastify, {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from "fastify";
+import { z } from "zod";
+import { listenHttp } from "../runtime/listen.ts";
+
+const faultsSchema = z.strictObject({
+  /** Calls are answered with this status. */
+  status: z.int().optional(),
+  /** Calls are answered late, in milliseconds. */
+  delay_ms: z.number().min(0).optional(),
+  /** Calls take effect, and their connections are cut without an answer. */
+  cut_after_effect: z.boolean().optional(),
+});
+
+/** A plain service, in memory. */
+export class PlainServiceStandin {
+  readonly #http: FastifyInstance;
+  readonly #runs = new Map<string, number>();
+  #faults: z.infer<typeof faultsSchema> = {};
+
+  constructor() {
+    this.#http = fastify({ forceCloseConnections: true });
+    this.#http.removeAllContentTypeParsers();
+    this.#http.addContentTypeParser(
+      "*",
+      { parseAs: "string" },
+      (_req, body, done) => done(null, body),
+    );
+    this.#http.get("/counts", () => Object.fromEntries(this.#runs));
+    this.#http.put("/faults", (req) => {
+      this.#faults = faultsSchema.parse(JSON.parse(String(req.body)));
+      return { ok: true };
+    });
+    this.#http.all("/*", (req, reply) => this.#call(req, reply));
+  }
+
+  /** Starts to listen; returns the base URL. */
+  async listen(address: string): Promise<string> {
+    return `http://${await listenHttp(this.#http, address)}`;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#http.close();
+  }
+
+  async #call(req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+    const { status, delay_ms = 0, cut_after_effect } = this.#faults;
+    const key = String(
+      req.headers["idempotency-key"] ?? req.headers["x-request-id"],
+    );
+    const runs = (this.#runs.get(key) ?? 0) + 1;
+    this.#runs.set(key, runs);
+    if (delay_ms > 0) {
+      await new Promise((resolve) => setTimeout(resolve, delay_ms));
+    }
+    if (cut_after_effect === true) {
+      reply.hijack();
+      reply.raw.destroy();
+      return reply;
+    }
+    const { method, url } = req;
+    return reply.code(status ?? 200).send({ method, path: url, runs });
+  }
+}
--- /dev/null
+++ b/src/standins/platform_standin.ts
@@ -0,0 +1,208 @@
+/** Stand-in for the platform's object API, with faults to switch on. */
+
+import fastify, {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from "fastify";
+import { z } from "zod";
+import { MAX_VALUE_BYTES } from "../core/config/stored_configuration.ts";
+import {
+  type PlatformObject,
+  type VmList,
+  vmListSchema,
+} from "../protocol/platform_schema.ts";
+import { listenHttp } from "../runtime/listen.ts";
+import { PlatformObjects } from "./platform_objects.ts";
+import { RateLimit } from "./rate_limit.ts";
+
+const READS_PER_SECOND = 2_000;
+const WRITES_PER_SECOND = 300;
+const DEFAULT_LIST_LAG_MS = 1_000;
+const RETRY_AFTER_MS = 100;
+
+const faultsSchema = z.strictObject({
+  /** Every call is answered with 503. */
+  down: z.boolean().optional(),
+  /** Every call is answered late, in milliseconds. */
+  delay_ms: z.number().min(0).optional(),
+  /** So many writes take effect, and their connections are cut without an answer. */
+  lose_write_answers: z.int().min(0).optional(),
+  /** Watches never answer. */
+  watches_stuck: z.boolean().optional(),
+  /** Delay until a change of the VM list is seen, in milliseconds. */
+  list_lag_ms: z.number().min(0).optional(),
+});
+
+type Faults = z.infer<typeof faultsSchema>;
+
+/** What a running stand-in counts. */
+export interface PlatformCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+  rateLimited: number;
+}
+
+/** The platform, in memory. */
+export class PlatformStandin {
+  readonly #http: FastifyInstance;
+  readonly #objects = new PlatformObjects();
+  readonly #reads = new RateLimit(READS_PER_SECOND);
+  readonly #writes = new RateLimit(WRITES_PER_SECOND);
+  readonly #counts: PlatformCounts = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    rateLimited: 0,
+  };
+  #faults: Faults = {};
+  #vms: VmList = { vms: [] };
+
+  constructor() {
+    this.#http = fastify({
+      bodyLimit: MAX_VALUE_BYTES,
+      forceCloseConnections: true,
+    });
+    this.#http.addContentTypeParser(
+      "text/plain",
+      { parseAs: "string" },
+      (_req, body, done) => done(null, body),
+    );
+    this.#http.get("/v1/objects/:key", (req, reply) => this.#read(req, reply));
+    this.#http.put("/v1/objects/:key", (req, reply) => this.#write(req, reply));
+    this.#http.get("/v1/objects", (req, reply) => this.#list(req, reply));
+    this.#http.get("/v1/vms", (_req, reply) => this.#listVms(reply));
+    this.#http.put("/vms", (req) => this.#setVms(req.body));
+    this.#http.put("/faults", (req) => this.#setFaults(req.body));
+    this.#http.get("/counts", () => this.#counts);
+  }
+
+  /** Starts to listen; returns the base URL. */
+  async listen(address: string): Promise<string> {
+    return `http://${await listenHttp(this.#http, address)}`;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#http.close();
+  }
+
+  async #read(req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+    const { key } = req.params as { key: string };
+    const query = req.query as { after_version?: string; wait_ms?: string };
+    const watch = query.after_version !== undefined;
+    if (watch) this.#counts.watches += 1;
+    else this.#counts.reads += 1;
+    const refused = await this.#refuse(reply, this.#reads);
+    if (refused) return reply;
+    if (watch) return this.#watch(key, { reply, query });
+    const object = this.#objects.get(key);
+    if (object === undefined) return reply.code(404).send({ missing: key });
+    return reply.send(object);
+  }
+
+  #watch(
+    key: string,
+    { reply, query }: {
+      reply: FastifyReply;
+      query: { after_version?: string; wait_ms?: string };
+    },
+  ): FastifyReply {
+    const afterVersion = Number(query.after_version);
+    const object = this.#objects.get(key);
+    if (
+      this.#faults.watches_stuck !== true &&
+      (object?.version ?? 0) > afterVersion
+    ) {
+      return reply.send(object);
+    }
+    const finish = (change?: PlatformObject) => {
+      clearTimeout(timer);
+      giveUp();
+      if (change === undefined) void reply.code(204).send();
+      else void reply.send(change);
+    };
+    const timer = setTimeout(() => finish(), Number(query.wait_ms ?? 0));
+    const giveUp = this.#objects.wait(key, {
+      afterVersion,
+      onChange: (change) => {
+        if (this.#faults.watches_stuck !== true) finish(change);
+      },
+    });
+    reply.raw.once("close", () => {
+      clearTimeout(timer);
+      giveUp();
+    });
+    return reply;
+  }
+
+  async #write(
+    req: FastifyRequest,
+    reply: FastifyReply,
+  ): Promise<FastifyReply> {
+    const { key } = req.params as { key: string };
+    this.#counts.writes += 1;
+    const refused = await this.#refuse(reply, this.#writes);
+    if (refused) return reply;
+    const expectedVersion = Number(req.headers["if-match"] ?? 0);
+    const written = this.#objects.put(key, {
+      value: String(req.body),
+      expectedVersion,
+    });
+    if (!written.ok) {
+      return reply.code(412).send({ current_version: written.error });
+    }
+    const left = this.#faults.lose_write_answers ?? 0;
+    if (left > 0) {
+      this.#faults = { ...this.#faults, lose_write_answers: left - 1 };
+      reply.hijack();
+      reply.raw.destroy();
+      return reply;
+    }
+    return reply.send({ version: written.value });
+  }
+
+  async #list(req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+    this.#counts.reads += 1;
+    if (await this.#refuse(reply, this.#reads)) return reply;
+    const { prefix } = req.query as { prefix?: string };
+    return reply.send({ keys: this.#objects.list(prefix ?? "") });
+  }
+
+  async #listVms(reply: FastifyReply): Promise<FastifyReply> {
+    this.#counts.reads += 1;
+    if (await this.#refuse(reply, this.#reads)) return reply;
+    return reply.send(this.#vms);
+  }
+
+  /** Applies the faults that hold for every call; returns whether it answered. */
+  async #refuse(reply: FastifyReply, limit: RateLimit): Promise<boolean> {
+    const delayMs = this.#faults.delay_ms ?? 0;
+    if (delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, delayMs));
+    }
+    if (this.#faults.down === true) {
+      void reply.code(503).send({ error: "down" });
+      return true;
+    }
+    if (limit.take()) return false;
+    this.#counts.rateLimited += 1;
+    void reply.code(429).header("retry-after-ms", RETRY_AFTER_MS).send({
+      error: "rate",
+    });
+    return true;
+  }
+
+  #setVms(body: unknown): { ok: true } {
+    const vms = vmListSchema.parse(body);
+    const lagMs = this.#faults.list_lag_ms ?? DEFAULT_LIST_LAG_MS;
+    setTimeout(() => this.#vms = vms, lagMs).unref();
+    return { ok: true };
+  }
+
+  #setFaults(body: unknown): { ok: true } {
+    this.#faults = faultsSchema.parse(body);
+    return { ok: true };
+  }
+}
--- /dev/null
+++ b/src/standins/rating_standin.ts
@@ -0,0 +1,52 @@
+/** Stand-in for the service that rates answers; ratings come late. */
+
+import fastify, { type FastifyInstance } from "fastify";
+import { z } from "zod";
+import { listenHttp } from "../runtime/listen.ts";
+
+const DEFAULT_DELAY_MS = 500;
+const RIGHT_PREFIX = "right:";
+
+const askSchema = z.object({ request_id: z.string(), answer: z.string() });
+const faultsSchema = z.strictObject({
+  /** Delay of a rating, in milliseconds. */
+  delay_ms: z.number().min(0).optional(),
+  /** Ratings never come. */
+  silent: z.boolean().optional(),
+});
+
+/** A rating service, in memory. */
+export class RatingStandin {
+  readonly #http: FastifyInstance;
+  #faults: z.infer<typeof faultsSchema> = {};
+  #rated = 0;
+
+  constructor() {
+    this.#http = fastify({ forceCloseConnections: true });
+    this.#http.post("/v1/ratings", async (req, reply) => {
+      const { request_id, answer } = askSchema.parse(req.body);
+      const delayMs = this.#faults.delay_ms ?? DEFAULT_DELAY_MS;
+      await new Promise((resolve) => setTimeout(resolve, delayMs));
+      if (this.#faults.silent === true) {
+        return reply.code(503).send({ error: "silent" });
+      }
+      this.#rated += 1;
+      return { request_id, score: answer.startsWith(RIGHT_PREFIX) ? 1 : 0 };
+    });
+    this.#http.get("/counts", () => ({ rated: this.#rated }));
+    this.#http.put("/faults", (req) => {
+      this.#faults = faultsSchema.parse(req.body);
+      return { ok: true };
+    });
+  }
+
+  /** Starts to listen; returns the base URL. */
+  async listen(address: string): Promise<string> {
+    return `http://${await listenHttp(this.#http, address)}`;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#http.close();
+  }
+}
