--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -18,7 +18,9 @@
 
 void yargs(hideBin(process.argv))
   .scriptName("fieldrack")
-  .version(typeof FIELDRACK_VERSION === "string" ? FIELDRACK_VERSION : "development")
+  .version(
+    typeof FIELDRACK_VERSION === "string" ? FIELDRACK_VERSION : "development",
+  )
   .command(entryCommand)
   .command(checkCommand)
   .command(diffCommand)
--- /dev/null
+++ b/src/core/limits/limits_test.ts
@@ -0,0 +1,43 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import type { Account } from "../config/configuration.ts";
+import { InFlightLimits } from "./in_flight_limits.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+describe("limits of requests in flight", () => {
+  const small = { id: "small", max_in_flight: 1 } as unknown as Account;
+  const large = { id: "large", max_in_flight: 10 } as unknown as Account;
+
+  test("should hold one account's wave apart from the others", () => {
+    const limits = new InFlightLimits(10);
+    assert.equal(limits.enter(small).ok, true);
+    const second = limits.enter(small);
+    assert.ok(!second.ok && second.error.tag === "account_limit");
+    assert.equal(limits.enter(large).ok, true);
+    limits.leave(small.id);
+    assert.equal(limits.enter(small).ok, true);
+  });
+
+  test("should refuse beyond the entry's own limit and say when to come back", () => {
+    const limits = new InFlightLimits(1);
+    limits.enter(large);
+    const second = limits.enter(large);
+    assert.ok(
+      !second.ok && second.error.tag === "overloaded" &&
+        second.error.retryAfterMs > 0,
+    );
+  });
+});
+
+describe("a retry budget", () => {
+  test("should keep retries at a tenth of the requests once savings are spent", () => {
+    const budget = new RetryBudget();
+    while (budget.spend());
+    let retries = 0;
+    for (let request = 0; request < 1_000; request++) {
+      budget.earn();
+      if (budget.spend()) retries += 1;
+    }
+    assert.ok(retries >= 99 && retries <= 100, `${retries} retries`);
+  });
+});
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -107,7 +107,11 @@
         requestId: this.#deps.callerGate.newRequestId(),
       });
     });
-    this.#http.setErrorHandler((err: FastifyError, _req, reply) => {
+    this.#http.setErrorHandler((err: FastifyError, req, reply) => {
+      // The rest of a body is read and dropped: a connection that is closed under a
+      // caller who still sends would lose the answer.
+      req.raw.resume();
+      void reply.removeHeader("connection");
       const requestId = this.#deps.callerGate.newRequestId();
       return replyError(reply, { err: this.#httpError(err), requestId });
     });
--- a/src/files/configuration_directory.ts
+++ b/src/files/configuration_directory.ts
@@ -27,7 +27,7 @@
       section,
     ) => [section, z.array(ENTRY_SCHEMAS[section]).optional()]),
   ),
-).or(z.null());
+).nullable();
 
 /** Where an entry of the configuration was declared. */
 interface Origin {
--- a/src/files/yaml_file.ts
+++ b/src/files/yaml_file.ts
@@ -72,11 +72,12 @@
     }
     const parsed = schema.safeParse(content);
     if (parsed.success) return ok(parsed.data);
-    return fail(
-      parsed.error.issues.map((issue) =>
-        this.problemAt(issue.path, issue.message)
-      ),
-    );
+    return fail(parsed.error.issues.map((issue) => {
+      const unknown = issue.code === "unrecognized_keys"
+        ? issue.keys.slice(0, 1)
+        : [];
+      return this.problemAt([...issue.path, ...unknown], issue.message);
+    }));
   }
 
   /** Describes a problem at a path of keys, or at its nearest parent. */
