--- /dev/null
+++ b/bench/overhead_bench.ts
@@ -0,0 +1,164 @@
+/** What a request costs by way of an entry, against the same load straight at the stand-in. */
+
+import { performance } from "node:perf_hooks";
+import { hashKey, TestFleet } from "../tests/fixtures/test_fleet.ts";
+import {
+  LoadGenerator,
+  type LoadTarget,
+  percentileMs,
+} from "./load_generator.ts";
+import { cpuMs, memoryMb } from "./process_usage.ts";
+
+const KEY = "key-of-the-bench";
+const CALLERS = 64;
+const WARM_UP_MS = 2_000;
+const RUN_MS = 5_000;
+const PERCENTILES = [50, 95, 99];
+const PROMPT = "Why do calamansi leaves curl in the dry season? ".repeat(8);
+const TOKENS = 32;
+
+/** One measured way. */
+interface Row {
+  readonly form: "JSON" | "SSE";
+  readonly way: "entry" | "straight";
+  readonly topPerSecond: number;
+  /** Rate of the open loop, half of the entry's top rate. */
+  readonly perSecond: number;
+  readonly failed: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly p99Ms: number;
+  /** Processor time of the entry for one request. */
+  readonly cpuUs: number | undefined;
+  readonly memoryMb: number | undefined;
+}
+
+/** Runs the measurement and prints it. */
+export async function benchOverhead(
+  { json }: { json: boolean },
+): Promise<void> {
+  const fleet = await startFleet();
+  try {
+    const rows: Row[] = [];
+    for (const form of ["JSON", "SSE"] as const) {
+      rows.push(...await measureForm(fleet, form));
+    }
+    if (json) console.log(JSON.stringify(rows));
+    else print(rows);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function startFleet(): Promise<TestFleet> {
+  const model = { id: "m", stable: "v1", versions: [{ id: "v1" }] };
+  return TestFleet.start({
+    entries: [{ id: "entry-1", data_centre: "qc-hall" }],
+    backends: [1, 2].map((at) => ({
+      id: `model-${at}`,
+      data_centre: "qc-hall",
+      version: "m@v1",
+      tokenMs: 0,
+      slots: 512,
+    })),
+    configuration: {
+      accounts: [{
+        id: "a",
+        keys: [hashKey(KEY)],
+        models: ["m"],
+        max_in_flight: 10_000,
+      }],
+      models: [model],
+    },
+  });
+}
+
+async function measureForm(
+  fleet: TestFleet,
+  form: Row["form"],
+): Promise<Row[]> {
+  const entry = fleet.entry("entry-1");
+  const straight = fleet.backends.get("model-1");
+  const targets = {
+    entry: target(`http://${entry.callers}`, { model: "m", form }),
+    straight: target(straight?.url ?? "", { model: "m@v1", form }),
+  };
+  const generators = {
+    entry: new LoadGenerator(targets.entry, CALLERS),
+    straight: new LoadGenerator(targets.straight, CALLERS),
+  };
+  const top = { entry: 0, straight: 0 };
+  for (const way of ["straight", "entry"] as const) {
+    await generators[way].closedLoop({ callers: CALLERS, forMs: WARM_UP_MS });
+    const run = await generators[way].closedLoop({
+      callers: CALLERS,
+      forMs: RUN_MS,
+    });
+    top[way] = run.perSecond;
+  }
+  const rows: Row[] = [];
+  const perSecond = top.entry / 2;
+  for (const way of ["straight", "entry"] as const) {
+    const cpuBefore = cpuMs(entry.process.pid);
+    const startedMs = performance.now();
+    const run = await generators[way].openLoop({ perSecond, forMs: RUN_MS });
+    const usedMs = cpuMs(entry.process.pid) - cpuBefore;
+    const requests = run.perSecond * (performance.now() - startedMs) / 1_000;
+    const [p50Ms = 0, p95Ms = 0, p99Ms = 0] = PERCENTILES.map((percentile) =>
+      percentileMs(run.latencies, percentile)
+    );
+    rows.push({
+      form,
+      way,
+      topPerSecond: top[way],
+      perSecond: run.perSecond,
+      failed: run.failed,
+      p50Ms,
+      p95Ms,
+      p99Ms,
+      cpuUs: way === "entry" ? usedMs * 1_000 / requests : undefined,
+      memoryMb: way === "entry" ? memoryMb(entry.process.pid) : undefined,
+    });
+    await generators[way].close();
+  }
+  return rows;
+}
+
+function target(
+  base: string,
+  { model, form }: { model: string; form: Row["form"] },
+): LoadTarget {
+  const stream = form === "SSE";
+  const messages = [{ role: "user", content: PROMPT }];
+  const body = JSON.stringify({ model, stream, max_tokens: TOKENS, messages });
+  return {
+    url: `${base}/v1/chat/completions`,
+    key: KEY,
+    body,
+    toFirstEvent: stream,
+  };
+}
+
+function print(rows: readonly Row[]): void {
+  console.table(rows.map((row) => ({
+    form: row.form,
+    way: row.way,
+    "top req/s": Math.round(row.topPerSecond),
+    "at req/s": Math.round(row.perSecond),
+    failed: row.failed,
+    "p50 ms": row.p50Ms,
+    "p95 ms": row.p95Ms,
+    "p99 ms": row.p99Ms,
+    "CPU us/req": row.cpuUs === undefined ? "" : Math.round(row.cpuUs),
+    "memory MB": row.memoryMb === undefined ? "" : Math.round(row.memoryMb),
+  })));
+  for (const form of ["JSON", "SSE"]) {
+    const [straight, entry] = rows.filter((row) => row.form === form);
+    if (straight === undefined || entry === undefined) continue;
+    const added =
+      `added p50 ${(entry.p50Ms - straight.p50Ms).toFixed(2)} ms, ` +
+      `p99 ${(entry.p99Ms - straight.p99Ms).toFixed(2)} ms`;
+    const ratio = (entry.p50Ms / straight.p50Ms).toFixed(2);
+    console.log(`${form}: ${added}; p50 ${ratio} times that of the baseline`);
+  }
+}
--- a/src/backends/chat_stream_reader.ts
+++ b/src/backends/chat_stream_reader.ts
@@ -1,39 +1,54 @@
 /** Reads a streamed answer of a model server. */
 
 import { createParser } from "eventsource-parser";
+import type { Dispatcher } from "undici";
 import type { RequestId } from "../core/ids.ts";
 import { chatChunkSchema, END_OF_STREAM } from "../protocol/chat_schema.ts";
 import { backendErrorOf } from "./backend_error.ts";
 import type { ChatStream, StreamEvent } from "./model_servers.ts";
 
+/** Body of a response, as undici gives it. */
+type Body = Dispatcher.ResponseData["body"];
+
 /** Yields the events of `body`; without a proper end the last one is a cut. */
 export async function* readChatStream(
-  body: AsyncIterable<Uint8Array>,
+  body: Body,
   requestId: RequestId,
 ): ChatStream {
   let batch: StreamEvent[] = [];
+  let ended = false;
   const parser = createParser({
     onEvent: ({ data }) => batch.push(parseEvent(data, requestId)),
   });
   const decoder = new TextDecoder();
   try {
-    for await (const bytes of body) {
+    for await (const bytes of body.iterator({ destroyOnReturn: false })) {
       parser.feed(decoder.decode(bytes, { stream: true }));
       if (batch.length === 0) continue;
       const last = batch.findIndex((event) => event.tag !== "chunk");
-      if (last >= 0) {
-        yield batch.slice(0, last + 1);
-        return;
+      if (last < 0) {
+        yield batch;
+        batch = [];
+        continue;
       }
-      yield batch;
-      batch = [];
+      ended = batch[last]?.tag === "end";
+      yield batch.slice(0, last + 1);
+      return;
     }
     yield [cut("answer has no end")];
   } catch (err) {
     yield [{ tag: "cut", error: backendErrorOf(err) }];
+  } finally {
+    release(body, ended);
   }
 }
 
+/** The connection of an ended stream is used again; that of any other is closed. */
+function release(body: Body, ended: boolean): void {
+  if (ended) void body.dump();
+  else body.destroy();
+}
+
 function parseEvent(data: string, requestId: RequestId): StreamEvent {
   if (data === END_OF_STREAM) return { tag: "end" };
   let content: unknown;
--- a/src/entry/backend_selector.ts
+++ b/src/entry/backend_selector.ts
@@ -46,7 +46,15 @@
   readonly #subsets = new Map<string, readonly BackendServer[]>();
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const { configurationStore, serverPool, serverChooser, settings, clock } =
+      deps;
+    this.#deps = {
+      configurationStore,
+      serverPool,
+      serverChooser,
+      settings,
+      clock,
+    };
     deps.configurationStore.onChange(() => this.#subsets.clear());
   }
 
--- a/src/entry/caller_gate.ts
+++ b/src/entry/caller_gate.ts
@@ -29,7 +29,8 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const { configurationStore, inFlightLimits, settings } = deps;
+    this.#deps = { configurationStore, inFlightLimits, settings };
   }
 
   /** Returns a new request id. */
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -51,7 +51,24 @@
   readonly #http: FastifyInstance;
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const {
+      settings,
+      callerGate,
+      chatService,
+      serviceDispatcher,
+      addressBook,
+      configurationStore,
+      entryMetrics,
+    } = deps;
+    this.#deps = {
+      settings,
+      callerGate,
+      chatService,
+      serviceDispatcher,
+      addressBook,
+      configurationStore,
+      entryMetrics,
+    };
     const { limits } = deps.settings;
     this.#http = fastify({
       bodyLimit: limits.max_body_bytes,
--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -44,7 +44,20 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const {
+      backendSelector,
+      modelDispatcher,
+      modelServers,
+      retryBudget,
+      entryMetrics,
+    } = deps;
+    this.#deps = {
+      backendSelector,
+      modelDispatcher,
+      modelServers,
+      retryBudget,
+      entryMetrics,
+    };
   }
 
   /** Returns the whole answer. */
@@ -129,7 +142,7 @@
     { ctx, sink }: { ctx: RequestContext; sink: ChatSink },
   ): Promise<RelayResult> {
     const relay = new StreamRelay({
-      ...this.#deps,
+      entryMetrics: this.#deps.entryMetrics,
       target: dispatched.target,
       deadline: ctx.deadline,
       sink,
--- a/src/entry/model_dispatcher.ts
+++ b/src/entry/model_dispatcher.ts
@@ -52,7 +52,22 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const {
+      backendSelector,
+      modelServers,
+      serverPool,
+      retryBudget,
+      entryMetrics,
+      clock,
+    } = deps;
+    this.#deps = {
+      backendSelector,
+      modelServers,
+      serverPool,
+      retryBudget,
+      entryMetrics,
+      clock,
+    };
   }
 
   /** Returns the first answer, or why there is none. */
--- a/src/entry/service_dispatcher.ts
+++ b/src/entry/service_dispatcher.ts
@@ -48,7 +48,22 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    this.#deps = deps;
+    const {
+      backendSelector,
+      plainServices,
+      serverPool,
+      retryBudget,
+      entryMetrics,
+      clock,
+    } = deps;
+    this.#deps = {
+      backendSelector,
+      plainServices,
+      serverPool,
+      retryBudget,
+      entryMetrics,
+      clock,
+    };
   }
 
   /** Returns the service's answer, or why there is none. */
--- a/src/metrics/entry_metrics.ts
+++ b/src/metrics/entry_metrics.ts
@@ -1,6 +1,12 @@
 /** Counters, gauges and histograms of an entry, in the Prometheus form. */
 
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
 
 const LATENCY_BUCKETS_S = [
   0.001,
@@ -98,4 +104,8 @@
     labelNames: ["outcome"] as const,
     registers: [this.registry],
   });
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry });
+  }
 }
