--- a/src/core/request_error.ts
+++ b/src/core/request_error.ts
@@ -14,6 +14,7 @@
     readonly reason: string;
   }
   | { readonly tag: "too_large"; readonly limitBytes: number }
+  | { readonly tag: "too_slow"; readonly limitMs: number }
   | { readonly tag: "unauthorised"; readonly reason: string }
   | { readonly tag: "not_allowed"; readonly name: string }
   | { readonly tag: "unknown_model"; readonly name: string }
@@ -75,6 +76,8 @@
     case "unknown_service":
     case "unknown_route":
       return 404;
+    case "too_slow":
+      return 408;
     case "too_large":
       return 413;
     case "account_limit":
@@ -105,6 +108,8 @@
       return `Request is malformed at ${err.where}: ${err.reason}`;
     case "too_large":
       return `Body is larger than ${err.limitBytes} bytes; send a smaller one`;
+    case "too_slow":
+      return `Request was not whole within ${err.limitMs} ms; send it faster`;
     case "unauthorised":
       return `${err.reason}; send "Authorization: Bearer KEY" with a key of a declared account`;
     case "not_allowed":
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -1,6 +1,8 @@
 /** The HTTP server that callers use. */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
+import { STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import fastify, {
   type FastifyError,
@@ -9,7 +11,7 @@
   type FastifyRequest,
 } from "fastify";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
-import type { RequestError } from "../core/request_error.ts";
+import { type RequestError, statusOf } from "../core/request_error.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import { chatRequestSchema } from "../protocol/chat_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
@@ -17,7 +19,7 @@
 import type { AddressBook } from "./address_book.ts";
 import type { CallerGate } from "./caller_gate.ts";
 import type { ChatService } from "./chat_service.ts";
-import { replyError } from "./error_reply.ts";
+import { errorBody, replyError } from "./error_reply.ts";
 import { HttpChatSink } from "./http_chat_sink.ts";
 import { parseJsonBody } from "./json_body.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -43,6 +45,9 @@
   readonly entryMetrics: EntryMetrics;
 }
 
+/** Time between looks for callers that are too slow. */
+const TIMEOUT_CHECK_MS = 500;
+
 type Work = (ctx: RequestContext) => Promise<RequestError | undefined>;
 
 /** Serves callers. */
@@ -76,6 +81,8 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       forceCloseConnections: "idle",
       exposeHeadRoutes: false,
+      clientErrorHandler: (err, socket) => this.#clientError(err, socket),
+      http: { connectionsCheckingInterval: TIMEOUT_CHECK_MS },
     });
     this.#http.server.headersTimeout = limits.header_timeout_ms;
     this.#http.server.maxConnections = limits.max_connections;
@@ -257,6 +264,25 @@
     this.#deps.entryMetrics.requests.inc(labels);
   }
 
+  /** Answers what is not a whole HTTP request, for which there is no reply object. */
+  #clientError(err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code === "ECONNRESET" || !socket.writable) {
+      return void socket.destroy();
+    }
+    const requestId = this.#deps.callerGate.newRequestId();
+    const requestError = clientRequestError(
+      err,
+      this.#deps.settings.limits.body_timeout_ms,
+    );
+    const body = JSON.stringify(errorBody(requestError, requestId));
+    const status = statusOf(requestError);
+    socket.end(
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\n` +
+        "content-type: application/json; charset=utf-8\r\n" +
+        `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+  }
+
   #httpError(err: FastifyError): RequestError {
     if (err.code === "FST_ERR_CTP_BODY_TOO_LARGE") {
       return {
@@ -268,6 +294,24 @@
   }
 }
 
+function clientRequestError(
+  err: NodeJS.ErrnoException,
+  limitMs: number,
+): RequestError {
+  switch (err.code) {
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return { tag: "too_slow", limitMs };
+    case "HPE_HEADER_OVERFLOW":
+      return {
+        tag: "malformed",
+        where: "headers",
+        reason: "they are too large",
+      };
+    default:
+      return { tag: "malformed", where: "request", reason: err.message };
+  }
+}
+
 function passedHeaders(req: FastifyRequest): Record<string, string> {
   const passed: Record<string, string> = {};
   for (const name of PASSED_HEADERS) {
--- a/src/standins/platform_standin.ts
+++ b/src/standins/platform_standin.ts
@@ -6,7 +6,10 @@
   type FastifyRequest,
 } from "fastify";
 import { z } from "zod";
-import { MAX_VALUE_BYTES } from "../core/config/stored_configuration.ts";
+import {
+  HEAD_KEY,
+  MAX_VALUE_BYTES,
+} from "../core/config/stored_configuration.ts";
 import {
   type PlatformObject,
   type VmList,
@@ -28,6 +31,8 @@
   delay_ms: z.number().min(0).optional(),
   /** So many writes take effect, and their connections are cut without an answer. */
   lose_write_answers: z.int().min(0).optional(),
+  /** Writes of the head take effect without an answer, and reads of it get none. */
+  lose_head_answers: z.boolean().optional(),
   /** Watches never answer. */
   watches_stuck: z.boolean().optional(),
   /** Delay until a change of the VM list is seen, in milliseconds. */
@@ -57,6 +62,8 @@
     rateLimited: 0,
   };
   #faults: Faults = {};
+  /** Whether the head was written since `lose_head_answers` came on. */
+  #headWritten = false;
   #vms: VmList = { vms: [] };
 
   constructor() {
@@ -96,6 +103,7 @@
     else this.#counts.reads += 1;
     const refused = await this.#refuse(reply, this.#reads);
     if (refused) return reply;
+    if (this.#losesHead(key) && this.#headWritten) return cutConnection(reply);
     if (watch) return this.#watch(key, { reply, query });
     const object = this.#objects.get(key);
     if (object === undefined) return reply.code(404).send({ missing: key });
@@ -153,12 +161,14 @@
     if (!written.ok) {
       return reply.code(412).send({ current_version: written.error });
     }
+    if (this.#losesHead(key)) {
+      this.#headWritten = true;
+      return cutConnection(reply);
+    }
     const left = this.#faults.lose_write_answers ?? 0;
     if (left > 0) {
       this.#faults = { ...this.#faults, lose_write_answers: left - 1 };
-      reply.hijack();
-      reply.raw.destroy();
-      return reply;
+      return cutConnection(reply);
     }
     return reply.send({ version: written.value });
   }
@@ -201,8 +211,19 @@
     return { ok: true };
   }
 
+  #losesHead(key: string): boolean {
+    return this.#faults.lose_head_answers === true && key === HEAD_KEY;
+  }
+
   #setFaults(body: unknown): { ok: true } {
     this.#faults = faultsSchema.parse(body);
+    this.#headWritten = false;
     return { ok: true };
   }
 }
+
+function cutConnection(reply: FastifyReply): FastifyReply {
+  reply.hijack();
+  reply.raw.destroy();
+  return reply;
+}
