Say what is missing in files, and test settings that are wrong

Cause: a missing key read 'expected object, received undefined'. Change: it reads 'Key is missing; expected string', at its parent's line. Ruled out: own messages on each schema, which would stand 60 times. Conclusion: files and settings name file, line, key and what is allowed.

--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -25,7 +25,7 @@
 ): void {
   if (json) return printJson({ ok: false, problems });
   for (const problem of problems) printError(formatProblem(problem));
-  printError(`${problems.length} problem(s); nothing was applied`);
+  printError(`${problems.length} problem(s); mend them and run this again`);
 }
 
 /** Prints rows as a table with aligned columns. */
--- a/src/files/yaml_file.ts
+++ b/src/files/yaml_file.ts
@@ -76,7 +76,7 @@
       const unknown = issue.code === "unrecognized_keys"
         ? issue.keys.slice(0, 1)
         : [];
-      return this.problemAt([...issue.path, ...unknown], issue.message);
+      return this.problemAt([...issue.path, ...unknown], describeIssue(issue));
     }));
   }
 
@@ -101,6 +101,18 @@
   }
 }
 
+function describeIssue(
+  { code, message }: { code?: string; message: string },
+): string {
+  const missing = code === "invalid_type" &&
+    message.endsWith("received undefined");
+  if (!missing) return message;
+  return message.replace(
+    /^Invalid input: expected (.+), received undefined$/,
+    "Key is missing; expected $1",
+  );
+}
+
 function atStart(file: string, message: string): FileProblem {
   return { file, line: 1, column: 1, key: "", message };
 }
--- a/tests/commands_test.ts
+++ b/tests/commands_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { execFileSync } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 import process from "node:process";
 import { after, before, describe, test } from "node:test";
 import { runFieldrack } from "./fixtures/fieldrack_process.ts";
@@ -125,16 +127,28 @@
   });
 
   test("should refuse bad settings with file, line, key and what is allowed", async () => {
-    const directory = fleet.writeConfiguration("settings", {});
-    const { code, stderr } = await runFieldrack(
-      "entry",
-      "-c",
-      `${directory}/all.yaml`,
+    const path = join(fleet.directory, "settings.yaml");
+    writeFileSync(
+      path,
+      "entry:\n  id: Big One\nlisten:\n  callers: localhost:80\nplatfrom: {}\n",
     );
+    const { code, stderr } = await runFieldrack("entry", "-c", path);
     assert.equal(code, 1);
     assert.match(
       stderr,
-      /all\.yaml:1:\d+: backends: Unknown key "backends"; allowed are entry, listen, platform, peers/,
+      /settings\.yaml:2:7: entry\.id: Expected 1 to 63 of a-z/,
+    );
+    assert.match(
+      stderr,
+      /settings\.yaml:2:3: entry\.data_centre: Key is missing; expected string/,
+    );
+    assert.match(
+      stderr,
+      /settings\.yaml:4:12: listen\.callers: Expected an IP number and a port/,
+    );
+    assert.match(
+      stderr,
+      /settings\.yaml:5:11: platfrom: Unknown key "platfrom"; allowed are entry, listen, platform, peers/,
     );
   });
 
