Let two relays a data centre ask the platform; tell changes, not whole heads

Change: relays by rendezvous hash over the alive entries of a data centre; they tell the others at once, who fetch the changed references and objects from them; gossip covers lost news. The VM list is condensed, tagged and relayed. Load reports have a budget a second. Objects hold 8 entries instead of 32. Ruled out: electing relays by a lease (a write each few seconds, and nothing to gain: two relays too many are harmless). Conclusion: platform calls now grow with data centres, not with entries.

--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -1,12 +1,15 @@
 /** Keeps the configuration in force up to date, by the platform and by peers. */
 
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import { applyHeadDelta } from "../core/config/head_delta.ts";
 import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import type { Peers } from "../peers/peers.ts";
 import type { Platform, PlatformError } from "../platform/platform.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { Prober } from "../peers/prober.ts";
+import type { RelayRole } from "../peers/relay_role.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import { parseHead } from "./head_reader.ts";
 import type { ConfigurationLoader } from "./configuration_loader.ts";
@@ -15,6 +18,8 @@
 const WATCH_WAIT_MS = 20_000;
 /** Wait before the platform is asked again after an error. */
 const RETRY_MS = 500;
+/** Wait before an entry that is no relay looks whether it has become one. */
+const ROLE_CHECK_MS = 500;
 /** Time between looks for a peer with a later revision. */
 const PEER_CHECK_MS = 200;
 
@@ -22,6 +27,8 @@
   readonly platform: Platform;
   readonly peers: Peers;
   readonly memberTable: MemberTable;
+  readonly relayRole: RelayRole;
+  readonly prober: Prober;
   readonly configurationStore: ConfigurationStore;
   readonly configurationLoader: ConfigurationLoader;
   readonly entryMetrics: EntryMetrics;
@@ -57,6 +64,10 @@
 
   async #watchLoop(): Promise<void> {
     while (!this.#stop.signal.aborted) {
+      if (!this.#deps.relayRole.held) {
+        await pause(ROLE_CHECK_MS);
+        continue;
+      }
       const changed = await this.#deps.platform.watch(HEAD_KEY, {
         afterVersion: this.#headVersion,
         waitMs: WATCH_WAIT_MS,
@@ -93,8 +104,12 @@
       .filter((member) => member.revision > configurationStore.revision)
       .sort((a, b) => b.revision - a.revision)[0];
     if (ahead === undefined) return;
-    const head = await peers.head(ahead.peers);
-    if (head.ok) await this.#take(head.value, ahead.peers);
+    const answer = await peers.head(ahead.peers, configurationStore.revision);
+    if (!answer.ok) return;
+    const head = "head" in answer.value
+      ? answer.value.head
+      : applyHeadDelta(configurationStore.head, answer.value.delta);
+    if (head !== undefined) await this.#take(head, ahead.peers);
   }
 
   async #take(head: Head, peer: string | undefined): Promise<boolean> {
@@ -116,9 +131,20 @@
       revision: head.revision,
       source: peer ?? "platform",
     });
+    if (peer === undefined) this.#announce();
     return true;
   }
 
+  /** A relay tells its data centre at once; news between data centres spreads by probes. */
+  #announce(): void {
+    const { memberTable, prober } = this.#deps;
+    const { self } = memberTable;
+    const near = memberTable.others().filter((member) =>
+      member.data_centre === self.data_centre && member.revision < self.revision
+    );
+    void prober.announce(near);
+  }
+
   #notePlatform(err: PlatformError | undefined): void {
     const away = err !== undefined && err.tag !== "missing";
     if (away === this.#platformAway) return;
--- a/src/core/config/configuration_store.ts
+++ b/src/core/config/configuration_store.ts
@@ -12,9 +12,13 @@
   readonly configuration: Configuration;
 }
 
+/** Earlier heads from which changes can be told to others. */
+const KEPT_HEADS = 16;
+
 /** Holds the configuration in force, and its objects for other entries. */
 export class ConfigurationStore {
   #loaded: LoadedConfiguration | undefined;
+  #heads: Head[] = [];
   #index: ConfigurationIndex | undefined;
   readonly #listeners: ((index: ConfigurationIndex) => void)[] = [];
 
@@ -28,6 +32,11 @@
     return this.#loaded?.head;
   }
 
+  /** An earlier head, if it is still kept. */
+  earlierHead(revision: Revision): Head | undefined {
+    return this.#heads.find((head) => head.revision === revision);
+  }
+
   /** Look-ups over the configuration in force; undefined before the first. */
   get index(): ConfigurationIndex | undefined {
     return this.#index;
@@ -47,6 +56,7 @@
   offer(loaded: LoadedConfiguration): boolean {
     if (loaded.head.revision <= this.revision) return false;
     this.#loaded = loaded;
+    this.#heads = [loaded.head, ...this.#heads].slice(0, KEPT_HEADS);
     this.#index = new ConfigurationIndex(
       loaded.head.revision,
       loaded.configuration,
--- a/src/core/config/object_split.ts
+++ b/src/core/config/object_split.ts
@@ -5,7 +5,7 @@
 import type { ObjectRef } from "./stored_configuration.ts";
 
 /** Entries of a section that one object holds on average, at most. */
-const ENTRIES_PER_OBJECT = 32;
+const ENTRIES_PER_OBJECT = 8;
 
 /** Hash function, passed in so that the core stays free of libraries. */
 export type HashText = (text: string) => Sha256;
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -22,7 +22,9 @@
 import { EntryMetrics } from "../metrics/entry_metrics.ts";
 import { PeerServer } from "../peers/peer_server.ts";
 import { Prober } from "../peers/prober.ts";
+import { RelayRole } from "../peers/relay_role.ts";
 import { TrpcPeers } from "../peers/trpc_peers.ts";
+import { VmViewHolder } from "../peers/vm_view_holder.ts";
 import { HttpPlatform } from "../platform/http_platform.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { type Clock, SystemClock } from "../runtime/clock.ts";
@@ -126,6 +128,8 @@
       new HttpPlatform({ url: platform.url, timeoutMs: platform.timeout_ms }),
     ),
     peers: asClass(TrpcPeers).singleton(),
+    relayRole: asClass(RelayRole).singleton(),
+    vmViewHolder: asClass(VmViewHolder).singleton(),
     prober: asClass(Prober).singleton(),
     probeFor: asFunction(({ prober }: { prober: Prober }) => (target: string) =>
       prober.probeFor(target)
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -60,7 +60,7 @@
       this.#options.settings.callers;
     this.#parts.memberTable.leave();
     this.#logger.info("Entry leaves");
-    await this.#parts.prober.announce();
+    await this.#parts.prober.announce(this.#parts.memberTable.others());
     await pause(address_max_age_s * MS_PER_SECOND + drain_grace_ms);
     await this.stop();
   }
--- a/src/entry/vm_list_follower.ts
+++ b/src/entry/vm_list_follower.ts
@@ -1,16 +1,25 @@
-/** Takes in the platform's lagging list of VMs. */
+/** Takes in the platform's lagging list of VMs: relays ask it, others ask relays. */
 
 import type { BackendId } from "../core/ids.ts";
 import type { ServerPool } from "../core/routing/server_pool.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { Peers } from "../peers/peers.ts";
 import type { Prober } from "../peers/prober.ts";
+import type { RelayRole } from "../peers/relay_role.ts";
+import type { VmViewHolder } from "../peers/vm_view_holder.ts";
 import type { Platform } from "../platform/platform.ts";
+import type { VmView } from "../protocol/peer_schema.ts";
+import type { VmList } from "../protocol/platform_schema.ts";
+import { sha256 } from "../runtime/hashing.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 
-const LIST_INTERVAL_MS = 2_000;
+const LIST_INTERVAL_MS = 1_000;
 
 interface Deps {
   readonly platform: Platform;
+  readonly peers: Peers;
+  readonly relayRole: RelayRole;
+  readonly vmViewHolder: VmViewHolder;
   readonly serverPool: ServerPool;
   readonly prober: Prober;
   readonly entryMetrics: EntryMetrics;
@@ -23,6 +32,7 @@
     intervalMs: LIST_INTERVAL_MS,
     run: () => this.#refresh(),
   });
+  #etag = "";
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -39,19 +49,55 @@
   }
 
   async #refresh(): Promise<void> {
-    const { platform, serverPool, prober, entryMetrics } = this.#deps;
-    const list = await platform.listVms();
-    const outcome = list.ok ? "answered" : list.error.tag;
+    const { relayRole } = this.#deps;
+    if (relayRole.held || !await this.#askRelay()) await this.#askPlatform();
+  }
+
+  /** Returns whether a relay answered. */
+  async #askRelay(): Promise<boolean> {
+    const { peers, relayRole, vmViewHolder } = this.#deps;
+    for (const relay of relayRole.others()) {
+      const view = await peers.vmView(
+        relay.peers,
+        vmViewHolder.current?.version ?? "",
+      );
+      if (!view.ok) continue;
+      if (view.value !== null) this.#take(view.value);
+      return true;
+    }
+    return false;
+  }
+
+  async #askPlatform(): Promise<void> {
+    const { platform, entryMetrics } = this.#deps;
+    const answer = await platform.listVms({ etag: this.#etag });
+    const outcome = answer.ok ? "answered" : answer.error.tag;
     entryMetrics.platformCalls.inc({ kind: "list_vms", outcome });
-    if (!list.ok) return;
-    const { vms } = list.value;
-    const leaving = vms.filter((vm) =>
-      vm.kind === "backend" && vm.state === "leaving"
-    );
-    serverPool.setLeaving(leaving.map((vm) => vm.id as BackendId));
-    const entries = vms.filter((vm) =>
-      vm.kind === "entry" && vm.state === "live"
-    );
-    prober.setListed(entries.flatMap((vm) => vm.peers ?? []));
+    if (!answer.ok || answer.value.list === undefined) return;
+    this.#etag = answer.value.etag;
+    this.#take(condense(answer.value.list));
   }
+
+  #take(view: VmView): void {
+    const { vmViewHolder, serverPool, prober } = this.#deps;
+    vmViewHolder.set(view);
+    serverPool.setLeaving(view.leaving);
+    prober.setListed(view.entries);
+  }
+}
+
+function condense({ vms }: VmList): VmView {
+  const leaving = vms
+    .filter((vm) => vm.kind === "backend" && vm.state === "leaving")
+    .map((vm) => vm.id as BackendId)
+    .sort();
+  const entries = vms
+    .filter((vm) => vm.kind === "entry" && vm.state === "live")
+    .flatMap((vm) => vm.peers ?? [])
+    .sort();
+  return {
+    version: sha256(JSON.stringify([leaving, entries])),
+    leaving,
+    entries,
+  };
 }
--- a/src/peers/peer_router.ts
+++ b/src/peers/peer_router.ts
@@ -2,21 +2,27 @@
 
 import { initTRPC, TRPCError } from "@trpc/server";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
-import type { Head } from "../core/config/stored_configuration.ts";
+import { headDelta } from "../core/config/head_delta.ts";
 import type { Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import {
+  type HeadAnswer,
+  headRequestSchema,
   indirectProbeSchema,
   objectRequestSchema,
   probeSchema,
+  type VmView,
+  vmViewRequestSchema,
 } from "../protocol/peer_schema.ts";
+import type { VmViewHolder } from "./vm_view_holder.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 /** What the procedures work on. */
 export interface PeerRouterDeps {
   readonly memberTable: MemberTable;
   readonly configurationStore: ConfigurationStore;
+  readonly vmViewHolder: VmViewHolder;
   readonly clock: Clock;
   /** Probes another entry VM for one that cannot reach it. */
   readonly probeFor: (target: string) => Promise<boolean>;
@@ -46,11 +52,22 @@
     probeFor: trpc.procedure.input(indirectProbeSchema).mutation(({ input }) =>
       deps.probeFor(input.target)
     ),
-    head: trpc.procedure.query((): Head => {
-      const { head } = configurationStore;
-      if (head === undefined) throw new TRPCError({ code: "NOT_FOUND" });
-      return head;
-    }),
+    head: trpc.procedure.input(headRequestSchema).query(
+      ({ input }): HeadAnswer => {
+        const { head } = configurationStore;
+        if (head === undefined) throw new TRPCError({ code: "NOT_FOUND" });
+        const known = configurationStore.earlierHead(input.known);
+        const delta = known === undefined ? undefined : headDelta(known, head);
+        return delta === undefined ? { head } : { delta };
+      },
+    ),
+    vmView: trpc.procedure.input(vmViewRequestSchema).query(
+      ({ input }): VmView | null => {
+        const { current } = deps.vmViewHolder;
+        if (current === undefined) throw new TRPCError({ code: "NOT_FOUND" });
+        return current.version === input.known ? null : current;
+      },
+    ),
     object: trpc.procedure.input(objectRequestSchema).query(
       ({ input }): string => {
         const text = configurationStore.objectText(input.sha256 as Sha256);
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -1,9 +1,9 @@
 /** Other entry VMs, as the rest of the program sees them. */
 
-import type { Head } from "../core/config/stored_configuration.ts";
-import type { Sha256 } from "../core/ids.ts";
+import type { Revision, Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { Result } from "../core/result.ts";
+import type { HeadAnswer, VmView } from "../protocol/peer_schema.ts";
 import type { ProbeAnswer } from "./peer_router.ts";
 
 /** Why a call of another entry VM failed. */
@@ -23,6 +23,15 @@
     address: string,
     target: string,
   ): Promise<Result<boolean, PeerError>>;
-  head(address: string): Promise<Result<Head, PeerError>>;
+  /** Head, or its changes since the `known` revision. */
+  head(
+    address: string,
+    known: Revision,
+  ): Promise<Result<HeadAnswer, PeerError>>;
+  /** Condensed list of VMs; null when it is still the `known` version. */
+  vmView(
+    address: string,
+    known: string,
+  ): Promise<Result<VmView | null, PeerError>>;
   object(address: string, sha256: Sha256): Promise<Result<string, PeerError>>;
 }
--- a/src/peers/prober.ts
+++ b/src/peers/prober.ts
@@ -58,9 +58,8 @@
     return await this.#probe(target, false);
   }
 
-  /** Tells some entry VMs the newest about this one, without waiting for a round. */
-  async announce(): Promise<void> {
-    const members = this.#deps.memberTable.others();
+  /** Tells `members` the newest about this entry VM, without waiting for a round. */
+  async announce(members: readonly Member[]): Promise<void> {
     await Promise.all(
       members.map((member) => this.#probe(member.peers, false)),
     );
--- /dev/null
+++ b/src/peers/relay_role.ts
@@ -0,0 +1,41 @@
+/** Tells whether this entry VM asks the platform itself or asks a relay. */
+
+import { isAmong, relaysOf } from "../core/membership/relay_choice.ts";
+import type { Member } from "../core/membership/member.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import { unitHash } from "../runtime/hashing.ts";
+
+interface Deps {
+  readonly memberTable: MemberTable;
+}
+
+/** The relay role, taken and left as entry VMs come and go; nothing is elected. */
+export class RelayRole {
+  readonly #memberTable: MemberTable;
+  #relays: Member[] = [];
+  #seenChanges = -1;
+
+  constructor({ memberTable }: Deps) {
+    this.#memberTable = memberTable;
+  }
+
+  /** Whether this entry VM is a relay of its data centre. */
+  get held(): boolean {
+    return isAmong(this.#current(), this.#memberTable.self.id);
+  }
+
+  /** Relays of this data centre other than this entry VM. */
+  others(): Member[] {
+    return this.#current().filter(({ id }) => id !== this.#memberTable.self.id);
+  }
+
+  #current(): Member[] {
+    const { changes, self } = this.#memberTable;
+    if (changes !== this.#seenChanges) {
+      const members = this.#memberTable.others();
+      this.#relays = relaysOf(self, { members, unitHash });
+      this.#seenChanges = changes;
+    }
+    return this.#relays;
+  }
+}
--- a/src/peers/trpc_peers.ts
+++ b/src/peers/trpc_peers.ts
@@ -7,12 +7,16 @@
   TRPCClientError,
 } from "@trpc/client";
 import { Agent, fetch as undiciFetch } from "undici";
-import type { Head } from "../core/config/stored_configuration.ts";
-import type { Sha256 } from "../core/ids.ts";
+import type { Revision, Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import { fail, ok, type Result } from "../core/result.ts";
-import { probeAnswerSchema } from "../protocol/peer_schema.ts";
-import { headSchema } from "../protocol/stored_schema.ts";
+import {
+  type HeadAnswer,
+  headAnswerSchema,
+  probeAnswerSchema,
+  type VmView,
+  vmViewSchema,
+} from "../protocol/peer_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import type { PeerRouter, ProbeAnswer } from "./peer_router.ts";
 import type { PeerError, Peers } from "./peers.ts";
@@ -67,16 +71,31 @@
     );
   }
 
-  head(address: string): Promise<Result<Head, PeerError>> {
+  head(
+    address: string,
+    known: Revision,
+  ): Promise<Result<HeadAnswer, PeerError>> {
     return this.#call(
       OBJECT_TIMEOUT_MS,
       async (signal) =>
-        headSchema.parse(
-          await this.#client(address).head.query(undefined, { signal }),
+        headAnswerSchema.parse(
+          await this.#client(address).head.query({ known }, { signal }),
         ),
     );
   }
 
+  vmView(
+    address: string,
+    known: string,
+  ): Promise<Result<VmView | null, PeerError>> {
+    return this.#call(this.#probeTimeoutMs(), async (signal) => {
+      const answer = await this.#client(address).vmView.query({ known }, {
+        signal,
+      });
+      return vmViewSchema.nullable().parse(answer);
+    });
+  }
+
   object(address: string, sha256: Sha256): Promise<Result<string, PeerError>> {
     return this.#call(
       OBJECT_TIMEOUT_MS,
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -8,11 +8,12 @@
   type PlatformObject,
   platformObjectSchema,
   platformWriteSchema,
-  type VmList,
   vmListSchema,
 } from "../protocol/platform_schema.ts";
 import type {
   CallLimits,
+  ListedVms,
+  ListInput,
   Platform,
   PlatformError,
   WatchInput,
@@ -38,6 +39,7 @@
   readonly status: number;
   readonly body: unknown;
   readonly retryAfterMs: number;
+  readonly etag: string;
 }
 
 /** Client of the platform. */
@@ -118,15 +120,19 @@
   }
 
   async listVms(
-    limits: CallLimits = {},
-  ): Promise<Result<VmList, PlatformError>> {
+    { etag, signal }: ListInput,
+  ): Promise<Result<ListedVms, PlatformError>> {
     const answer = await this.#call({
       method: "GET",
       path: "/v1/vms",
       timeoutMs: this.#timeoutMs,
-      ...limits,
+      headers: { "if-none-match": etag },
+      signal,
     });
-    return answer.ok ? parseAnswer(answer.value, vmListSchema) : answer;
+    if (!answer.ok) return answer;
+    if (answer.value.status === 304) return ok({ list: undefined, etag });
+    const list = parseAnswer(answer.value, vmListSchema);
+    return list.ok ? ok({ list: list.value, etag: answer.value.etag }) : list;
   }
 
   /** Ends all connections. */
@@ -151,6 +157,7 @@
       return ok({
         status: res.statusCode,
         body: text === "" ? undefined : JSON.parse(text),
+        etag: String(res.headers.etag ?? ""),
         retryAfterMs: Number(
           res.headers["retry-after-ms"] ?? DEFAULT_RETRY_AFTER_MS,
         ),
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -34,6 +34,18 @@
   readonly expectedVersion: number;
 }
 
+/** A question for the list of VMs. */
+export interface ListInput extends CallLimits {
+  /** Tag of the list that is known already; empty when none is. */
+  readonly etag: string;
+}
+
+/** The list of VMs, unless it is still the known one. */
+export interface ListedVms {
+  readonly list: VmList | undefined;
+  readonly etag: string;
+}
+
 /** Client of the object API. */
 export interface Platform {
   get(
@@ -46,7 +58,7 @@
     key: string,
     input: WatchInput,
   ): Promise<Result<PlatformObject | undefined, PlatformError>>;
-  listVms(limits?: CallLimits): Promise<Result<VmList, PlatformError>>;
+  listVms(input: ListInput): Promise<Result<ListedVms, PlatformError>>;
 }
 
 /** Says in words why a call failed. */
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -2,8 +2,14 @@
 
 import { z } from "zod";
 import type { Member } from "../core/membership/member.ts";
-import type { DataCentreId, EntryId, Revision } from "../core/ids.ts";
+import type {
+  BackendId,
+  DataCentreId,
+  EntryId,
+  Revision,
+} from "../core/ids.ts";
 import { nameSchema } from "./ids_schema.ts";
+import { headDeltaSchema, headSchema } from "./stored_schema.ts";
 
 /** Schema of what is told about one entry VM. */
 export const memberSchema: z.ZodType<Member, unknown> = z.object({
@@ -32,5 +38,35 @@
 /** A request to probe another entry VM on the asker's behalf. */
 export const indirectProbeSchema = z.object({ target: z.string() });
 
+/** Asks for what changed since a revision; 0 asks for the whole head. */
+export const headRequestSchema = z.object({
+  known: z.number().transform((n) => n as Revision),
+});
+
+/** Answer: the changes where they can be told, else the whole head. */
+export const headAnswerSchema = z.union([
+  z.object({ delta: headDeltaSchema }),
+  z.object({ head: headSchema }),
+]);
+
+/** Answer to a question for the head. */
+export type HeadAnswer = z.infer<typeof headAnswerSchema>;
+
+/** Asks for the condensed list of VMs, unless it is still the known one. */
+export const vmViewRequestSchema = z.object({ known: z.string() });
+
+/** What entry VMs need of the platform's list of VMs. */
+export const vmViewSchema = z.object({
+  /** Changes with the content. */
+  version: z.string(),
+  /** Backend servers that leave. */
+  leaving: z.array(nameSchema<BackendId>()),
+  /** Peer addresses of live entry VMs. */
+  entries: z.array(z.string()),
+});
+
+/** What entry VMs need of the platform's list of VMs. */
+export type VmView = z.infer<typeof vmViewSchema>;
+
 /** Asks for an object of the configuration. */
 export const objectRequestSchema = z.object({ sha256: z.string() });
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -73,7 +73,9 @@
     connect_timeout_ms: z.int().min(10).default(1_000)
       .describe("Longest wait for a connection"),
     report_interval_ms: z.int().min(50).default(1_000)
-      .describe("Time between load reports of one model server"),
+      .describe("Shortest time between load reports of one model server"),
+    reports_per_second: z.number().min(0.1).default(16)
+      .describe("Load reports that this entry asks for, at most"),
   }).prefault({}),
 });
 
--- a/src/protocol/stored_schema.ts
+++ b/src/protocol/stored_schema.ts
@@ -2,20 +2,31 @@
 
 import { z } from "zod";
 import type { Head } from "../core/config/stored_configuration.ts";
+import type { HeadDelta } from "../core/config/head_delta.ts";
 import { SECTIONS } from "../core/config/configuration.ts";
 import type { Revision, Sha256 } from "../core/ids.ts";
 import { sha256Schema } from "./ids_schema.ts";
 
 const revisionSchema = z.int().min(1).transform((n) => n as Revision);
 
+const objectRefSchema = z.object({
+  section: z.enum(SECTIONS),
+  bucket: z.int().min(0),
+  sha256: sha256Schema.transform((hex) => hex as Sha256),
+});
+
+/** Schema of the changes of a head. */
+export const headDeltaSchema: z.ZodType<HeadDelta, unknown> = z.object({
+  from: revisionSchema,
+  revision: revisionSchema,
+  accepted_at_ms: z.number(),
+  changed: z.array(objectRefSchema),
+});
+
 /** Schema of the head. */
 export const headSchema: z.ZodType<Head, unknown> = z.object({
   revision: revisionSchema,
-  objects: z.array(z.object({
-    section: z.enum(SECTIONS),
-    bucket: z.int().min(0),
-    sha256: sha256Schema.transform((hex) => hex as Sha256),
-  })),
+  objects: z.array(objectRefSchema),
   accepted: z.array(z.object({
     revision: revisionSchema,
     apply_id: z.string(),
--- a/src/standins/platform_standin.ts
+++ b/src/standins/platform_standin.ts
@@ -65,6 +65,7 @@
   /** Whether the head was written since `lose_head_answers` came on. */
   #headWritten = false;
   #vms: VmList = { vms: [] };
+  #vmsVersion = 1;
 
   constructor() {
     this.#http = fastify({
@@ -79,7 +80,7 @@
     this.#http.get("/v1/objects/:key", (req, reply) => this.#read(req, reply));
     this.#http.put("/v1/objects/:key", (req, reply) => this.#write(req, reply));
     this.#http.get("/v1/objects", (req, reply) => this.#list(req, reply));
-    this.#http.get("/v1/vms", (_req, reply) => this.#listVms(reply));
+    this.#http.get("/v1/vms", (req, reply) => this.#listVms(req, reply));
     this.#http.put("/vms", (req) => this.#setVms(req.body));
     this.#http.put("/faults", (req) => this.#setFaults(req.body));
     this.#http.get("/counts", () => this.#counts);
@@ -180,10 +181,15 @@
     return reply.send({ keys: this.#objects.list(prefix ?? "") });
   }
 
-  async #listVms(reply: FastifyReply): Promise<FastifyReply> {
+  async #listVms(
+    req: FastifyRequest,
+    reply: FastifyReply,
+  ): Promise<FastifyReply> {
     this.#counts.reads += 1;
     if (await this.#refuse(reply, this.#reads)) return reply;
-    return reply.send(this.#vms);
+    const etag = String(this.#vmsVersion);
+    if (req.headers["if-none-match"] === etag) return reply.code(304).send();
+    return reply.header("etag", etag).send(this.#vms);
   }
 
   /** Applies the faults that hold for every call; returns whether it answered. */
@@ -207,7 +213,10 @@
   #setVms(body: unknown): { ok: true } {
     const vms = vmListSchema.parse(body);
     const lagMs = this.#faults.list_lag_ms ?? DEFAULT_LIST_LAG_MS;
-    setTimeout(() => this.#vms = vms, lagMs).unref();
+    setTimeout(() => {
+      this.#vms = vms;
+      this.#vmsVersion += 1;
+    }, lagMs).unref();
     return { ok: true };
   }
 
