Log at all; count control bytes; add the slopes benchmark

Cause: roarr gives a mock logger unless ROARR_LOG is set when it is imported, so no entry ever logged a line. Found by the benchmark, which reads times from logs. Change: a module that sets it is imported first. Sockets to peers and platform are metered (fieldrack_control_bytes). Ruled out: setting ROARR.write alone (the mock ignores it). Before: 'should log a change of state' fails with no line; after: passes.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,7 +3,10 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { benchCore } from "./core_slopes.ts";
+import { benchFleet } from "./fleet_slopes.ts";
 import { benchOverhead } from "./overhead_bench.ts";
+import { benchRequests } from "./request_slopes.ts";
 
 void yargs(hideBin(process.argv))
   .scriptName("npm run bench --")
@@ -14,6 +17,24 @@
     (args) => args,
     ({ json }) => benchOverhead({ json: json === true }),
   )
+  .command(
+    "slopes [part]",
+    "What entries, changes, requests and tokens cost; the figures of docs/CAPACITY.md",
+    (args) =>
+      args.positional("part", {
+        choices: ["core", "fleet", "requests"] as const,
+      })
+        .option("sizes", {
+          type: "number",
+          array: true,
+          default: [3, 7, 14, 28],
+        }),
+    async ({ part, sizes }) => {
+      if (part === undefined || part === "core") benchCore();
+      if (part === undefined || part === "requests") await benchRequests();
+      if (part === undefined || part === "fleet") await benchFleet(sizes);
+    },
+  )
   .demandCommand(1)
   .strict()
   .parse();
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -28,6 +28,7 @@
 import { HttpPlatform } from "../platform/http_platform.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { type Clock, SystemClock } from "../runtime/clock.ts";
+import { SocketMeter } from "../runtime/socket_meter.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { AddressBook } from "./address_book.ts";
 import { BackendSelector } from "./backend_selector.ts";
@@ -81,6 +82,8 @@
     peerSecret: asValue(options.peerSecret),
     logger: asValue(options.logger),
     chance: asValue(Math.random),
+    peerMeter: asClass(SocketMeter).singleton(),
+    platformMeter: asClass(SocketMeter).singleton(),
   });
   registerCore(container, options.settings);
   registerEdges(container, options.settings);
@@ -124,9 +127,13 @@
         connect: { timeout: backends.connect_timeout_ms },
       }),
     ),
-    platform: asValue(
-      new HttpPlatform({ url: platform.url, timeoutMs: platform.timeout_ms }),
-    ),
+    platform: asFunction(({ platformMeter }: { platformMeter: SocketMeter }) =>
+      new HttpPlatform({
+        url: platform.url,
+        timeoutMs: platform.timeout_ms,
+        meter: platformMeter,
+      })
+    ).singleton(),
     peers: asClass(TrpcPeers).singleton(),
     relayRole: asClass(RelayRole).singleton(),
     vmViewHolder: asClass(VmViewHolder).singleton(),
--- a/src/entry/operator_server.ts
+++ b/src/entry/operator_server.ts
@@ -7,6 +7,7 @@
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import type { EntryStatus } from "../protocol/status_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
+import type { SocketMeter } from "../runtime/socket_meter.ts";
 import { listenHttp } from "../runtime/listen.ts";
 
 interface Deps {
@@ -15,6 +16,8 @@
   readonly memberTable: MemberTable;
   readonly inFlightLimits: InFlightLimits;
   readonly entryMetrics: EntryMetrics;
+  readonly peerMeter: SocketMeter;
+  readonly platformMeter: SocketMeter;
 }
 
 /** Serves operators. */
@@ -29,6 +32,7 @@
     this.#http.get("/status", () => this.#status());
     this.#http.get("/metrics", async (_req, reply) => {
       const { registry } = this.#deps.entryMetrics;
+      this.#measureTraffic();
       void reply.header("content-type", registry.contentType);
       return await registry.metrics();
     });
@@ -44,6 +48,16 @@
     await this.#http.close();
   }
 
+  #measureTraffic(): void {
+    const { entryMetrics, peerMeter, platformMeter } = this.#deps;
+    const meters = { peers: peerMeter, platform: platformMeter };
+    for (const [link, meter] of Object.entries(meters)) {
+      const { received, sent } = meter.total();
+      entryMetrics.controlBytes.set({ link, direction: "received" }, received);
+      entryMetrics.controlBytes.set({ link, direction: "sent" }, sent);
+    }
+  }
+
   #status(): EntryStatus {
     const { memberTable, configurationStore, inFlightLimits } = this.#deps;
     const members = [memberTable.self, ...memberTable.others()];
--- a/src/metrics/entry_metrics.ts
+++ b/src/metrics/entry_metrics.ts
@@ -98,6 +98,13 @@
     registers: [this.registry],
   });
 
+  readonly controlBytes = new Gauge({
+    name: "fieldrack_control_bytes",
+    help: "Bytes to and from other entry VMs and the platform since the start",
+    labelNames: ["link", "direction"] as const,
+    registers: [this.registry],
+  });
+
   readonly probes = new Counter({
     name: "fieldrack_peer_probes_total",
     help: "Probes of other entry VMs, by outcome",
--- a/src/peers/peer_server.ts
+++ b/src/peers/peer_server.ts
@@ -13,6 +13,7 @@
 import { parseAddress } from "../runtime/address.ts";
 import { boundAddress } from "../runtime/listen.ts";
 import { sha256 } from "../runtime/hashing.ts";
+import type { SocketMeter } from "../runtime/socket_meter.ts";
 import { createPeerRouter, type PeerRouterDeps } from "./peer_router.ts";
 
 const MAX_BODY_BYTES = 2 * 1024 * 1024;
@@ -21,6 +22,7 @@
 interface Deps extends PeerRouterDeps {
   readonly settings: Settings;
   readonly peerSecret: string;
+  readonly peerMeter: SocketMeter;
 }
 
 /** Serves other entry VMs. */
@@ -40,6 +42,7 @@
       if (this.#knowsSecret(req)) handle(req, res);
       else refuse(res);
     });
+    this.#server.on("connection", (socket) => deps.peerMeter.track(socket));
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
 
--- a/src/peers/trpc_peers.ts
+++ b/src/peers/trpc_peers.ts
@@ -6,7 +6,7 @@
   type TRPCClient,
   TRPCClientError,
 } from "@trpc/client";
-import { Agent, fetch as undiciFetch } from "undici";
+import { type Agent, fetch as undiciFetch } from "undici";
 import type { Revision, Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import { fail, ok, type Result } from "../core/result.ts";
@@ -18,6 +18,7 @@
   vmViewSchema,
 } from "../protocol/peer_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
+import { meteredAgent, type SocketMeter } from "../runtime/socket_meter.ts";
 import type { PeerRouter, ProbeAnswer } from "./peer_router.ts";
 import type { PeerError, Peers } from "./peers.ts";
 
@@ -25,25 +26,29 @@
 const MAX_CLIENTS = 1_024;
 /** Wait for a part of the configuration, which may be large. */
 const OBJECT_TIMEOUT_MS = 2_000;
+/** Connections to one entry VM. */
+const CONNECTIONS = 2;
 /** Idle connections are given up, since each entry VM is probed rarely. */
 const KEEP_ALIVE_MS = 60_000;
 
 interface Deps {
   readonly settings: Settings;
   readonly peerSecret: string;
+  readonly peerMeter: SocketMeter;
 }
 
 /** One tRPC client for each address. */
 export class TrpcPeers implements Peers {
   readonly #deps: Deps;
   readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
-  readonly #agent = new Agent({
-    connections: 2,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-  });
+  readonly #agent: Agent;
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    this.#agent = meteredAgent(deps.peerMeter, {
+      connections: CONNECTIONS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
   }
 
   probe(
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -1,6 +1,6 @@
 /** The platform's object API over HTTP. */
 
-import { Agent, type Dispatcher, request } from "undici";
+import { type Agent, type Dispatcher, request } from "undici";
 import type { z } from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import {
@@ -10,6 +10,7 @@
   platformWriteSchema,
   vmListSchema,
 } from "../protocol/platform_schema.ts";
+import { meteredAgent, SocketMeter } from "../runtime/socket_meter.ts";
 import type {
   CallLimits,
   ListedVms,
@@ -46,10 +47,19 @@
 export class HttpPlatform implements Platform {
   readonly #url: string;
   readonly #timeoutMs: number;
-  readonly #agent = new Agent({ connections: CONNECTIONS });
+  readonly #agent: Agent;
   #calls = 0;
 
-  constructor({ url, timeoutMs }: { url: string; timeoutMs: number }) {
+  constructor(
+    { url, timeoutMs, meter }: {
+      url: string;
+      timeoutMs: number;
+      meter?: SocketMeter;
+    },
+  ) {
+    this.#agent = meteredAgent(meter ?? new SocketMeter(), {
+      connections: CONNECTIONS,
+    });
     this.#url = url.replace(/\/$/, "");
     this.#timeoutMs = timeoutMs;
   }
--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -1,5 +1,6 @@
 /** Logs: one JSON line for each change of state, by roarr. */
 
+import "./enable_logs.ts";
 import process from "node:process";
 import { type Logger as RoarrLogger, Roarr } from "roarr";
 
--- a/tests/end_to_end_test.ts
+++ b/tests/end_to_end_test.ts
@@ -235,6 +235,15 @@
     assert.equal(status.members.length, 3);
   });
 
+  test("should log a change of state as a line of JSON", () => {
+    const lines = fleet.entry("entry-1").process.stderr.split("\n").slice(
+      0,
+      -1,
+    );
+    const messages = lines.map((line) => JSON.parse(line).message);
+    assert.ok(messages.includes("Configuration is in force"), messages.join());
+  });
+
   test("should keep the peers' interface from callers", async () => {
     const answer = await new Caller(fleet.entry("entry-1").peers, "guess").call(
       "/head",
