Refuse to serve by a configuration that nobody confirms

Cause: an entry that was cut off or frozen served on by whatever configuration it had, for as long as it lasted. Change: an entry serves for 5 s after the last confirmation: by the platform, by a peer that had one, or, while the platform is away, by a majority of the entry VMs. Times are those at which the confirming call was started. Checked at each try, so retries and escalations too. Answers name the revision they were decided by (fieldrack-revision). Ruled out: serving leases (stop the fleet in an outage of the platform); serving on when isolated (a withdrawn version would get new work).

--- a/bench/core_slopes.ts
+++ b/bench/core_slopes.ts
@@ -90,7 +90,7 @@
     "one probe, asked or answered": timed(() => {
       table.merge(news, 0);
       table.newsToTell();
-      table.expire(0);
+      table.expire(0, { keepDead: false });
     }),
     "whole membership": {
       value: Buffer.byteLength(JSON.stringify(table.everyone())),
--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -1,12 +1,14 @@
 /** Keeps the configuration in force up to date, by the platform and by peers. */
 
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { Freshness } from "../core/config/freshness.ts";
 import { applyHeadDelta } from "../core/config/head_delta.ts";
 import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import type { Peers } from "../peers/peers.ts";
 import type { Platform, PlatformError } from "../platform/platform.ts";
+import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { Prober } from "../peers/prober.ts";
 import type { RelayRole } from "../peers/relay_role.ts";
@@ -15,7 +17,7 @@
 import type { ConfigurationLoader } from "./configuration_loader.ts";
 
 /** How long one watch call waits for a change. */
-const WATCH_WAIT_MS = 20_000;
+const WATCH_WAIT_MS = 1_500;
 /** Wait before the platform is asked again after an error. */
 const RETRY_MS = 500;
 /** Wait before an entry that is no relay looks whether it has become one. */
@@ -31,6 +33,8 @@
   readonly prober: Prober;
   readonly configurationStore: ConfigurationStore;
   readonly configurationLoader: ConfigurationLoader;
+  readonly freshness: Freshness;
+  readonly clock: Clock;
   readonly entryMetrics: EntryMetrics;
   readonly logger: Logger;
 }
@@ -68,6 +72,7 @@
         await pause(ROLE_CHECK_MS);
         continue;
       }
+      const startedMs = this.#deps.clock.monotonicMs();
       const changed = await this.#deps.platform.watch(HEAD_KEY, {
         afterVersion: this.#headVersion,
         waitMs: WATCH_WAIT_MS,
@@ -82,20 +87,30 @@
         continue;
       }
       this.#notePlatform(undefined);
-      if (changed.value === undefined) continue;
-      const taken = await this.#takeText(changed.value.value);
+      if (changed.value === undefined) {
+        this.#deps.freshness.confirm(startedMs);
+        continue;
+      }
+      const taken = await this.#takeText(changed.value.value, startedMs);
       if (taken) this.#headVersion = changed.value.version;
       else await pause(RETRY_MS);
     }
   }
 
-  async #takeText(text: string): Promise<boolean> {
+  /** Takes a head that the platform gave to a call started at `startedMs`. */
+  async takeConfirmed(head: Head, startedMs: number): Promise<boolean> {
+    const taken = await this.#take(head, undefined);
+    if (taken) this.#deps.freshness.confirm(startedMs);
+    return taken;
+  }
+
+  async #takeText(text: string, startedMs: number): Promise<boolean> {
     const head = parseHead(text);
     if (head === undefined) {
       this.#deps.logger.warn("Head in the platform is not understood");
       return false;
     }
-    return await this.#take(head, undefined);
+    return await this.takeConfirmed(head, startedMs);
   }
 
   async #learnFromPeers(): Promise<void> {
--- /dev/null
+++ b/src/configuration/freshness_keeper.ts
@@ -0,0 +1,112 @@
+/** Makes sure, when nobody has lately, that no later configuration is in force. */
+
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import { FRESH_FOR_MS, type Freshness } from "../core/config/freshness.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { ProbeOrder } from "../core/membership/probe_order.ts";
+import type { EntryMetrics } from "../metrics/entry_metrics.ts";
+import type { Prober } from "../peers/prober.ts";
+import type { Platform } from "../platform/platform.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { RepeatedTask } from "../runtime/repeated_task.ts";
+import type { ConfigurationFollower } from "./configuration_follower.ts";
+import { readHead } from "./head_reader.ts";
+
+const CHECK_INTERVAL_MS = 500;
+/** Longest wait for the platform's answer; the rest of the time is for peers. */
+const PLATFORM_TIMEOUT_MS = 1_000;
+/** Other entry VMs asked at once while the platform is away. */
+const PEERS_ASKED = 3;
+
+interface Deps {
+  readonly platform: Platform;
+  readonly configurationStore: ConfigurationStore;
+  readonly configurationFollower: ConfigurationFollower;
+  readonly freshness: Freshness;
+  readonly memberTable: MemberTable;
+  readonly probeOrder: ProbeOrder;
+  readonly prober: Prober;
+  readonly entryMetrics: EntryMetrics;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Asks the platform, then a majority of the entry VMs. */
+export class FreshnessKeeper {
+  readonly #deps: Deps;
+  readonly #task = new RepeatedTask({
+    intervalMs: CHECK_INTERVAL_MS,
+    run: () => this.#check(),
+  });
+  #wasFresh = true;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Starts to look. */
+  start(): void {
+    this.#task.start();
+  }
+
+  /** Stops to look. */
+  stop(): void {
+    this.#task.stop();
+  }
+
+  async #check(): Promise<void> {
+    const { freshness, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    if (
+      freshness.ageMs(nowMs) > FRESH_FOR_MS / 2 && !await this.#askPlatform()
+    ) {
+      await this.#askMajority();
+    }
+    this.#note(freshness.isFresh(clock.monotonicMs()));
+  }
+
+  /** Returns whether the platform answered. */
+  async #askPlatform(): Promise<boolean> {
+    const { platform, freshness, clock, entryMetrics } = this.#deps;
+    const startedMs = clock.monotonicMs();
+    const signal = AbortSignal.timeout(PLATFORM_TIMEOUT_MS);
+    const record = await readHead(platform, { signal });
+    const outcome = record.ok ? "answered" : record.error.tag;
+    entryMetrics.platformCalls.inc({ kind: "confirm", outcome });
+    if (!record.ok) {
+      freshness.notePlatformAway(startedMs);
+      return false;
+    }
+    const { head } = record.value;
+    if (head === undefined) return true;
+    await this.#deps.configurationFollower.takeConfirmed(head, startedMs);
+    return true;
+  }
+
+  async #askMajority(): Promise<void> {
+    const { memberTable, probeOrder, prober } = this.#deps;
+    if (!memberTable.seesMajority()) return;
+    const members = probeOrder.some(memberTable.others(), {
+      count: PEERS_ASKED,
+      except: memberTable.self.id,
+    });
+    if (members.length === 0) return this.#confirmAlone();
+    await Promise.all(members.map((member) => prober.confirmBy(member)));
+  }
+
+  /** A fleet of one has nobody to disagree with. */
+  #confirmAlone(): void {
+    const { freshness, clock } = this.#deps;
+    freshness.confirmByMajority(clock.monotonicMs());
+  }
+
+  #note(fresh: boolean): void {
+    if (fresh === this.#wasFresh) return;
+    this.#wasFresh = fresh;
+    const { configurationStore, logger } = this.#deps;
+    const { revision } = configurationStore;
+    if (fresh) logger.info("Entry serves again", { revision });
+    else logger.warn("Entry is isolated and refuses requests", { revision });
+  }
+}
--- a/src/configuration/head_reader.ts
+++ b/src/configuration/head_reader.ts
@@ -2,7 +2,11 @@
 
 import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
 import { fail, ok, type Result } from "../core/result.ts";
-import type { Platform, PlatformError } from "../platform/platform.ts";
+import type {
+  CallLimits,
+  Platform,
+  PlatformError,
+} from "../platform/platform.ts";
 import { headSchema } from "../protocol/stored_schema.ts";
 
 /** The head and the platform's version of it; 0 and none before the first apply. */
@@ -14,8 +18,9 @@
 /** Returns the head in force. */
 export async function readHead(
   platform: Platform,
+  limits: CallLimits = {},
 ): Promise<Result<HeadRecord, PlatformError>> {
-  const object = await platform.get(HEAD_KEY);
+  const object = await platform.get(HEAD_KEY, limits);
   if (!object.ok) {
     if (object.error.tag !== "missing") return object;
     return ok({ head: undefined, version: 0 });
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -15,6 +15,8 @@
 
 interface Row {
   member: Member;
+  /** Whether it left before it died, and so is not missed. */
+  left: boolean;
   /** Times that this news was put into a message. */
   told: number;
   /** When the state was learnt, by the monotonic clock. */
@@ -94,15 +96,31 @@
       this.#setState(id, { from: ["leaving"], to: "dead", nowMs });
   }
 
-  /** Gives up on suspects that did not refute, and forgets the long dead. */
-  expire(nowMs: number): EntryId[] {
+  /**
+   * Whether more than half of the entry VMs that are known, this one included, are
+   * not dead. Those that left as planned do not count.
+   */
+  seesMajority(): boolean {
+    const dead = [...this.#rows.values()].filter(({ member, left }) =>
+      member.state === "dead" && !left
+    );
+    return this.others().length + 1 > dead.length;
+  }
+
+  /**
+   * Gives up on suspects that did not refute. Forgets the long dead, unless `keepDead`:
+   * who is cut off must not come to take itself for the majority.
+   */
+  expire(nowMs: number, { keepDead }: { keepDead: boolean }): EntryId[] {
     const lost: EntryId[] = [];
     for (const [id, row] of this.#rows) {
       const age = nowMs - row.sinceMs;
       if (row.member.state === "suspect" && age >= SUSPICION_MS) {
         this.#setState(id, { from: ["suspect"], to: "dead", nowMs });
         lost.push(id);
-      } else if (row.member.state === "dead" && age >= FORGET_DEAD_MS) {
+      } else if (
+        !keepDead && row.member.state === "dead" && age >= FORGET_DEAD_MS
+      ) {
         this.#rows.delete(id);
       }
     }
@@ -129,16 +147,22 @@
     if (news.id === this.#self.id) return this.#refute(news);
     const row = this.#rows.get(news.id);
     if (row === undefined) {
-      if (news.state === "dead") return false;
-      this.#rows.set(news.id, { member: news, told: 0, sinceMs: nowMs });
+      // The dead are noted too, so that a newcomer knows how many there should be.
+      this.#rows.set(news.id, {
+        member: news,
+        left: false,
+        told: 0,
+        sinceMs: nowMs,
+      });
       this.#changes += 1;
-      return true;
+      return news.state !== "dead";
     }
     if (!isNewer(news, row.member)) {
       this.#noteRevision(row, news);
       return false;
     }
-    this.#rows.set(news.id, { member: news, told: 0, sinceMs: nowMs });
+    const left = news.state === "dead" && row.member.state === "leaving";
+    this.#rows.set(news.id, { member: news, left, told: 0, sinceMs: nowMs });
     this.#changes += 1;
     return row.member.state !== news.state;
   }
@@ -171,7 +195,8 @@
     const row = this.#rows.get(id);
     if (row === undefined || !from.includes(row.member.state)) return false;
     const member = { ...row.member, state: to };
-    this.#rows.set(id, { member, told: 0, sinceMs: nowMs });
+    const left = to === "dead" && row.member.state === "leaving";
+    this.#rows.set(id, { member, left, told: 0, sinceMs: nowMs });
     this.#changes += 1;
     return true;
   }
--- a/src/core/membership/member_table_test.ts
+++ b/src/core/membership/member_table_test.ts
@@ -26,9 +26,9 @@
     const table = new MemberTable(member("a"));
     table.merge([member("b")], 0);
     table.suspect("b" as EntryId, 0);
-    assert.deepEqual(table.expire(SUSPICION_MS - 1), []);
+    assert.deepEqual(table.expire(SUSPICION_MS - 1, { keepDead: false }), []);
     table.merge([member("b", { incarnation: 2 })], SUSPICION_MS - 1);
-    assert.deepEqual(table.expire(SUSPICION_MS * 2), []);
+    assert.deepEqual(table.expire(SUSPICION_MS * 2, { keepDead: false }), []);
     assert.equal(stateOf(table, "b"), "alive");
   });
 
@@ -36,7 +36,7 @@
     const table = new MemberTable(member("a"));
     table.merge([member("b"), member("c")], 0);
     table.suspect("b" as EntryId, 0);
-    table.expire(SUSPICION_MS);
+    table.expire(SUSPICION_MS, { keepDead: false });
     table.merge([member("c", { state: "leaving" })], 0);
     assert.deepEqual(table.callable().map(({ id }) => id), ["a"]);
   });
@@ -45,7 +45,7 @@
     const table = new MemberTable(member("a"));
     table.merge([member("b")], 0);
     table.suspect("b" as EntryId, 0);
-    table.expire(SUSPICION_MS);
+    table.expire(SUSPICION_MS, { keepDead: false });
     table.merge([member("b")], SUSPICION_MS);
     assert.equal(stateOf(table, "b"), "dead");
     table.merge([member("b", { incarnation: 2 })], SUSPICION_MS);
--- a/src/entry/backend_selector.ts
+++ b/src/entry/backend_selector.ts
@@ -7,7 +7,8 @@
 import type { ConfigurationIndex } from "../core/config/configuration_index.ts";
 import { planRequest, type PlanStep } from "../core/cascade/cascade_plan.ts";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
-import type { BackendId, ServiceId } from "../core/ids.ts";
+import type { Freshness } from "../core/config/freshness.ts";
+import type { BackendId, Revision, ServiceId } from "../core/ids.ts";
 import type { RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { ServerChooser } from "../core/routing/server_chooser.ts";
@@ -27,10 +28,13 @@
   readonly server: BackendServer;
   readonly step: PlanStep;
   readonly version: ModelVersion;
+  /** Revision of the configuration by which this was decided. */
+  readonly revision: Revision;
 }
 
 interface Deps {
   readonly configurationStore: ConfigurationStore;
+  readonly freshness: Freshness;
   readonly serverPool: ServerPool;
   readonly serverChooser: ServerChooser;
   readonly settings: Settings;
@@ -46,10 +50,17 @@
   readonly #subsets = new Map<string, readonly BackendServer[]>();
 
   constructor(deps: Deps) {
-    const { configurationStore, serverPool, serverChooser, settings, clock } =
-      deps;
+    const {
+      configurationStore,
+      freshness,
+      serverPool,
+      serverChooser,
+      settings,
+      clock,
+    } = deps;
     this.#deps = {
       configurationStore,
+      freshness,
       serverPool,
       serverChooser,
       settings,
@@ -60,6 +71,8 @@
 
   /** Steps for the name that a caller gave, by what its account allows now. */
   plan(ctx: RequestContext, name: string): Result<PlanStep[], RequestError> {
+    const fresh = this.#checkFresh();
+    if (!fresh.ok) return fresh;
     const { index } = this.#deps.configurationStore;
     const account = index?.accountByKey(ctx.keyHash);
     if (index === undefined || account === undefined) {
@@ -87,7 +100,9 @@
         () => index.serversOf(model.id, version.id),
       );
       const server = this.#choose(candidates, tried);
-      if (server !== undefined) return ok({ server, step, version });
+      if (server !== undefined) {
+        return ok({ server, step, version, revision: index.revision });
+      }
     }
     return fail(noServer(model.id));
   }
@@ -97,6 +112,8 @@
     service: ServiceId,
     tried: ReadonlySet<BackendId>,
   ): Result<BackendServer, RequestError> {
+    const fresh = this.#checkFresh();
+    if (!fresh.ok) return fresh;
     const candidates = this.#subset(
       service,
       () => this.#index().serversOfService(service),
@@ -122,6 +139,14 @@
     return [...used.values()];
   }
 
+  /** Checked before each try: a process may have been frozen since the last. */
+  #checkFresh(): Result<undefined, RequestError> {
+    const { freshness, clock } = this.#deps;
+    if (freshness.isFresh(clock.monotonicMs())) return ok(undefined);
+    const reason = "it has lost touch with the platform and the other entries";
+    return fail({ tag: "not_ready", reason, retryAfterMs: RETRY_AFTER_MS });
+  }
+
   #index(): ConfigurationIndex {
     // A plan exists, so there is a configuration, and its revision never falls.
     return this.#deps.configurationStore.index as ConfigurationIndex;
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -12,9 +12,11 @@
 } from "fastify";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { type RequestError, statusOf } from "../core/request_error.ts";
+import type { Freshness } from "../core/config/freshness.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import { chatRequestSchema } from "../protocol/chat_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import type { AddressBook } from "./address_book.ts";
 import type { CallerGate } from "./caller_gate.ts";
@@ -42,6 +44,8 @@
   readonly serviceDispatcher: ServiceDispatcher;
   readonly addressBook: AddressBook;
   readonly configurationStore: ConfigurationStore;
+  readonly freshness: Freshness;
+  readonly clock: Clock;
   readonly entryMetrics: EntryMetrics;
 }
 
@@ -63,6 +67,8 @@
       serviceDispatcher,
       addressBook,
       configurationStore,
+      freshness,
+      clock,
       entryMetrics,
     } = deps;
     this.#deps = {
@@ -72,6 +78,8 @@
       serviceDispatcher,
       addressBook,
       configurationStore,
+      freshness,
+      clock,
       entryMetrics,
     };
     const { limits } = deps.settings;
@@ -143,7 +151,9 @@
 
   #ready(reply: FastifyReply): FastifyReply {
     const { revision } = this.#deps.configurationStore;
-    const ready = this.#deps.configurationStore.index !== undefined;
+    const nowMs = this.#deps.clock.monotonicMs();
+    const ready = this.#deps.configurationStore.index !== undefined &&
+      this.#deps.freshness.isFresh(nowMs);
     return reply.code(ready ? 200 : 503).send({ ready, revision });
   }
 
@@ -159,11 +169,12 @@
       }
       const answer = await this.#deps.chatService.answer(ctx, body.value);
       if (!answer.ok) return answer.error;
-      const { step, version } = answer.value.target;
+      const { step, version, revision } = answer.value.target;
       void reply.header("content-type", "application/json; charset=utf-8")
         .header("fieldrack-request-id", ctx.requestId)
         .header("fieldrack-model", step.model.id)
         .header("fieldrack-version", version.id)
+        .header("fieldrack-revision", revision)
         .send(answer.value.text);
       return undefined;
     });
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -9,9 +9,11 @@
   InjectionMode,
 } from "awilix";
 import { Agent } from "undici";
+import { FreshnessKeeper } from "../configuration/freshness_keeper.ts";
 import { HttpModelServers } from "../backends/http_model_servers.ts";
 import { HttpPlainServices } from "../backends/http_plain_services.ts";
 import { ConfigurationStore } from "../core/config/configuration_store.ts";
+import { Freshness } from "../core/config/freshness.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { InFlightLimits } from "../core/limits/in_flight_limits.ts";
 import { RetryBudget } from "../core/limits/retry_budget.ts";
@@ -62,6 +64,7 @@
   readonly peers: TrpcPeers;
   readonly prober: Prober;
   readonly configurationFollower: ConfigurationFollower;
+  readonly freshnessKeeper: FreshnessKeeper;
   readonly vmListFollower: VmListFollower;
   readonly loadReportFollower: LoadReportFollower;
   readonly callerServer: CallerServer;
@@ -94,6 +97,7 @@
   const { entry, listen, limits } = settings;
   container.register({
     configurationStore: asClass(ConfigurationStore).singleton(),
+    freshness: asClass(Freshness).singleton(),
     serverPool: asClass(ServerPool).singleton(),
     retryBudget: asClass(RetryBudget).singleton(),
     inFlightLimits: asValue(new InFlightLimits(limits.max_in_flight)),
@@ -149,6 +153,7 @@
     ).singleton(),
     configurationLoader: asClass(ConfigurationLoader).singleton(),
     configurationFollower: asClass(ConfigurationFollower).singleton(),
+    freshnessKeeper: asClass(FreshnessKeeper).singleton(),
     vmListFollower: asClass(VmListFollower).singleton(),
     loadReportFollower: asClass(LoadReportFollower).singleton(),
     backendSelector: asClass(BackendSelector).singleton(),
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -42,9 +42,14 @@
       peers: await parts.peerServer.listen(),
       operators: await parts.operatorServer.listen(),
     };
-    parts.memberTable.setOwnAddresses(addresses);
+    const { advertise } = this.#options.settings.peers;
+    parts.memberTable.setOwnAddresses({
+      ...addresses,
+      peers: advertise ?? addresses.peers,
+    });
     parts.prober.start();
     parts.configurationFollower.start();
+    parts.freshnessKeeper.start();
     parts.vmListFollower.start();
     parts.loadReportFollower.start();
     this.#logger.info("Entry serves", addresses);
@@ -72,6 +77,7 @@
     while (parts.inFlightLimits.total > 0) await pause(POLL_MS);
     await closed;
     parts.loadReportFollower.stop();
+    parts.freshnessKeeper.stop();
     parts.vmListFollower.stop();
     parts.configurationFollower.stop();
     parts.prober.stop();
--- a/src/entry/http_chat_sink.ts
+++ b/src/entry/http_chat_sink.ts
@@ -36,7 +36,7 @@
     return this.#started;
   }
 
-  start({ step, version }: Target): void {
+  start({ step, version, revision }: Target): void {
     this.#started = true;
     this.#res.writeHead(200, {
       "content-type": "text/event-stream; charset=utf-8",
@@ -44,6 +44,7 @@
       "fieldrack-request-id": this.#requestId,
       "fieldrack-model": step.model.id,
       "fieldrack-version": version.id,
+      "fieldrack-revision": revision,
     });
     this.#onFirstEvent();
   }
--- a/src/entry/vm_list_follower.ts
+++ b/src/entry/vm_list_follower.ts
@@ -1,5 +1,7 @@
 /** Takes in the platform's lagging list of VMs: relays ask it, others ask relays. */
 
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { Freshness } from "../core/config/freshness.ts";
 import type { BackendId } from "../core/ids.ts";
 import type { ServerPool } from "../core/routing/server_pool.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
@@ -10,6 +12,7 @@
 import type { Platform } from "../platform/platform.ts";
 import type { VmView } from "../protocol/peer_schema.ts";
 import type { VmList } from "../protocol/platform_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
 import { sha256 } from "../runtime/hashing.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 
@@ -20,6 +23,9 @@
   readonly peers: Peers;
   readonly relayRole: RelayRole;
   readonly vmViewHolder: VmViewHolder;
+  readonly configurationStore: ConfigurationStore;
+  readonly freshness: Freshness;
+  readonly clock: Clock;
   readonly serverPool: ServerPool;
   readonly prober: Prober;
   readonly entryMetrics: EntryMetrics;
@@ -55,14 +61,26 @@
 
   /** Returns whether a relay answered. */
   async #askRelay(): Promise<boolean> {
-    const { peers, relayRole, vmViewHolder } = this.#deps;
+    const {
+      peers,
+      relayRole,
+      vmViewHolder,
+      configurationStore,
+      freshness,
+      clock,
+    } = this.#deps;
     for (const relay of relayRole.others()) {
-      const view = await peers.vmView(
+      const startedMs = clock.monotonicMs();
+      const answer = await peers.vmView(
         relay.peers,
         vmViewHolder.current?.version ?? "",
       );
-      if (!view.ok) continue;
-      if (view.value !== null) this.#take(view.value);
+      if (!answer.ok) continue;
+      const { view, revision, confirmed_age_ms } = answer.value;
+      if (view !== null) this.#take(view);
+      if (revision <= configurationStore.revision) {
+        freshness.confirm(startedMs - confirmed_age_ms);
+      }
       return true;
     }
     return false;
--- a/src/peers/peer_router.ts
+++ b/src/peers/peer_router.ts
@@ -2,6 +2,7 @@
 
 import { initTRPC, TRPCError } from "@trpc/server";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { Freshness } from "../core/config/freshness.ts";
 import { headDelta } from "../core/config/head_delta.ts";
 import type { Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
@@ -12,7 +13,7 @@
   indirectProbeSchema,
   objectRequestSchema,
   probeSchema,
-  type VmView,
+  type VmViewAnswer,
   vmViewRequestSchema,
 } from "../protocol/peer_schema.ts";
 import type { VmViewHolder } from "./vm_view_holder.ts";
@@ -23,6 +24,7 @@
   readonly memberTable: MemberTable;
   readonly configurationStore: ConfigurationStore;
   readonly vmViewHolder: VmViewHolder;
+  readonly freshness: Freshness;
   readonly clock: Clock;
   /** Probes another entry VM for one that cannot reach it. */
   readonly probeFor: (target: string) => Promise<boolean>;
@@ -32,13 +34,19 @@
 export interface ProbeAnswer {
   readonly self: Member;
   readonly news: Member[];
+  readonly confirmed_age_ms: number;
 }
 
+/** Stands for "never", which JSON cannot say. */
+const MAX_AGE_MS = 1_000_000_000;
+
 const trpc = initTRPC.create();
 
 /** Returns the router of one entry. */
 export function createPeerRouter(deps: PeerRouterDeps) {
-  const { memberTable, configurationStore, clock } = deps;
+  const { memberTable, configurationStore, freshness, clock } = deps;
+  const confirmedAgeMs = () =>
+    Math.min(MAX_AGE_MS, freshness.ageMs(clock.monotonicMs()));
   return trpc.router({
     probe: trpc.procedure.input(probeSchema).mutation(
       ({ input }): ProbeAnswer => {
@@ -46,7 +54,11 @@
         const news = input.joining
           ? memberTable.everyone()
           : memberTable.newsToTell();
-        return { self: memberTable.self, news };
+        return {
+          self: memberTable.self,
+          news,
+          confirmed_age_ms: confirmedAgeMs(),
+        };
       },
     ),
     probeFor: trpc.procedure.input(indirectProbeSchema).mutation(({ input }) =>
@@ -62,10 +74,12 @@
       },
     ),
     vmView: trpc.procedure.input(vmViewRequestSchema).query(
-      ({ input }): VmView | null => {
+      ({ input }): VmViewAnswer => {
         const { current } = deps.vmViewHolder;
         if (current === undefined) throw new TRPCError({ code: "NOT_FOUND" });
-        return current.version === input.known ? null : current;
+        const view = current.version === input.known ? null : current;
+        const { revision } = configurationStore;
+        return { view, revision, confirmed_age_ms: confirmedAgeMs() };
       },
     ),
     object: trpc.procedure.input(objectRequestSchema).query(
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -3,7 +3,7 @@
 import type { Revision, Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { Result } from "../core/result.ts";
-import type { HeadAnswer, VmView } from "../protocol/peer_schema.ts";
+import type { HeadAnswer, VmViewAnswer } from "../protocol/peer_schema.ts";
 import type { ProbeAnswer } from "./peer_router.ts";
 
 /** Why a call of another entry VM failed. */
@@ -28,10 +28,10 @@
     address: string,
     known: Revision,
   ): Promise<Result<HeadAnswer, PeerError>>;
-  /** Condensed list of VMs; null when it is still the `known` version. */
+  /** Condensed list of VMs, unless it is still the `known` version. */
   vmView(
     address: string,
     known: string,
-  ): Promise<Result<VmView | null, PeerError>>;
+  ): Promise<Result<VmViewAnswer, PeerError>>;
   object(address: string, sha256: Sha256): Promise<Result<string, PeerError>>;
 }
--- a/src/peers/prober.ts
+++ b/src/peers/prober.ts
@@ -1,5 +1,8 @@
 /** Probes other entry VMs in turn, and so finds failures and spreads news. */
 
+import type { ConfigurationStore } from "../core/config/configuration_store.ts";
+import type { Freshness } from "../core/config/freshness.ts";
+import type { EntryId } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ProbeOrder } from "../core/membership/probe_order.ts";
@@ -20,6 +23,8 @@
   readonly memberTable: MemberTable;
   readonly probeOrder: ProbeOrder;
   readonly peers: Peers;
+  readonly configurationStore: ConfigurationStore;
+  readonly freshness: Freshness;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly entryMetrics: EntryMetrics;
@@ -58,6 +63,15 @@
     return await this.#probe(target, false);
   }
 
+  /** Asks an entry VM of a majority whether it has a later configuration. */
+  async confirmBy(member: Member): Promise<void> {
+    const startedMs = this.#deps.clock.monotonicMs();
+    const answer = await this.#probe(member.peers, false);
+    if (answer && this.#hasNothingLater(member.id)) {
+      this.#deps.freshness.confirmByMajority(startedMs);
+    }
+  }
+
   /** Tells `members` the newest about this entry VM, without waiting for a round. */
   async announce(members: readonly Member[]): Promise<void> {
     await Promise.all(
@@ -75,7 +89,9 @@
     }
     const member = probeOrder.next(members);
     if (member !== undefined) await this.#probeMember(member);
-    for (const id of memberTable.expire(clock.monotonicMs())) {
+    const nowMs = clock.monotonicMs();
+    const keepDead = !this.#deps.freshness.isFresh(nowMs);
+    for (const id of memberTable.expire(nowMs, { keepDead })) {
       logger.warn("Entry is dead", { peer: id });
     }
   }
@@ -110,20 +126,32 @@
   }
 
   async #probe(address: string, joining: boolean): Promise<boolean> {
-    const { peers, memberTable, clock, entryMetrics, logger } = this.#deps;
+    const { peers, memberTable, freshness, clock, entryMetrics, logger } =
+      this.#deps;
     const news = memberTable.newsToTell();
+    const startedMs = clock.monotonicMs();
     const answer = await peers.probe(address, { news, joining });
     entryMetrics.probes.inc({
       outcome: answer.ok ? "answered" : answer.error.tag,
     });
     if (!answer.ok) return false;
-    const told = [answer.value.self, ...answer.value.news];
+    const { self, confirmed_age_ms } = answer.value;
+    const told = [self, ...answer.value.news];
     for (const member of memberTable.merge(told, clock.monotonicMs())) {
       logger.info("Entry changed state", {
         peer: member.id,
         state: member.state,
       });
     }
+    if (this.#hasNothingLater(self.id)) {
+      freshness.confirm(startedMs - confirmed_age_ms);
+    }
     return true;
   }
+
+  #hasNothingLater(id: EntryId): boolean {
+    const { memberTable, configurationStore } = this.#deps;
+    const revision = memberTable.get(id)?.revision;
+    return revision !== undefined && revision <= configurationStore.revision;
+  }
 }
--- a/src/peers/trpc_peers.ts
+++ b/src/peers/trpc_peers.ts
@@ -14,10 +14,11 @@
   type HeadAnswer,
   headAnswerSchema,
   probeAnswerSchema,
-  type VmView,
-  vmViewSchema,
+  type VmViewAnswer,
+  vmViewAnswerSchema,
 } from "../protocol/peer_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
+import { parseAddress } from "../runtime/address.ts";
 import { meteredAgent, type SocketMeter } from "../runtime/socket_meter.ts";
 import type { PeerRouter, ProbeAnswer } from "./peer_router.ts";
 import type { PeerError, Peers } from "./peers.ts";
@@ -26,6 +27,7 @@
 const MAX_CLIENTS = 1_024;
 /** Wait for a part of the configuration, which may be large. */
 const OBJECT_TIMEOUT_MS = 2_000;
+const ANY_HOST = "0.0.0.0";
 /** Connections to one entry VM. */
 const CONNECTIONS = 2;
 /** Idle connections are given up, since each entry VM is probed rarely. */
@@ -45,7 +47,10 @@
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    // Calls come from the address that peers know, also where a VM has several.
+    const { host } = parseAddress(deps.settings.listen.peers);
     this.#agent = meteredAgent(deps.peerMeter, {
+      localAddress: host === ANY_HOST ? undefined : host,
       connections: CONNECTIONS,
       keepAliveTimeout: KEEP_ALIVE_MS,
     });
@@ -92,12 +97,12 @@
   vmView(
     address: string,
     known: string,
-  ): Promise<Result<VmView | null, PeerError>> {
+  ): Promise<Result<VmViewAnswer, PeerError>> {
     return this.#call(this.#probeTimeoutMs(), async (signal) => {
       const answer = await this.#client(address).vmView.query({ known }, {
         signal,
       });
-      return vmViewSchema.nullable().parse(answer);
+      return vmViewAnswerSchema.parse(answer);
     });
   }
 
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -32,6 +32,8 @@
 /** Answer to a probe. */
 export const probeAnswerSchema = z.object({
   self: memberSchema,
+  /** Age of the last confirmation that no later configuration is in force. */
+  confirmed_age_ms: z.number(),
   news: z.array(memberSchema),
 });
 
@@ -68,5 +70,15 @@
 /** What entry VMs need of the platform's list of VMs. */
 export type VmView = z.infer<typeof vmViewSchema>;
 
+/** Answer of a relay: its view unless known, and how sure it is of its revision. */
+export const vmViewAnswerSchema = z.object({
+  view: vmViewSchema.nullable(),
+  revision: z.number().transform((n) => n as Revision),
+  confirmed_age_ms: z.number(),
+});
+
+/** Answer of a relay. */
+export type VmViewAnswer = z.infer<typeof vmViewAnswerSchema>;
+
 /** Asks for an object of the configuration. */
 export const objectRequestSchema = z.object({ sha256: z.string() });
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -36,6 +36,10 @@
       .describe("File with the secret that entry VMs share"),
     secret: z.string().min(16).optional()
       .describe("The secret itself, for tests; use secret_file elsewhere"),
+    advertise: addressSchema.optional()
+      .describe(
+        "Address that other entry VMs are told, where it is not listen.peers",
+      ),
     seeds: z.array(addressSchema).default([])
       .describe("Other entry VMs to ask while the platform's list is away"),
     probe_interval_ms: z.int().min(50).max(60_000).default(1_000)
