Prove that accepted configurations are in force within seconds

Cause: the promise had a mechanism but no proof. What: npm run prove runs 5 entry processes, 2 racing operators and callers under lost answers, an absent and slow platform, a restart in the outage, stuck watches, cuts from platform, peers and both, and a freeze of 11 s; a checker reads the history (whole, in time, never back, no work for the withdrawn).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import { benchCore } from "./core_slopes.ts";
 import { benchFleet } from "./fleet_slopes.ts";
 import { benchOverhead } from "./overhead_bench.ts";
+import { benchReports } from "./report_slopes.ts";
 import { benchRequests } from "./request_slopes.ts";
 
 void yargs(hideBin(process.argv))
@@ -22,7 +23,7 @@
     "What entries, changes, requests and tokens cost; the figures of docs/CAPACITY.md",
     (args) =>
       args.positional("part", {
-        choices: ["core", "fleet", "requests"] as const,
+        choices: ["core", "fleet", "reports", "requests"] as const,
       })
         .option("sizes", {
           type: "number",
@@ -32,6 +33,7 @@
     async ({ part, sizes }) => {
       if (part === undefined || part === "core") benchCore();
       if (part === undefined || part === "requests") await benchRequests();
+      if (part === undefined || part === "reports") await benchReports();
       if (part === undefined || part === "fleet") await benchFleet(sizes);
     },
   )
--- /dev/null
+++ b/prove/configuration_proof.ts
@@ -0,0 +1,244 @@
+/** Accepted configurations are in force everywhere within seconds, as a whole, for good. */
+
+import { Applier, type ApplyOutcome } from "../src/configuration/applier.ts";
+import type { Configuration } from "../src/core/config/configuration.ts";
+import { HttpPlatform } from "../src/platform/http_platform.ts";
+import { SystemClock } from "../src/runtime/clock.ts";
+import { Deadline } from "../src/runtime/deadline.ts";
+import { Caller } from "../tests/fixtures/caller.ts";
+import { getJson, hashKey } from "../tests/fixtures/test_fleet.ts";
+import {
+  checkConfigurationHistory,
+  contentOf,
+} from "./configuration_checker.ts";
+import { ConfigurationHistory } from "./configuration_history.ts";
+import { CuttableFleet } from "./cuttable_fleet.ts";
+import { inForceFigures } from "./in_force_figures.ts";
+import type { Proof, ProofResult } from "./proof.ts";
+
+const KEY = "key-of-the-proof";
+const ENTRIES = ["e1", "e2", "e3", "e4", "e5"];
+const OPERATORS = 2;
+const APPLY_EVERY_MS = 600;
+const CALL_EVERY_MS = 25;
+const APPLY_LIMIT_MS = 1_500;
+/** Longer than any confirmation, and than the promise itself. */
+const FREEZE_MS = 11_000;
+/** Requests sent to the frozen entry just before it is woken. */
+const LATE_CALLS = 10;
+
+/** Runs operators, callers and faults against a fleet of processes. */
+export class ConfigurationProof implements Proof {
+  readonly name = "configuration";
+  readonly promise =
+    "An accepted configuration is in force everywhere within seconds and never reverts";
+  readonly faults = [
+    "racing operators",
+    "lost answers",
+    "platform away and slow",
+    "restart in an outage",
+    "watches stuck",
+    "cut from platform, peers, both",
+    "frozen and woken",
+  ];
+  readonly #history = new ConfigurationHistory();
+  readonly #fleet = new CuttableFleet(ENTRIES);
+  #calling = true;
+  #applying = true;
+  #content = 0;
+
+  async run(): Promise<ProofResult> {
+    try {
+      await this.#fleet.start(
+        configurationOf(0) as unknown as Record<string, unknown>,
+      );
+      this.#recordApplied(0, 1);
+      const operators = Array.from(
+        { length: OPERATORS },
+        () => this.#operate(),
+      );
+      const callers = ENTRIES.map((entry) => this.#keepCalling(entry));
+      await this.#injectFaults();
+      this.#applying = false;
+      await Promise.all(operators);
+      await this.#freezeOne();
+      this.#calling = false;
+      await Promise.all(callers);
+      await this.#recordWork();
+    } finally {
+      await this.#fleet.stop();
+    }
+    return {
+      operations: this.#history.size,
+      violations: checkConfigurationHistory(this.#history),
+      figures: inForceFigures(this.#history),
+    };
+  }
+
+  async #injectFaults(): Promise<void> {
+    const fleet = this.#fleet;
+    await pause(2_000);
+    for (let lost = 0; lost < 3; lost++) {
+      await fleet.setPlatformFaults({ lose_write_answers: 2 });
+      await pause(700);
+    }
+    await fleet.setPlatformFaults({ down: true });
+    await pause(1_000);
+    await fleet.restart("e2");
+    await pause(3_000);
+    await fleet.setPlatformFaults({ watches_stuck: true });
+    await pause(3_000);
+    await fleet.setPlatformFaults({ delay_ms: 300 });
+    await pause(3_000);
+    await fleet.setPlatformFaults({});
+    fleet.cutFromPlatform("e3");
+    fleet.cutFromPeers("e3");
+    fleet.cutFromPlatform("e4");
+    fleet.cutFromPeers("e5");
+    await pause(14_000);
+    fleet.heal();
+    await pause(3_000);
+  }
+
+  /** The last content stays, so that whatever the woken entry does wrong shows. */
+  async #freezeOne(): Promise<void> {
+    this.#fleet.signal("e1", "SIGSTOP");
+    await this.#applyOnce("last");
+    await pause(FREEZE_MS);
+    const late = Array.from({ length: LATE_CALLS }, () => this.#callOnce("e1"));
+    await pause(500);
+    this.#fleet.signal("e1", "SIGCONT");
+    await Promise.all(late);
+    await pause(2_000);
+  }
+
+  async #operate(): Promise<void> {
+    while (this.#applying) {
+      await this.#applyOnce("race");
+      await pause(APPLY_EVERY_MS);
+    }
+  }
+
+  /** An unknown outcome is settled by the same id, as an operator would. */
+  async #applyOnce(label: string): Promise<void> {
+    this.#content += 1;
+    const content = this.#content;
+    let outcome: ApplyOutcome;
+    do outcome = await this.#tryApply(content, `${label}-${content}`); while (
+      outcome.tag === "unknown"
+    );
+    if (outcome.tag === "accepted") {
+      this.#recordApplied(content, outcome.revision);
+    }
+  }
+
+  async #tryApply(content: number, applyId: string): Promise<ApplyOutcome> {
+    const platform = new HttpPlatform({
+      url: this.#fleet.platformUrl,
+      timeoutMs: 1_000,
+    });
+    const deadline = new Deadline(APPLY_LIMIT_MS);
+    const configuration = this.#fleet.withBackends(configurationOf(content));
+    try {
+      const applier = new Applier({ platform, clock: new SystemClock() });
+      return await applier.apply({ configuration, applyId, deadline });
+    } finally {
+      deadline.close();
+      await platform.close();
+    }
+  }
+
+  #recordApplied(content: number, revision: number): void {
+    this.#history.record({
+      kind: "applied",
+      content,
+      revision,
+      atMs: Date.now(),
+    });
+  }
+
+  async #keepCalling(entry: string): Promise<void> {
+    while (this.#calling) {
+      await this.#callOnce(entry);
+      await pause(CALL_EVERY_MS);
+    }
+  }
+
+  async #callOnce(entry: string): Promise<void> {
+    const caller = new Caller(this.#fleet.callersOf(entry), KEY);
+    const invokedMs = Date.now();
+    try {
+      const open = await caller.chat("m");
+      if (open.status === 200) {
+        this.#history.record({
+          kind: "answered",
+          entry,
+          invokedMs,
+          returnedMs: Date.now(),
+          revision: Number(open.headers["fieldrack-revision"]),
+          version: String(open.headers["fieldrack-version"]),
+        });
+      }
+      const guardedAtMs = Date.now();
+      const guarded = await caller.chat("guarded");
+      if (guarded.status !== 200 && guarded.status !== 403) return;
+      this.#history.record({
+        kind: "guarded",
+        entry,
+        invokedMs: guardedAtMs,
+        returnedMs: Date.now(),
+        allowed: guarded.status === 200,
+      });
+    } catch {
+      // The entry is being restarted; its callers try again.
+    }
+  }
+
+  async #recordWork(): Promise<void> {
+    for (const url of this.#fleet.modelServerUrls()) {
+      const { work } = await getJson(`${url}/work`);
+      for (
+        const { version, at_ms } of work as { version: string; at_ms: number }[]
+      ) {
+        const [model, name = ""] = version.split("@");
+        if (model !== "m") continue;
+        this.#history.record({ kind: "work", version: name, atMs: at_ms });
+      }
+    }
+  }
+}
+
+function configurationOf(content: number): Configuration {
+  const { version, guardedAllowed } = contentOf(content);
+  const stateOf = (id: string) => id === version ? "serving" : "withdrawn";
+  const versions = ["v1", "v2"].map((id) => ({
+    id,
+    state: stateOf(id),
+    cost_per_1k_tokens: 1,
+  }));
+  const guarded = { id: "v1", state: "serving", cost_per_1k_tokens: 1 };
+  const cfg = {
+    accounts: [{
+      id: "a",
+      keys: [hashKey(KEY)],
+      models: guardedAllowed ? ["m", "guarded"] : ["m"],
+      services: [],
+      priority: "standard",
+      // Makes each content another one.
+      max_in_flight: 1_000 + content,
+    }],
+    models: [
+      { id: "m", stable: version, versions },
+      { id: "guarded", stable: "v1", versions: [guarded] },
+    ],
+    cascades: [],
+    roll_outs: [],
+    services: [],
+    backends: [],
+  };
+  return cfg as unknown as Configuration;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/prove/main.ts
@@ -0,0 +1,46 @@
+/** Runs the proofs of what must always hold: all, or the one that is named. */
+
+import process from "node:process";
+import { ConfigurationProof } from "./configuration_proof.ts";
+import type { Proof } from "./proof.ts";
+
+const PROOFS: readonly Proof[] = [new ConfigurationProof()];
+const VIOLATIONS_SHOWN = 10;
+
+async function main(): Promise<void> {
+  const wanted = process.argv[2];
+  const proofs = PROOFS.filter(({ name }) =>
+    wanted === undefined || wanted === name
+  );
+  if (proofs.length === 0) {
+    console.error(
+      `No proof is named ${wanted}; there are ${PROOFS.map((p) => p.name)}`,
+    );
+    process.exit(2);
+  }
+  let failed = 0;
+  for (const proof of proofs) failed += await runOne(proof) ? 0 : 1;
+  console.log(`${proofs.length - failed} passed, ${failed} failed`);
+  process.exit(failed === 0 ? 0 : 1);
+}
+
+async function runOne(proof: Proof): Promise<boolean> {
+  const { operations, violations, figures } = await proof.run();
+  const verdict = violations.length === 0
+    ? "holds"
+    : `BROKEN (${violations.length})`;
+  console.log(
+    `${proof.promise} | ${
+      proof.faults.join(", ")
+    } | ${operations} operations | ${verdict}`,
+  );
+  for (const [name, value] of Object.entries(figures)) {
+    console.log(`  ${name}: ${value}`);
+  }
+  for (const violation of violations.slice(0, VIOLATIONS_SHOWN)) {
+    console.log(`  ${violation}`);
+  }
+  return violations.length === 0;
+}
+
+void main();
--- a/src/backends/http_model_servers.ts
+++ b/src/backends/http_model_servers.ts
@@ -5,6 +5,7 @@
 import type { RequestId } from "../core/ids.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import { chatAnswerSchema, loadReportSchema } from "../protocol/chat_schema.ts";
+import { withDeadline } from "../runtime/with_deadline.ts";
 import { type BackendError, backendErrorOf } from "./backend_error.ts";
 import { readChatStream } from "./chat_stream_reader.ts";
 import type {
@@ -51,20 +52,17 @@
   }
 
   cancel(server: BackendServer, requestId: RequestId): void {
-    const sent = this.#control(server, {
-      path: "/v1/cancel",
-      body: JSON.stringify({ request_id: requestId }),
-    });
+    const body = JSON.stringify({ request_id: requestId });
     // A lost cancel costs some tokens only; nobody waits for the answer.
-    sent.then((res) => res.body.dump(), () => {});
+    this.#control(server, { path: "/v1/cancel", body }).catch(() => {});
   }
 
   async load(
     server: BackendServer,
   ): Promise<Result<ReportedLoad, BackendError>> {
     try {
-      const res = await this.#control(server, { path: "/load" });
-      const parsed = loadReportSchema.safeParse(await res.body.json());
+      const report = JSON.parse(await this.#control(server, { path: "/load" }));
+      const parsed = loadReportSchema.safeParse(report);
       if (parsed.success) return ok(parsed.data);
       return fail({
         tag: "wrong_answer",
@@ -91,16 +89,22 @@
     });
   }
 
+  /** Returns the text of the answer. */
   #control(
     server: BackendServer,
     { path, body }: { path: string; body?: string },
-  ): Promise<Dispatcher.ResponseData> {
-    return request(`${server.url}${path}`, {
-      method: body === undefined ? "GET" : "POST",
-      dispatcher: this.#dispatcher,
-      headers: { "content-type": "application/json" },
-      body,
-      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+  ): Promise<string> {
+    return withDeadline({ limitMs: CONTROL_TIMEOUT_MS }, async ({ signal }) => {
+      const res = await request(`${server.url}${path}`, {
+        method: body === undefined ? "GET" : "POST",
+        dispatcher: this.#dispatcher,
+        headers: body === undefined
+          ? {}
+          : { "content-type": "application/json" },
+        body,
+        signal,
+      });
+      return await res.body.text();
     });
   }
 }
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -78,7 +78,7 @@
       .describe("Longest wait for a connection"),
     report_interval_ms: z.int().min(50).default(1_000)
       .describe("Shortest time between load reports of one model server"),
-    reports_per_second: z.number().min(0.1).default(16)
+    reports_per_second: z.number().min(0.1).default(8)
       .describe("Load reports that this entry asks for, at most"),
   }).prefault({}),
 });
--- a/src/standins/model_server_standin.ts
+++ b/src/standins/model_server_standin.ts
@@ -18,6 +18,7 @@
 
 const DEFAULT_MAX_TOKENS = 32;
 const CHARACTERS_PER_TOKEN = 4;
+const KEPT_WORK = 50_000;
 const BODY_LIMIT = 16 * 1024 * 1024;
 
 const orderSchema = z.strictObject({
@@ -41,6 +42,8 @@
   readonly #qualities: Map<string, number>;
   readonly #loaded: Set<string>;
   readonly #requests = new Map<string, number>();
+  /** Latest requests, with the time at which each was taken in. */
+  readonly #work: { readonly version: string; readonly at_ms: number }[] = [];
   readonly #reportTimer: NodeJS.Timeout;
   #report = { running: 0, waiting: 0 };
   #faults: ModelFaults = {};
@@ -70,6 +73,7 @@
       ...this.#engine.counts,
       requests: Object.fromEntries(this.#requests),
     }));
+    this.#http.get("/work", () => ({ work: this.#work }));
     this.#http.put("/faults", (req) => {
       this.#faults = modelFaultsSchema.parse(req.body);
       return { ok: true };
@@ -99,6 +103,8 @@
       });
     }
     this.#requests.set(body.model, (this.#requests.get(body.model) ?? 0) + 1);
+    this.#work.push({ version: body.model, at_ms: Date.now() });
+    if (this.#work.length > KEPT_WORK) this.#work.shift();
     const generation = this.#engine.submit(
       this.#input(body, String(req.headers["x-request-id"])),
       String(req.headers["x-priority"] ?? "standard"),
