--- /dev/null
+++ b/scripts/write_reference.ts
@@ -0,0 +1,80 @@
+/** Writes docs/CONFIGURATION.md from the schemas; with --check only compares. */
+
+import { readFileSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { z } from "zod";
+import { ENTRY_SCHEMAS } from "../src/protocol/configuration_schema.ts";
+import { settingsSchema } from "../src/protocol/settings_schema.ts";
+
+const FILE = "docs/CONFIGURATION.md";
+
+interface Node {
+  readonly type?: string;
+  readonly enum?: readonly string[];
+  readonly description?: string;
+  readonly default?: unknown;
+  readonly properties?: Record<string, Node>;
+  readonly required?: readonly string[];
+  readonly items?: Node;
+}
+
+function main(): void {
+  const text = [
+    "# Configuration and settings",
+    "Written from the schemas by `npm run reference`; do not edit.",
+    "## Files of a configuration directory",
+    "Each YAML file may hold any of these lists; all files of a directory are one configuration.",
+    ...Object.entries(ENTRY_SCHEMAS).map(([section, schema]) =>
+      `### \`${section}\`\n\n${table(schema)}`
+    ),
+    "## Settings of an entry",
+    table(settingsSchema),
+  ].join("\n\n") + "\n";
+  if (!process.argv.includes("--check")) return writeFileSync(FILE, text);
+  if (readFileSync(FILE, "utf8") === text) return;
+  console.error(`${FILE} is not what the schemas say; run npm run reference`);
+  process.exit(1);
+}
+
+function table(schema: z.ZodType): string {
+  const node = z.toJSONSchema(schema, {
+    io: "input",
+    unrepresentable: "any",
+  }) as Node;
+  const rows = rowsOf(node, "");
+  return ["| key | type | default | meaning |", "|---|---|---|---|", ...rows]
+    .join("\n");
+}
+
+function rowsOf(node: Node, prefix: string): string[] {
+  return Object.entries(node.properties ?? {}).flatMap(([name, child]) => {
+    const key = `${prefix}${name}`;
+    const inner = child.items?.properties === undefined
+      ? rowsOf(child, `${key}.`)
+      : rowsOf(child.items, `${key}[].`);
+    if (inner.length > 0) return inner;
+    const required = node.required?.includes(name) === true;
+    return [
+      `| \`${key}\` | ${typeOf(child)} | ${defaultOf(child, required)} | ${
+        child.description ?? ""
+      } |`,
+    ];
+  });
+}
+
+function typeOf({ type, enum: values, items }: Node): string {
+  if (values !== undefined) {
+    return values.map((value) => `\`${value}\``).join(", ");
+  }
+  if (items === undefined) return type ?? "any";
+  return `list of ${
+    items.enum === undefined ? items.type ?? "any" : typeOf(items)
+  }`;
+}
+
+function defaultOf({ default: value }: Node, required: boolean): string {
+  if (value !== undefined) return `\`${JSON.stringify(value)}\``;
+  return required ? "required" : "none";
+}
+
+main();
