--- a/src/standins/platform_standin.ts
+++ b/src/standins/platform_standin.ts
@@ -54,7 +54,7 @@
   readonly #http: FastifyInstance;
   readonly #objects = new PlatformObjects();
   readonly #reads = new RateLimit(READS_PER_SECOND);
-  readonly #writes = new RateLimit(WRITES_PER_SECOND);
+  readonly #writes: RateLimit;
   readonly #counts: PlatformCounts = {
     reads: 0,
     writes: 0,
@@ -67,7 +67,8 @@
   #vms: VmList = { vms: [] };
   #vmsVersion = 1;
 
-  constructor() {
+  constructor({ writesPerSecond = WRITES_PER_SECOND } = {}) {
+    this.#writes = new RateLimit(writesPerSecond);
     this.#http = fastify({
       bodyLimit: MAX_VALUE_BYTES,
       forceCloseConnections: true,
