Prove that a planned stop cuts no request and leaving servers get no work

Cause: both had a mechanism without a proof. What: all three entries are replaced in turn under JSON, streams and plain calls of callers that keep addresses as told; a model server is listed as leaving. Before: a request on an open connection of a closing entry got fastify's own 503, in a form of its own; after: it is served, and idle connections are closed.

--- a/prove/main.ts
+++ b/prove/main.ts
@@ -2,9 +2,13 @@
 
 import process from "node:process";
 import { ConfigurationProof } from "./configuration_proof.ts";
+import { PlannedStopProof } from "./planned_stop_proof.ts";
 import type { Proof } from "./proof.ts";
 
-const PROOFS: readonly Proof[] = [new ConfigurationProof()];
+const PROOFS: readonly Proof[] = [
+  new ConfigurationProof(),
+  new PlannedStopProof(),
+];
 const VIOLATIONS_SHOWN = 10;
 
 async function main(): Promise<void> {
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -49,6 +49,8 @@
   readonly entryMetrics: EntryMetrics;
 }
 
+/** Time between looks for connections that have become idle during a stop. */
+const IDLE_CHECK_MS = 100;
 /** Time between looks for callers that are too slow. */
 const TIMEOUT_CHECK_MS = 500;
 
@@ -89,6 +91,8 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       forceCloseConnections: "idle",
       exposeHeadRoutes: false,
+      // Whoever still comes by an open connection is served, not turned away.
+      return503OnClosing: false,
       clientErrorHandler: (err, socket) => this.#clientError(err, socket),
       http: { connectionsCheckingInterval: TIMEOUT_CHECK_MS },
     });
@@ -102,9 +106,15 @@
     return await listenHttp(this.#http, this.#deps.settings.listen.callers);
   }
 
-  /** Stops to listen and waits for the requests in flight. */
+  /** Stops to listen, finishes the requests in flight and closes what is idle. */
   async close(): Promise<void> {
-    await this.#http.close();
+    const closed = this.#http.close();
+    const timer = setInterval(
+      () => this.#http.server.closeIdleConnections(),
+      IDLE_CHECK_MS,
+    );
+    await closed;
+    clearInterval(timer);
   }
 
   #routes(): void {
