Close a way round the routes of plain services; split the callers' server

Cause: routes were matched on the path as sent, and the client then resolved dot segments: GET /stock/../stamps passed for /stock/ and reached /stamps. Found by reading the code anew. Also, account and service were looked up once only, not before each retry, and an encoded service name cut the path in the wrong place. Change: the path is resolved first, matched, and sent as matched; each try looks account, service and route up anew. caller_server.ts (343 lines) is split into admission, chat and service endpoints and client errors; pause stands once. Before: 'should not let a path climb out' fails with 200; after: 404. Ruled out: refusing all paths with dots (file names have them). Conclusion: what is not declared is not reached.

--- a/bench/fleet_slopes.ts
+++ b/bench/fleet_slopes.ts
@@ -1,5 +1,6 @@
 /** Cost of control for each entry, as the fleet and the changes grow. */
 
+import { pause } from "../src/runtime/pause.ts";
 import { performance } from "node:perf_hooks";
 import { Applier } from "../src/configuration/applier.ts";
 import type { Configuration } from "../src/core/config/configuration.ts";
@@ -218,7 +219,3 @@
 function round(value: number): number {
   return Math.round(value * 10) / 10;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/bench/report_slopes.ts
+++ b/bench/report_slopes.ts
@@ -1,5 +1,6 @@
 /** What load reports cost an entry. */
 
+import { pause } from "../src/runtime/pause.ts";
 import { TestFleet } from "../tests/fixtures/test_fleet.ts";
 import { cpuMs } from "./process_usage.ts";
 
@@ -51,7 +52,3 @@
     await fleet.stop();
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/prove/configuration_proof.ts
+++ b/prove/configuration_proof.ts
@@ -1,5 +1,6 @@
 /** Accepted configurations are in force everywhere within seconds, as a whole, for good. */
 
+import { pause } from "../src/runtime/pause.ts";
 import { Applier, type ApplyOutcome } from "../src/configuration/applier.ts";
 import type { Configuration } from "../src/core/config/configuration.ts";
 import { HttpPlatform } from "../src/platform/http_platform.ts";
@@ -238,7 +239,3 @@
   };
   return cfg as unknown as Configuration;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/prove/planned_stop_proof.ts
+++ b/prove/planned_stop_proof.ts
@@ -1,5 +1,6 @@
 /** A planned stop cuts no request, and a leaving backend server gets no new work. */
 
+import { pause } from "../src/runtime/pause.ts";
 import { request } from "undici";
 import { Caller } from "../tests/fixtures/caller.ts";
 import { getJson, hashKey, TestFleet } from "../tests/fixtures/test_fleet.ts";
@@ -237,7 +238,3 @@
     },
   });
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -1,5 +1,6 @@
 /** Keeps the configuration in force up to date, by the platform and by peers. */
 
+import { pause } from "../runtime/pause.ts";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
 import { applyHeadDelta } from "../core/config/head_delta.ts";
@@ -173,7 +174,3 @@
     else this.#deps.logger.info("Platform is back");
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/entry/backend_selector.ts
+++ b/src/entry/backend_selector.ts
@@ -1,8 +1,10 @@
 /** Finds the server that a request goes to next, by the configuration in force. */
 
 import type {
+  Account,
   BackendServer,
   ModelVersion,
+  PlainService,
 } from "../core/config/configuration.ts";
 import type { ConfigurationIndex } from "../core/config/configuration_index.ts";
 import { planRequest, type PlanStep } from "../core/cascade/cascade_plan.ts";
@@ -50,35 +52,15 @@
   readonly #subsets = new Map<string, readonly BackendServer[]>();
 
   constructor(deps: Deps) {
-    const {
-      configurationStore,
-      freshness,
-      serverPool,
-      serverChooser,
-      settings,
-      clock,
-    } = deps;
-    this.#deps = {
-      configurationStore,
-      freshness,
-      serverPool,
-      serverChooser,
-      settings,
-      clock,
-    };
+    this.#deps = deps;
     deps.configurationStore.onChange(() => this.#subsets.clear());
   }
 
   /** Steps for the name that a caller gave, by what its account allows now. */
   plan(ctx: RequestContext, name: string): Result<PlanStep[], RequestError> {
-    const fresh = this.#checkFresh();
-    if (!fresh.ok) return fresh;
-    const { index } = this.#deps.configurationStore;
-    const account = index?.accountByKey(ctx.keyHash);
-    if (index === undefined || account === undefined) {
-      return fail({ tag: "unauthorised", reason: "Key is no longer valid" });
-    }
-    return planRequest(index, { account, name });
+    const account = this.#account(ctx);
+    if (!account.ok) return account;
+    return planRequest(this.#index(), { account: account.value, name });
   }
 
   /** Server for one step; versions are tried in order of preference. */
@@ -107,13 +89,24 @@
     return fail(noServer(model.id));
   }
 
+  /** Plain service of the name that a caller gave, by what its account allows now. */
+  planService(
+    ctx: RequestContext,
+    name: string,
+  ): Result<PlainService, RequestError> {
+    const account = this.#account(ctx);
+    if (!account.ok) return account;
+    const service = this.#index().service(name);
+    if (service === undefined) return fail({ tag: "unknown_service", name });
+    if (account.value.services.includes(service.id)) return ok(service);
+    return fail({ tag: "not_allowed", name });
+  }
+
   /** Server for a call of a plain service. */
   serviceServer(
     service: ServiceId,
     tried: ReadonlySet<BackendId>,
   ): Result<BackendServer, RequestError> {
-    const fresh = this.#checkFresh();
-    if (!fresh.ok) return fresh;
     const candidates = this.#subset(
       service,
       () => this.#index().serversOfService(service),
@@ -139,16 +132,21 @@
     return [...used.values()];
   }
 
-  /** Checked before each try: a process may have been frozen since the last. */
-  #checkFresh(): Result<undefined, RequestError> {
-    const { freshness, clock } = this.#deps;
-    if (freshness.isFresh(clock.monotonicMs())) return ok(undefined);
-    const reason = "it has lost touch with the platform and the other entries";
-    return fail({ tag: "not_ready", reason, retryAfterMs: RETRY_AFTER_MS });
+  /** Looked up before each try: a process may have been frozen since the last. */
+  #account({ keyHash }: RequestContext): Result<Account, RequestError> {
+    const { configurationStore, freshness, clock } = this.#deps;
+    if (!freshness.isFresh(clock.monotonicMs())) {
+      const reason =
+        "it has lost touch with the platform and the other entries";
+      return fail({ tag: "not_ready", reason, retryAfterMs: RETRY_AFTER_MS });
+    }
+    const account = configurationStore.index?.accountByKey(keyHash);
+    if (account !== undefined) return ok(account);
+    return fail({ tag: "unauthorised", reason: "Key is no longer valid" });
   }
 
   #index(): ConfigurationIndex {
-    // A plan exists, so there is a configuration, and its revision never falls.
+    // An account was found, so there is a configuration, and its revision never falls.
     return this.#deps.configurationStore.index as ConfigurationIndex;
   }
 
--- a/src/entry/caller_gate.ts
+++ b/src/entry/caller_gate.ts
@@ -29,8 +29,7 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    const { configurationStore, inFlightLimits, settings } = deps;
-    this.#deps = { configurationStore, inFlightLimits, settings };
+    this.#deps = deps;
   }
 
   /** Returns a new request id. */
--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -44,20 +44,7 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    const {
-      backendSelector,
-      modelDispatcher,
-      modelServers,
-      retryBudget,
-      entryMetrics,
-    } = deps;
-    this.#deps = {
-      backendSelector,
-      modelDispatcher,
-      modelServers,
-      retryBudget,
-      entryMetrics,
-    };
+    this.#deps = deps;
   }
 
   /** Returns the whole answer. */
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -33,9 +33,11 @@
 import { SocketMeter } from "../runtime/socket_meter.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { AddressBook } from "./address_book.ts";
+import { Admission } from "./admission.ts";
 import { BackendSelector } from "./backend_selector.ts";
 import { CallerGate } from "./caller_gate.ts";
 import { CallerServer } from "./caller_server.ts";
+import { ChatEndpoint } from "./chat_endpoint.ts";
 import { ChatService } from "./chat_service.ts";
 import { ConfigurationFollower } from "../configuration/configuration_follower.ts";
 import { ConfigurationLoader } from "../configuration/configuration_loader.ts";
@@ -43,6 +45,7 @@
 import { ModelDispatcher } from "./model_dispatcher.ts";
 import { OperatorServer } from "./operator_server.ts";
 import { ServiceDispatcher } from "./service_dispatcher.ts";
+import { ServiceEndpoint } from "./service_endpoint.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 
 /** What an entry is built from. */
@@ -161,6 +164,9 @@
     serviceDispatcher: asClass(ServiceDispatcher).singleton(),
     chatService: asClass(ChatService).singleton(),
     callerGate: asClass(CallerGate).singleton(),
+    admission: asClass(Admission).singleton(),
+    chatEndpoint: asClass(ChatEndpoint).singleton(),
+    serviceEndpoint: asClass(ServiceEndpoint).singleton(),
     addressBook: asClass(AddressBook).singleton(),
     callerServer: asClass(CallerServer).singleton(),
     peerServer: asClass(PeerServer).singleton(),
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -1,5 +1,6 @@
 /** The long-running process of an entry VM: its start and its planned stop. */
 
+import { pause } from "../runtime/pause.ts";
 import type { Logger } from "../runtime/logger.ts";
 import {
   createEntryContainer,
@@ -89,7 +90,3 @@
     this.#logger.info("Entry has stopped");
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/entry/model_dispatcher.ts
+++ b/src/entry/model_dispatcher.ts
@@ -52,22 +52,7 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    const {
-      backendSelector,
-      modelServers,
-      serverPool,
-      retryBudget,
-      entryMetrics,
-      clock,
-    } = deps;
-    this.#deps = {
-      backendSelector,
-      modelServers,
-      serverPool,
-      retryBudget,
-      entryMetrics,
-      clock,
-    };
+    this.#deps = deps;
   }
 
   /** Returns the first answer, or why there is none. */
--- a/src/entry/service_dispatcher.ts
+++ b/src/entry/service_dispatcher.ts
@@ -6,6 +6,7 @@
   ServiceAnswer,
 } from "../backends/plain_services.ts";
 import type {
+  BackendServer,
   PlainService,
   ServiceRoute,
 } from "../core/config/configuration.ts";
@@ -26,14 +27,23 @@
 /** A caller's call of a plain service. */
 export interface ServiceRequest {
   readonly ctx: RequestContext;
-  readonly service: PlainService;
+  /** Name of the service, as the caller gave it. */
+  readonly name: string;
   readonly method: string;
-  /** Path below the service, with its query. */
+  /** Path below the service, without dot segments. */
   readonly path: string;
+  /** Query with its question mark, or empty. */
+  readonly query: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array | undefined;
 }
 
+/** Where a call goes next, and by which rule. */
+interface ServiceTarget {
+  readonly server: BackendServer;
+  readonly route: ServiceRoute;
+}
+
 interface Deps {
   readonly backendSelector: BackendSelector;
   readonly plainServices: PlainServices;
@@ -48,74 +58,71 @@
   readonly #deps: Deps;
 
   constructor(deps: Deps) {
-    const {
-      backendSelector,
-      plainServices,
-      serverPool,
-      retryBudget,
-      entryMetrics,
-      clock,
-    } = deps;
-    this.#deps = {
-      backendSelector,
-      plainServices,
-      serverPool,
-      retryBudget,
-      entryMetrics,
-      clock,
-    };
+    this.#deps = deps;
   }
 
   /** Returns the service's answer, or why there is none. */
   async dispatch(
     req: ServiceRequest,
   ): Promise<Result<ServiceAnswer, RequestError>> {
-    const route = findRoute(req);
-    if (route === undefined) {
-      return fail({ tag: "unknown_route", method: req.method, path: req.path });
-    }
     const { deadline } = req.ctx;
+    const budget = this.#deps.retryBudget;
     const tried = new Set<BackendId>();
     let sentBefore = false;
     let lastError: RequestError | undefined;
-    this.#deps.retryBudget.earn();
+    budget.earn();
     while (tried.size < MAX_TRIES) {
-      const server = this.#deps.backendSelector.serviceServer(
-        req.service.id,
-        tried,
-      );
-      if (!server.ok) return fail(lastError ?? server.error);
-      tried.add(server.value.id);
-      const answer = await this.#tryOnce(
-        server.value.id,
-        () =>
-          this.#deps.plainServices.call({
-            server: server.value,
-            requestId: req.ctx.requestId,
-            deadline,
-            ...req,
-          }),
-      );
-      if (answer.ok) return ok(answer.value);
+      const target = this.#nextTarget(req, tried);
+      if (!target.ok) return fail(lastError ?? target.error);
+      const { server, route } = target.value;
+      tried.add(server.id);
+      const answer = await this.#tryOnce(server, req);
+      if (answer.ok) return answer;
       lastError = requestErrorOf(answer.error, { deadline, sentBefore });
       sentBefore ||= answer.error.tag !== "refused";
-      const { repeatable } = route;
-      if (
-        !mayRetry(answer.error, { repeatable, budget: this.#deps.retryBudget })
-      ) break;
+      if (!mayRetry(answer.error, { repeatable: route.repeatable, budget })) {
+        break;
+      }
     }
     return fail(lastError as RequestError);
   }
 
+  /** A retry must still be allowed by the configuration that is in force by then. */
+  #nextTarget(
+    req: ServiceRequest,
+    tried: ReadonlySet<BackendId>,
+  ): Result<ServiceTarget, RequestError> {
+    const service = this.#deps.backendSelector.planService(req.ctx, req.name);
+    if (!service.ok) return service;
+    const route = findRoute(service.value, req);
+    if (route === undefined) {
+      const { method, path } = req;
+      return fail({ tag: "unknown_route", method, path });
+    }
+    const server = this.#deps.backendSelector.serviceServer(
+      service.value.id,
+      tried,
+    );
+    return server.ok ? ok({ server: server.value, route }) : server;
+  }
+
   async #tryOnce(
-    id: BackendId,
-    call: () => Promise<Result<ServiceAnswer, BackendError>>,
+    server: BackendServer,
+    { ctx, method, path, query, headers, body }: ServiceRequest,
   ): Promise<Result<ServiceAnswer, BackendError>> {
-    const { serverPool, clock, entryMetrics } = this.#deps;
-    serverPool.begin(id);
-    const answer = await call();
+    const { serverPool, plainServices, clock, entryMetrics } = this.#deps;
+    serverPool.begin(server.id);
+    const answer = await plainServices.call({
+      server,
+      requestId: ctx.requestId,
+      method,
+      path: `${path}${query}`,
+      headers,
+      body,
+      deadline: ctx.deadline,
+    });
     const outcome = answer.ok ? "answered" : tryOutcomeOf(answer.error);
-    serverPool.end(id, { outcome, nowMs: clock.monotonicMs() });
+    serverPool.end(server.id, { outcome, nowMs: clock.monotonicMs() });
     entryMetrics.tries.inc({
       outcome: answer.ok ? "answered" : answer.error.tag,
     });
@@ -125,11 +132,12 @@
 
 /** The longest matching path wins, so that a narrower route can be stricter. */
 function findRoute(
-  { service, method, path }: ServiceRequest,
+  { routes }: PlainService,
+  { method, path }: ServiceRequest,
 ): ServiceRoute | undefined {
-  return service.routes
+  return routes
     .filter((route) =>
-      path.startsWith(route.path) && route.methods.includes(method)
+      path.startsWith(route.path) && route.methods.some((m) => m === method)
     )
     .sort((a, b) => b.path.length - a.path.length)[0];
 }
--- /dev/null
+++ b/src/runtime/pause.ts
@@ -0,0 +1,6 @@
+/** Waiting. */
+
+/** Resolves after so many milliseconds. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/tests/end_to_end_test.ts
+++ b/tests/end_to_end_test.ts
@@ -1,5 +1,7 @@
 import { Buffer } from "node:buffer";
 import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { text as readAll } from "node:stream/consumers";
 import { after, before, describe, test } from "node:test";
 import { Caller } from "./fixtures/caller.ts";
 import { runFieldrack } from "./fixtures/fieldrack_process.ts";
@@ -116,6 +118,24 @@
     });
   });
 
+  test("should not let a path climb out of the routes of a service", async () => {
+    for (
+      const path of [
+        "/stock/../stamps",
+        "/stock/%2e%2e/stamps",
+        "/stock/./../admin",
+      ]
+    ) {
+      const [host, port] = fleet.entry("entry-1").callers.split(":");
+      const raw = connect(Number(port), host);
+      raw.write(
+        `GET /services/tills${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${KEY}\r\n` +
+          "connection: close\r\n\r\n",
+      );
+      assert.match(await readAll(raw), /^HTTP\/1\.1 404 /);
+    }
+  });
+
   test("should run a call that may not be repeated once, though its answer is lost", async () => {
     await fleet.setFaults("till-1", { cut_after_effect: true });
     const answer = await caller.call("/services/tills/stamps", {
