Prove the configuration through cascades and retries too; print its costs

Cause: the proof asked one model directly; escalations and retries look the configuration up again, and nothing showed that they do. Change: a cascade whose first step always answers poorly, and declared servers where nothing listens. Prints last new work on a withdrawn version and platform calls a second. Ruled out: one figure for time in force (refusing entries answer late by design).

--- a/prove/configuration_proof.ts
+++ b/prove/configuration_proof.ts
@@ -6,7 +6,7 @@
 import { HttpPlatform } from "../src/platform/http_platform.ts";
 import { SystemClock } from "../src/runtime/clock.ts";
 import { Deadline } from "../src/runtime/deadline.ts";
-import { Caller } from "../tests/fixtures/caller.ts";
+import { type Answer, Caller } from "../tests/fixtures/caller.ts";
 import { getJson, hashKey } from "../tests/fixtures/test_fleet.ts";
 import {
   checkConfigurationHistory,
@@ -22,6 +22,7 @@
 const OPERATORS = 2;
 const APPLY_EVERY_MS = 600;
 const CALL_EVERY_MS = 25;
+const RATE_MS = 3_000;
 const APPLY_LIMIT_MS = 1_500;
 /** Longer than any confirmation, and than the promise itself. */
 const FREEZE_MS = 11_000;
@@ -47,6 +48,8 @@
   #calling = true;
   #applying = true;
   #content = 0;
+  #quietCalls = 0;
+  #changeCalls = 0;
 
   async run(): Promise<ProofResult> {
     try {
@@ -54,6 +57,7 @@
         configurationOf(0) as unknown as Record<string, unknown>,
       );
       this.#recordApplied(0, 1);
+      this.#quietCalls = await this.#platformCallRate();
       const operators = Array.from(
         { length: OPERATORS },
         () => this.#operate(),
@@ -72,13 +76,23 @@
     return {
       operations: this.#history.size,
       violations: checkConfigurationHistory(this.#history),
-      figures: inForceFigures(this.#history),
+      figures: {
+        ...inForceFigures(this.#history),
+        "platform calls a second, quiet": this.#quietCalls.toFixed(1),
+        "platform calls a second, in change": this.#changeCalls.toFixed(1),
+      },
     };
   }
 
+  async #platformCallRate(): Promise<number> {
+    const before = await this.#fleet.platformCalls();
+    await pause(RATE_MS);
+    return (await this.#fleet.platformCalls() - before) * 1_000 / RATE_MS;
+  }
+
   async #injectFaults(): Promise<void> {
     const fleet = this.#fleet;
-    await pause(2_000);
+    this.#changeCalls = await this.#platformCallRate();
     for (let lost = 0; lost < 3; lost++) {
       await fleet.setPlatformFaults({ lose_write_answers: 2 });
       await pause(700);
@@ -169,17 +183,12 @@
     const caller = new Caller(this.#fleet.callersOf(entry), KEY);
     const invokedMs = Date.now();
     try {
-      const open = await caller.chat("m");
-      if (open.status === 200) {
-        this.#history.record({
-          kind: "answered",
-          entry,
-          invokedMs,
-          returnedMs: Date.now(),
-          revision: Number(open.headers["fieldrack-revision"]),
-          version: String(open.headers["fieldrack-version"]),
-        });
-      }
+      this.#recordAnswer(await caller.chat("m"), { entry, invokedMs });
+      const cascadeMs = Date.now();
+      this.#recordAnswer(await caller.chat("both"), {
+        entry,
+        invokedMs: cascadeMs,
+      });
       const guardedAtMs = Date.now();
       const guarded = await caller.chat("guarded");
       if (guarded.status !== 200 && guarded.status !== 403) return;
@@ -195,6 +204,22 @@
     }
   }
 
+  /** An answer by the small model is one that could not be escalated. */
+  #recordAnswer(
+    { status, headers }: Answer,
+    { entry, invokedMs }: { entry: string; invokedMs: number },
+  ): void {
+    if (status !== 200 || headers["fieldrack-model"] !== "m") return;
+    this.#history.record({
+      kind: "answered",
+      entry,
+      invokedMs,
+      returnedMs: Date.now(),
+      revision: Number(headers["fieldrack-revision"]),
+      version: String(headers["fieldrack-version"]),
+    });
+  }
+
   async #recordWork(): Promise<void> {
     for (const url of this.#fleet.modelServerUrls()) {
       const { work } = await getJson(`${url}/work`);
@@ -217,12 +242,12 @@
     state: stateOf(id),
     cost_per_1k_tokens: 1,
   }));
-  const guarded = { id: "v1", state: "serving", cost_per_1k_tokens: 1 };
+  const always = { id: "v1", state: "serving", cost_per_1k_tokens: 1 };
   const cfg = {
     accounts: [{
       id: "a",
       keys: [hashKey(KEY)],
-      models: guardedAllowed ? ["m", "guarded"] : ["m"],
+      models: guardedAllowed ? ["m", "both", "guarded"] : ["m", "both"],
       services: [],
       priority: "standard",
       // Makes each content another one.
@@ -230,9 +255,15 @@
     }],
     models: [
       { id: "m", stable: version, versions },
-      { id: "guarded", stable: "v1", versions: [guarded] },
+      { id: "guarded", stable: "v1", versions: [always] },
+      { id: "small", stable: "v1", versions: [always] },
     ],
-    cascades: [],
+    cascades: [{
+      id: "both",
+      steps: ["small", "m"],
+      escalate_below: -0.7,
+      judge_tokens: 4,
+    }],
     roll_outs: [],
     services: [],
     backends: [],
--- a/prove/cuttable_fleet.ts
+++ b/prove/cuttable_fleet.ts
@@ -6,10 +6,29 @@
 } from "../src/core/config/configuration.ts";
 import { parseAddress } from "../src/runtime/address.ts";
 import { CuttableProxy, EVERYONE } from "../tests/fixtures/cuttable_proxy.ts";
-import { type EntrySpec, TestFleet } from "../tests/fixtures/test_fleet.ts";
+import {
+  type EntrySpec,
+  getJson,
+  TestFleet,
+} from "../tests/fixtures/test_fleet.ts";
 
 const DATA_CENTRES = ["qc-hall", "pasig-hall", "laguna-hall"];
 const FIRST_HOST = 11;
+/** The small model never answers well, so that its cascade always escalates. */
+const SERVERS = [
+  { version: "m@v1" },
+  { version: "m@v2" },
+  { version: "guarded@v1" },
+  { version: "small@v1", quality: 0 },
+];
+/** Declared, but nothing listens there, so that calls are retried elsewhere. */
+const DEAD_SERVERS = ["v1", "v2"].map((version) => ({
+  id: `dead-${version}`,
+  data_centre: "qc-hall",
+  url: "http://127.0.0.1:1",
+  versions: [{ model: "m", version }],
+  slots: 16,
+}));
 
 interface Links {
   /** Between the entry and the platform. */
@@ -35,10 +54,10 @@
     const { backends: _, ...sections } = configuration;
     const fleet = await TestFleet.start({
       entries: [],
-      backends: ["m@v1", "m@v2", "guarded@v1"].map((version, at) => ({
+      backends: SERVERS.map((server, at) => ({
         id: `server-${at}`,
         data_centre: "qc-hall",
-        version,
+        ...server,
       })),
       configuration: sections,
       probeIntervalMs: 300,
@@ -68,9 +87,15 @@
 
   /** Returns the configuration with this fleet's backend servers. */
   withBackends(cfg: Configuration): Configuration {
-    const backends = this.#running()
-      .declaredBackends() as unknown as BackendServer[];
-    return { ...cfg, backends };
+    const backends = [...this.#running().declaredBackends(), ...DEAD_SERVERS];
+    return { ...cfg, backends: backends as unknown as BackendServer[] };
+  }
+
+  /** Calls that the platform has counted; a waiting watch is one. */
+  async platformCalls(): Promise<number> {
+    const counts = await getJson(`${this.platformUrl}/counts`);
+    return Number(counts.reads) + Number(counts.writes) +
+      Number(counts.watches);
   }
 
   /** Sets the faults of the platform. */
--- a/prove/in_force_figures.ts
+++ b/prove/in_force_figures.ts
@@ -1,5 +1,6 @@
 /** How long it took until accepted configurations were in force. */
 
+import { contentOf } from "./configuration_checker.ts";
 import type { ConfigurationHistory } from "./configuration_history.ts";
 
 /** Returns percentiles over all pairs of a revision and an entry. */
@@ -22,8 +23,26 @@
     `${times[Math.floor((times.length - 1) * share)]} ms`;
   return {
     revisions: String(history.of("applied").length),
-    "in force p50": at(0.5),
-    "in force p99": at(0.99),
-    "in force worst, faults included": at(1),
+    "first answer by it p50": at(0.5),
+    "first answer by it p99, refusing entries included": at(0.99),
+    "first answer by it worst, refusing entries included": at(1),
+    "last new work on a withdrawn version after": `${
+      lastWithdrawnWorkMs(history)
+    } ms`,
   };
 }
+
+/** Longest time from the acceptance that withdraws a version to its last new work. */
+function lastWithdrawnWorkMs(history: ConfigurationHistory): number {
+  const applied = history.of("applied").sort((a, b) => a.revision - b.revision);
+  const times = history.of("work").map(({ version, atMs }) => {
+    const before = applied.filter((event) => event.atMs <= atMs);
+    // The version is withdrawn since the first acceptance after the last that served it.
+    const serving = before.findLastIndex((event) =>
+      contentOf(event.content).version === version
+    );
+    const withdrawnBy = before[serving + 1];
+    return withdrawnBy === undefined ? 0 : atMs - withdrawnBy.atMs;
+  });
+  return Math.max(0, ...times);
+}
