Count poor answers that are passed on for want of better ones

Cause: found by reading: an answer that a cascade could not escalate was passed on without being counted as an answer, nor its tokens (they will be billed). Also: the target of an indirect probe must have the form of an address. Conclusion: counters cover every answer that leaves.

--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -54,7 +54,7 @@
   ): Promise<Result<ServedAnswer, RequestError>> {
     const plan = this.#deps.backendSelector.plan(ctx, req.model);
     if (!plan.ok) return plan;
-    let poor: ServedAnswer | undefined;
+    let poor: Dispatched<WholeAnswer> | undefined;
     let lastError: RequestError | undefined;
     for (const step of plan.value) {
       const tried = await this.#deps.modelDispatcher.dispatch(
@@ -67,15 +67,14 @@
         continue;
       }
       tried.value.done("answered");
-      const served = servedAnswer(tried.value, req);
       if (isGood(tried.value.answer.answer, step)) {
-        return this.#pass(served, tried.value);
+        return ok(this.#pass(tried.value, req));
       }
       this.#countEscalation(step, "poor");
-      poor = served;
+      poor = tried.value;
     }
     // A poor answer is still better than none.
-    if (poor !== undefined) return ok(poor);
+    if (poor !== undefined) return ok(this.#pass(poor, req));
     return fail(lastError as RequestError);
   }
 
@@ -149,15 +148,13 @@
     return true;
   }
 
-  #pass(
-    served: ServedAnswer,
-    { target, answer }: Dispatched<WholeAnswer>,
-  ): Result<ServedAnswer, RequestError> {
+  #pass(dispatched: Dispatched<WholeAnswer>, req: ChatRequest): ServedAnswer {
+    const { target, answer } = dispatched;
     const labels = { model: target.step.model.id, version: target.version.id };
     this.#deps.entryMetrics.answers.inc(labels);
     const tokens = answer.answer.usage?.completion_tokens ?? 0;
     this.#deps.entryMetrics.tokens.inc(labels, tokens);
-    return ok(served);
+    return servedAnswer(dispatched, req);
   }
 
   #countEscalation(step: PlanStep, reason: string): void {
--- a/src/protocol/ids_schema.ts
+++ b/src/protocol/ids_schema.ts
@@ -18,3 +18,9 @@
   SHA256_PATTERN,
   "Expected 64 lower-case hex digits",
 );
+
+/** Schema of an address: an IP number and a port. */
+export const addressSchema = z.string().regex(
+  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
+  "Expected an IP number and a port, such as 10.0.0.5:8080",
+);
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -8,7 +8,7 @@
   EntryId,
   Revision,
 } from "../core/ids.ts";
-import { nameSchema } from "./ids_schema.ts";
+import { addressSchema, nameSchema } from "./ids_schema.ts";
 import { headDeltaSchema, headSchema } from "./stored_schema.ts";
 
 /** Schema of what is told about one entry VM. */
@@ -38,7 +38,7 @@
 });
 
 /** A request to probe another entry VM on the asker's behalf. */
-export const indirectProbeSchema = z.object({ target: z.string() });
+export const indirectProbeSchema = z.object({ target: addressSchema });
 
 /** Asks for what changed since a revision; 0 asks for the whole head. */
 export const headRequestSchema = z.object({
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -2,16 +2,11 @@
 
 import { z } from "zod";
 import type { DataCentreId, EntryId } from "../core/ids.ts";
-import { nameSchema } from "./ids_schema.ts";
+import { addressSchema, nameSchema } from "./ids_schema.ts";
 import { strictObject } from "./strict_object.ts";
 
 const MEGABYTE = 1024 * 1024;
 
-const addressSchema = z.string().regex(
-  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
-  "Expected an IP number and a port, such as 10.0.0.5:8080",
-);
-
 /** Schema of the settings file. */
 export const settingsSchema = strictObject({
   entry: strictObject({
