Tell callers to come back when an ejected server does

Cause: found by reading: ejections last up to 30 s, but callers were always told to come back after 1 s, only to be refused again. Change: the shortest wait of the ejected candidates is told. Ruled out: trying an ejected server early (it would meet every request in turn). Conclusion: retry_after_ms is true for ejections; for full servers it is a guess.

--- a/src/entry/backend_selector.ts
+++ b/src/entry/backend_selector.ts
@@ -22,7 +22,7 @@
 import { unitHash } from "../runtime/hashing.ts";
 import type { RequestContext } from "./request_context.ts";
 
-/** When a caller should come back if no server can take its request. */
+/** When a caller should come back if nothing tells when a server will be there. */
 const RETRY_AFTER_MS = 1_000;
 
 /** A model server and the version it is to use. */
@@ -76,6 +76,7 @@
       stickyKey: ctx.stickyKey,
       unitHash,
     });
+    const seen: BackendServer[] = [];
     for (const version of versions) {
       const candidates = this.#subset(
         `${model.id}@${version.id}`,
@@ -85,8 +86,9 @@
       if (server !== undefined) {
         return ok({ server, step, version, revision: index.revision });
       }
+      seen.push(...candidates);
     }
-    return fail(noServer(model.id));
+    return fail(this.#noServer(model.id, seen));
   }
 
   /** Plain service of the name that a caller gave, by what its account allows now. */
@@ -112,7 +114,8 @@
       () => this.#index().serversOfService(service),
     );
     const server = this.#choose(candidates, tried);
-    return server === undefined ? fail(noServer(service)) : ok(server);
+    if (server !== undefined) return ok(server);
+    return fail(this.#noServer(service, candidates));
   }
 
   /** All servers that this entry uses, for load reports. */
@@ -174,8 +177,20 @@
     this.#subsets.set(key, subset);
     return subset;
   }
-}
 
-function noServer(wanted: string): RequestError {
-  return { tag: "no_server", wanted, retryAfterMs: RETRY_AFTER_MS };
+  /** Callers are told to come back when the first ejected server is tried again. */
+  #noServer(
+    wanted: string,
+    candidates: readonly BackendServer[],
+  ): RequestError {
+    const { serverPool, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    const waits = candidates
+      .map(({ id }) => serverPool.returnsInMs(id, nowMs))
+      .filter((waitMs) => waitMs > 0);
+    const retryAfterMs = waits.length === 0
+      ? RETRY_AFTER_MS
+      : Math.ceil(Math.min(...waits));
+    return { tag: "no_server", wanted, retryAfterMs };
+  }
 }
