Read directories the same way in all commands

Cause: check, apply, diff and demo each read and reported for themselves; a bad second directory of demo was met after the first fleet had started. Change: readDirectory() in one place; demo reads all before it starts any. Measured: tests of commands and demo pass; demo with a bad directory exits with 1. Conclusion: one copy instead of four.

--- a/src/cli/apply_command.ts
+++ b/src/cli/apply_command.ts
@@ -5,11 +5,11 @@
 import type { CommandModule } from "yargs";
 import { Applier, type ApplyOutcome } from "../configuration/applier.ts";
 import type { Revision } from "../core/ids.ts";
-import { readConfigurationDirectory } from "../files/configuration_directory.ts";
 import { SystemClock } from "../runtime/clock.ts";
 import { Deadline } from "../runtime/deadline.ts";
 import { ExitCode } from "./exit_code.ts";
-import { printError, printJson, printLine, printProblems } from "./output.ts";
+import { printError, printJson, printLine } from "./output.ts";
+import { readDirectory } from "./read_directory.ts";
 import { platformOption, withPlatform } from "./platform_option.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -55,18 +55,14 @@
         "Apply the example of the garden centres",
       ),
   handler: async (args) => {
-    const cfg = readConfigurationDirectory(args.directory);
-    if (!cfg.ok) {
-      printProblems(cfg.error, args);
-      process.exitCode = ExitCode.Failed;
-      return;
-    }
+    const cfg = readDirectory(args.directory, args);
+    if (cfg === undefined) return;
     const deadline = new Deadline(args.timeout * MS_PER_SECOND);
     const outcome = await withPlatform(
       args.platform,
       (platform) =>
         new Applier({ platform, clock: new SystemClock() }).apply({
-          configuration: cfg.value,
+          configuration: cfg,
           applyId: args["apply-id"],
           expectedRevision: args.expect as Revision | undefined,
           deadline,
--- a/src/cli/check_command.ts
+++ b/src/cli/check_command.ts
@@ -1,11 +1,9 @@
 /** `fieldrack check DIR`. */
 
-import process from "node:process";
 import type { CommandModule } from "yargs";
 import { SECTIONS } from "../core/config/configuration.ts";
-import { readConfigurationDirectory } from "../files/configuration_directory.ts";
-import { ExitCode } from "./exit_code.ts";
-import { printJson, printLine, printProblems } from "./output.ts";
+import { printJson, printLine } from "./output.ts";
+import { readDirectory } from "./read_directory.ts";
 
 interface Arguments {
   readonly directory: string;
@@ -28,14 +26,10 @@
         "Check the example of the garden centres",
       ),
   handler: ({ directory, json }) => {
-    const cfg = readConfigurationDirectory(directory);
-    if (!cfg.ok) {
-      printProblems(cfg.error, { json });
-      process.exitCode = ExitCode.Failed;
-      return;
-    }
+    const cfg = readDirectory(directory, { json });
+    if (cfg === undefined) return;
     const counts = SECTIONS.map((section) =>
-      [section, cfg.value[section].length] as const
+      [section, cfg[section].length] as const
     );
     if (json) printJson({ ok: true, counts: Object.fromEntries(counts) });
     else {printLine(`Good: ${
--- a/src/cli/demo_command.ts
+++ b/src/cli/demo_command.ts
@@ -3,9 +3,9 @@
 import process from "node:process";
 import type { CommandModule } from "yargs";
 import { DemoFleet } from "../demo/demo_fleet.ts";
-import { readConfigurationDirectory } from "../files/configuration_directory.ts";
 import { ExitCode } from "./exit_code.ts";
-import { printLine, printProblems } from "./output.ts";
+import { printLine } from "./output.ts";
+import { readDirectory } from "./read_directory.ts";
 
 interface Arguments {
   readonly config: string[];
@@ -23,23 +23,24 @@
       describe: "Configuration directories, a fleet each",
     }),
   handler: async ({ config }) => {
+    // All are read before the first starts, so that a bad one leaves nothing running.
+    const configurations = config.map((directory) =>
+      readDirectory(directory, { json: false })
+    );
+    if (configurations.includes(undefined)) return;
     const fleets: DemoFleet[] = [];
-    for (const directory of config) {
-      const cfg = readConfigurationDirectory(directory);
-      if (!cfg.ok) {
-        printProblems(cfg.error, { json: false });
-        process.exit(ExitCode.Failed);
-      }
-      const fleet = new DemoFleet(cfg.value);
+    for (const [at, cfg] of configurations.entries()) {
+      if (cfg === undefined) continue;
+      const fleet = new DemoFleet(cfg);
       const { platform, entries } = await fleet.start();
       fleets.push(fleet);
-      printLine(`\n${directory}: platform stand-in ${platform}`);
+      printLine(`\n${config[at]}: platform stand-in ${platform}`);
       for (const { id, dataCentre, callers, operators } of entries) {
         printLine(
           `  ${id} in ${dataCentre}: callers ${callers}, operators ${operators}`,
         );
       }
-      const account = cfg.value.accounts[0];
+      const account = cfg.accounts[0];
       if (account === undefined) continue;
       printLine(`  curl http://${entries[0]?.callers}/v1/chat/completions \\`);
       printLine(`    -H 'Authorization: Bearer demo-${account.id}' \\`);
--- a/src/cli/diff_command.ts
+++ b/src/cli/diff_command.ts
@@ -15,10 +15,10 @@
 import { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { NO_REVISION, type Revision } from "../core/ids.ts";
 import { fail, ok, type Result } from "../core/result.ts";
-import { readConfigurationDirectory } from "../files/configuration_directory.ts";
 import { describePlatformError, type Platform } from "../platform/platform.ts";
 import { ExitCode } from "./exit_code.ts";
-import { printError, printJson, printLine, printProblems } from "./output.ts";
+import { printError, printJson, printLine } from "./output.ts";
+import { readDirectory } from "./read_directory.ts";
 import { platformOption, withPlatform } from "./platform_option.ts";
 
 const SIGNS: Record<Change["kind"], string> = {
@@ -55,12 +55,8 @@
         "Compare the example with what is in force",
       ),
   handler: async (args) => {
-    const cfg = readConfigurationDirectory(args.directory);
-    if (!cfg.ok) {
-      printProblems(cfg.error, args);
-      process.exitCode = ExitCode.Failed;
-      return;
-    }
+    const cfg = readDirectory(args.directory, args);
+    if (cfg === undefined) return;
     const accepted = await withPlatform(args.platform, readAccepted);
     if (!accepted.ok) {
       printError(accepted.error);
@@ -68,7 +64,7 @@
       return;
     }
     const { revision, configuration } = accepted.value;
-    const changes = diffConfigurations(configuration, cfg.value);
+    const changes = diffConfigurations(configuration, cfg);
     if (args.json) return printJson({ revision, changes });
     for (const { kind, section, id } of changes) {
       printLine(`${SIGNS[kind]} ${section} ${id}`);
