--- a/src/entry/remembered_parts.ts
+++ b/src/entry/remembered_parts.ts
@@ -2,7 +2,9 @@
 
 import { asFunction, type BuildResolver } from "awilix";
 
-type Parts = Record<PropertyKey, unknown>;
+type Parts = Record<string, unknown>;
+
+const remembered = new WeakMap<Parts, Parts>();
 
 /**
  * Returns a resolver of one instance of `Part`. Its parts are still looked up at first
@@ -13,8 +15,21 @@
     .singleton();
 }
 
+/** One plain object for each container, whose properties become values at first use. */
 function remember(cradle: Parts): Parts {
-  return new Proxy<Parts>({}, {
-    get: (known, name) => known[name] ??= cradle[name],
-  });
+  const known = remembered.get(cradle);
+  if (known !== undefined) return known;
+  const parts: Parts = {};
+  for (const name of Object.keys(cradle)) {
+    Object.defineProperty(parts, name, {
+      configurable: true,
+      get: () => {
+        const value = cradle[name];
+        Object.defineProperty(parts, name, { value });
+        return value;
+      },
+    });
+  }
+  remembered.set(cradle, parts);
+  return parts;
 }
