--- /dev/null
+++ b/src/backends/backend_connection.ts
@@ -0,0 +1,205 @@
+/** One connection to a backend server, which carries one request at a time. */
+
+import type { Buffer } from "node:buffer";
+import { Client, type Dispatcher } from "undici";
+
+/** Wait for a connection; servers stand a few milliseconds away. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle connections that the server does not time are closed after this long. */
+const DEFAULT_KEEP_ALIVE_MS = 4_000;
+/** Longest that an idle connection is kept, whatever the server says. */
+const MAX_KEEP_ALIVE_MS = 30_000;
+
+/** A request as it goes to a backend server. */
+export interface BackendRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** Headers of an answer, by lower-case name. */
+export type AnswerHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
+
+/** Why an exchange ended without a whole answer. */
+export type ExchangeFailure =
+  /** No byte of the request was written. */
+  | { readonly tag: "not_sent"; readonly reason: string }
+  /** The server may have run the request. */
+  | { readonly tag: "broken"; readonly reason: string };
+
+/** What happens to a request that was sent. */
+export interface ExchangeListener {
+  /** Bytes of the request are about to be written. */
+  onSending(): void;
+  onHead(status: number, headers: AnswerHeaders): void;
+  onData(chunk: Buffer): void;
+  /** The whole answer has arrived. */
+  onEnd(): void;
+  /** Comes once, instead of `onEnd`, unless the exchange was given up. */
+  onFailure(failure: ExchangeFailure): void;
+}
+
+/** One connection. */
+export class BackendConnection {
+  readonly #client: Client;
+  #controller: Dispatcher.DispatchController | undefined;
+  #reusable = true;
+  #busy = false;
+  #idleSinceMs = 0;
+
+  /** `onLost` is called when an idle connection ends. */
+  constructor(
+    address: string,
+    onLost: (connection: BackendConnection) => void,
+  ) {
+    this.#client = new Client(`http://${address}`, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+      // The deadline of the request bounds these waits.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.#client.on("disconnect", () => {
+      this.#reusable = false;
+      if (!this.#busy) onLost(this);
+    });
+  }
+
+  /** Whether another request may be sent. */
+  get reusable(): boolean {
+    return this.#reusable && !this.#busy;
+  }
+
+  /** When the last answer ended, by the monotonic clock. */
+  get idleSinceMs(): number {
+    return this.#idleSinceMs;
+  }
+
+  /** Sends a request. */
+  send(req: BackendRequest, listener: ExchangeListener): void {
+    this.#busy = true;
+    try {
+      this.#client.dispatch(
+        {
+          method: req.method as Dispatcher.HttpMethod,
+          path: req.path,
+          headers: req.headers,
+          body: req.body ?? null,
+          // A request whose connection ends is for the caller of this class to repeat.
+          idempotent: false,
+        },
+        new ExchangeHandler(listener, {
+          onController: (controller) => this.#controller = controller,
+          onDone: (whole) => this.#done(whole),
+        }),
+      );
+    } catch (err) {
+      this.#done(false);
+      const reason = (err as Error).message;
+      listener.onFailure({ tag: "not_sent", reason });
+    }
+  }
+
+  /** Stops or goes on reading the answer. */
+  setPaused(paused: boolean): void {
+    if (paused) this.#controller?.pause();
+    else this.#controller?.resume();
+  }
+
+  /** Notes when the connection became idle. */
+  markIdle(nowMs: number): void {
+    this.#idleSinceMs = nowMs;
+  }
+
+  /** Keeps the connection from being used again. */
+  retire(): void {
+    this.#reusable = false;
+  }
+
+  /** Closes the connection at once; an exchange on it is given up. */
+  destroy(): void {
+    this.#reusable = false;
+    void this.#client.destroy();
+  }
+
+  #done(whole: boolean): void {
+    this.#busy = false;
+    if (!whole) this.#reusable = false;
+  }
+}
+
+/** Turns undici's calls into those of a listener, and ends them after a failure. */
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #listener: ExchangeListener;
+  readonly #hooks: {
+    readonly onController: (controller: Dispatcher.DispatchController) => void;
+    readonly onDone: (whole: boolean) => void;
+  };
+  #sent = false;
+  #ended = false;
+
+  constructor(
+    listener: ExchangeListener,
+    hooks: {
+      onController: (controller: Dispatcher.DispatchController) => void;
+      onDone: (whole: boolean) => void;
+    },
+  ) {
+    this.#listener = listener;
+    this.#hooks = hooks;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#sent) {
+      controller.abort(new Error("Request would be sent a second time"));
+      return;
+    }
+    this.#sent = true;
+    this.#hooks.onController(controller);
+    this.#listener.onSending();
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (status < 200 || this.#ended) return;
+    this.#listener.onHead(status, headers);
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (!this.#ended) this.#listener.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#hooks.onDone(true);
+    this.#listener.onEnd();
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    err: Error,
+  ): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#hooks.onDone(false);
+    const { code, message } = err as NodeJS.ErrnoException;
+    const reason = code ?? message;
+    this.#listener.onFailure({
+      tag: this.#sent ? "broken" : "not_sent",
+      reason,
+    });
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,43 +1,11 @@
-/** The `fieldrack` program: one long-running role and short commands. */
+/** The `fieldrack` program. Loads only what its command needs: VMs restart often. */
 
 import process from "node:process";
-import yargs from "yargs";
-import { hideBin } from "yargs/helpers";
-import { applyCommand } from "./apply_command.ts";
-import { checkCommand } from "./check_command.ts";
-import { demoCommand } from "./demo_command.ts";
-import { diffCommand } from "./diff_command.ts";
-import { entryCommand } from "./entry_command.ts";
-import { ExitCode } from "./exit_code.ts";
-import { hashKeyCommand } from "./hash_key_command.ts";
-import { standinCommand } from "./standin_command.ts";
-import { statusCommand } from "./status_command.ts";
 
-/** Set when the program is bundled. */
-declare const FIELDRACK_VERSION: string;
+const [, , command, ...rest] = process.argv;
 
-void yargs(hideBin(process.argv))
-  .scriptName("fieldrack")
-  .version(
-    typeof FIELDRACK_VERSION === "string" ? FIELDRACK_VERSION : "development",
-  )
-  .command(entryCommand)
-  .command(checkCommand)
-  .command(diffCommand)
-  .command(applyCommand)
-  .command(statusCommand)
-  .command(hashKeyCommand)
-  .command(demoCommand)
-  .command(standinCommand)
-  .demandCommand(1, "Name a command; --help lists them")
-  .strict()
-  .fail((message, err, parser) => {
-    process.stderr.write(`${message ?? String(err)}\n`);
-    if (err === undefined) parser.showHelp("error");
-    process.exit(err === undefined ? ExitCode.Usage : ExitCode.Failed);
-  })
-  .epilogue(
-    "Exit codes: 0 done, 1 refused or failed, 2 wrong usage, " +
-      "3 conflict with another operator, 4 outcome unknown, 5 not reachable",
-  )
-  .parse();
+if (command === "gateway" && rest.length === 0) {
+  void import("./gateway_command.ts").then(({ runGateway }) => runGateway());
+} else {
+  void import("./commands.ts");
+}
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -25,6 +25,18 @@
 export type RequestId = Branded<"RequestId">;
 /** Id that a caller gives to a conversation or batch. */
 export type SessionId = Branded<"SessionId">;
+/** Id of one attempt of a caller at a request; the caller chooses it. */
+export type AttemptId = Branded<"AttemptId">;
+/** Name of a route of callers' requests, as declared. */
+export type RouteId = Branded<"RouteId">;
+/** Secret by which a caller shows which client account it belongs to. */
+export type ApiKey = Branded<"ApiKey">;
+/** Id of one life of a backend server; a restart brings a new one. */
+export type InstanceId = Branded<"InstanceId">;
+/** Version of the software or weights that the servers of a service run. */
+export type ReleaseId = Branded<"ReleaseId">;
+/** Id of a part of a prompt that requests may share. */
+export type PromptPartId = Branded<"PromptPartId">;
 /** Lower-case hex SHA-256 of some content. */
 export type Sha256 = Branded<"Sha256">;
 /** Number of an accepted configuration; each acceptance adds one. */
--- /dev/null
+++ b/src/core/limits/repeat_budget.ts
@@ -0,0 +1,84 @@
+/** Bounds how often requests are sent to servers beyond their first time. */
+
+import type { ServiceId } from "../ids.ts";
+
+/** What the fleet is allowed over one window. */
+export interface RepeatBounds {
+  /** Repeats as a share of the requests for the service. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repeats of the whole fleet beyond that share. */
+  readonly allowance: number;
+}
+
+/** Parts into which the window is cut; more follow the time more closely. */
+const SLICES = 20;
+/**
+ * Part of the bounds that is used. The rest covers requests that callers sent to VMs
+ * that died with them, and windows that lie between our slices.
+ */
+const USED_SHARE = 0.85;
+
+interface Slice {
+  readonly startMs: number;
+  requests: number;
+  repeats: number;
+}
+
+/** Counts over a sliding window, for each service. */
+export class RepeatBudget {
+  readonly #bounds: RepeatBounds;
+  readonly #slices = new Map<ServiceId, Slice[]>();
+  #vms = 1;
+
+  constructor(bounds: RepeatBounds) {
+    this.#bounds = bounds;
+  }
+
+  /** Tells among how many VMs the allowance is split. */
+  setVms(vms: number): void {
+    this.#vms = Math.max(1, vms);
+  }
+
+  /** Counts a caller's request. */
+  countRequest(service: ServiceId, nowMs: number): void {
+    this.#slice(service, nowMs).requests += 1;
+  }
+
+  /** Returns whether a request may be sent once more, and counts it if so. */
+  spend(service: ServiceId, nowMs: number): boolean {
+    if (this.left(service, nowMs) < 1) return false;
+    this.#slice(service, nowMs).repeats += 1;
+    return true;
+  }
+
+  /** Repeats that may still be made now. */
+  left(service: ServiceId, nowMs: number): number {
+    const { ratio, allowance } = this.#bounds;
+    const slices = this.#recent(service, nowMs);
+    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
+    const repeats = slices.reduce((sum, slice) => sum + slice.repeats, 0);
+    const allowed = ratio * requests + allowance / this.#vms;
+    return USED_SHARE * allowed - repeats;
+  }
+
+  #slice(service: ServiceId, nowMs: number): Slice {
+    const slices = this.#recent(service, nowMs);
+    const newest = slices.at(-1);
+    const sliceMs = this.#bounds.windowMs / SLICES;
+    if (newest !== undefined && nowMs - newest.startMs < sliceMs) return newest;
+    const slice = { startMs: nowMs, requests: 0, repeats: 0 };
+    slices.push(slice);
+    this.#slices.set(service, slices);
+    return slice;
+  }
+
+  #recent(service: ServiceId, nowMs: number): Slice[] {
+    const slices = this.#slices.get(service) ?? [];
+    const startMs = nowMs - this.#bounds.windowMs;
+    while (slices[0] !== undefined && slices[0].startMs < startMs) {
+      slices.shift();
+    }
+    return slices;
+  }
+}
--- /dev/null
+++ b/src/core/servers/server_directory.ts
@@ -0,0 +1,149 @@
+/** Which backend servers there are, by the lagging list in the platform's store. */
+
+import type { InstanceId, ServiceId } from "../ids.ts";
+import type { ServerRecord } from "./server_record.ts";
+
+/**
+ * How long a server that vanished from the list around an outage of the store is still
+ * used after the store is back, in milliseconds. Servers that live write themselves
+ * down again within about two seconds, as the users promise.
+ */
+export const RELISTING_GRACE_MS = 2_000;
+
+/** Why a server gets no new work any more. */
+export type RemovalReason =
+  | "draining"
+  | "left"
+  | "not_listed_again"
+  | "misdirected";
+
+/** A change of the directory, for logs. */
+export type DirectoryChange =
+  | { readonly tag: "added"; readonly server: ServerRecord }
+  | { readonly tag: "lapsed"; readonly server: ServerRecord }
+  | {
+    readonly tag: "removed";
+    readonly server: ServerRecord;
+    readonly reason: RemovalReason;
+  };
+
+interface Row {
+  record: ServerRecord;
+  /** Set while the entry is missing because of an outage of the store. */
+  lapsed: boolean;
+  /** Answered as another instance; used again only once the list renews it. */
+  misdirected: boolean;
+}
+
+/** State of the connection to the store, as far as it explains missing entries. */
+export interface StoreHealth {
+  /** Whether calls of the store work now. */
+  readonly reachable: boolean;
+  /** When the store last came back, by the monotonic clock; undefined if it never left. */
+  readonly backSinceMs: number | undefined;
+}
+
+/** All known servers. */
+export class ServerDirectory {
+  readonly #rows = new Map<InstanceId, Row>();
+  #byService = new Map<ServiceId, ServerRecord[]>();
+
+  /** Servers of a service that take new work. */
+  usable(service: ServiceId): readonly ServerRecord[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Returns a server whether or not it takes new work. */
+  get(instance: InstanceId): ServerRecord | undefined {
+    return this.#rows.get(instance)?.record;
+  }
+
+  /** Number of servers that are known. */
+  get size(): number {
+    return this.#rows.size;
+  }
+
+  /** Takes in the entry of one server. */
+  put(record: ServerRecord): DirectoryChange[] {
+    const row = this.#rows.get(record.instance);
+    this.#rows.set(record.instance, {
+      record,
+      lapsed: false,
+      misdirected: false,
+    });
+    this.#rebuild();
+    if (row === undefined) return [{ tag: "added", server: record }];
+    if (row.record.state === "ready" && record.state === "draining") {
+      return [{ tag: "removed", server: record, reason: "draining" }];
+    }
+    return [];
+  }
+
+  /** Notes that the entry of a server is gone from the list. */
+  remove(
+    instance: InstanceId,
+    { health, nowMs }: { health: StoreHealth; nowMs: number },
+  ): DirectoryChange[] {
+    const row = this.#rows.get(instance);
+    if (row === undefined || row.lapsed) return [];
+    if (row.record.state === "ready" && mayBeRelisted(health, nowMs)) {
+      row.lapsed = true;
+      return [{ tag: "lapsed", server: row.record }];
+    }
+    return this.#drop(row, "left");
+  }
+
+  /** Takes in the whole list. */
+  replaceAll(
+    records: readonly ServerRecord[],
+    at: { health: StoreHealth; nowMs: number },
+  ): DirectoryChange[] {
+    const listed = new Set(records.map((record) => record.instance));
+    const missing = [...this.#rows.keys()].filter((id) => !listed.has(id));
+    return [
+      ...records.flatMap((record) => this.put(record)),
+      ...missing.flatMap((id) => this.remove(id, at)),
+    ];
+  }
+
+  /** Gives up on servers that were not listed again in time. */
+  expire(
+    { health, nowMs }: { health: StoreHealth; nowMs: number },
+  ): DirectoryChange[] {
+    if (mayBeRelisted(health, nowMs)) return [];
+    return [...this.#rows.values()]
+      .filter((row) => row.lapsed)
+      .flatMap((row) => this.#drop(row, "not_listed_again"));
+  }
+
+  /** Notes that another server answers at the address. */
+  misdirected(instance: InstanceId): DirectoryChange[] {
+    const row = this.#rows.get(instance);
+    if (row === undefined || row.misdirected) return [];
+    row.misdirected = true;
+    this.#rebuild();
+    return [{ tag: "removed", server: row.record, reason: "misdirected" }];
+  }
+
+  #drop(row: Row, reason: RemovalReason): DirectoryChange[] {
+    this.#rows.delete(row.record.instance);
+    this.#rebuild();
+    return [{ tag: "removed", server: row.record, reason }];
+  }
+
+  #rebuild(): void {
+    this.#byService = new Map();
+    for (const { record, misdirected } of this.#rows.values()) {
+      if (record.state !== "ready" || misdirected) continue;
+      const servers = this.#byService.get(record.service) ?? [];
+      servers.push(record);
+      this.#byService.set(record.service, servers);
+    }
+  }
+}
+
+function mayBeRelisted(health: StoreHealth, nowMs: number): boolean {
+  if (!health.reachable) return true;
+  const { backSinceMs } = health;
+  return backSinceMs !== undefined && nowMs - backSinceMs < RELISTING_GRACE_MS;
+}
--- /dev/null
+++ b/src/core/servers/server_loads.ts
@@ -0,0 +1,134 @@
+/** What this VM has under way at each backend server, and how they have done lately. */
+
+import type { InstanceId } from "../ids.ts";
+
+/** Failures in a row after which a server is avoided. */
+const FAILURES_TO_EJECT = 3;
+/** Share of recent answers that failed, from which a server is avoided. */
+const EJECT_FAILURE_RATE = 0.3;
+/** Weight of the newest answer in the failure rate. */
+const RATE_WEIGHT = 0.15;
+/** How long a server is avoided the first time, in milliseconds. */
+const EJECT_MS = 1_500;
+/** Longest that a server is avoided, in milliseconds. */
+const MAX_EJECT_MS = 6_000;
+
+interface Row {
+  inFlight: number;
+  /** Work under way, in predicted milliseconds of a server. */
+  work: number;
+  /** The same at other VMs, as they told. */
+  workElsewhere: number;
+  failuresInRow: number;
+  failureRate: number;
+  ejectedUntilMs: number;
+  ejections: number;
+}
+
+/** Loads and health of all servers, as seen from here. */
+export class ServerLoads {
+  readonly #rows = new Map<InstanceId, Row>();
+
+  /** Notes that a request was sent. */
+  begin(instance: InstanceId, work: number): void {
+    const row = this.#row(instance);
+    row.inFlight += 1;
+    row.work += work;
+  }
+
+  /** Notes that a request has ended, however it did. */
+  end(instance: InstanceId, work: number): void {
+    const row = this.#row(instance);
+    row.inFlight = Math.max(0, row.inFlight - 1);
+    row.work = Math.max(0, row.work - work);
+  }
+
+  /** Takes in what other VMs have under way. */
+  setElsewhere(work: ReadonlyMap<InstanceId, number>): void {
+    for (const row of this.#rows.values()) row.workElsewhere = 0;
+    for (const [instance, ms] of work) this.#row(instance).workElsewhere = ms;
+  }
+
+  /** Requests of this VM under way at a server. */
+  inFlight(instance: InstanceId): number {
+    return this.#rows.get(instance)?.inFlight ?? 0;
+  }
+
+  /** Predicted work under way at a server, from all VMs. */
+  work(instance: InstanceId): number {
+    const row = this.#rows.get(instance);
+    return row === undefined ? 0 : row.work + row.workElsewhere;
+  }
+
+  /** Work of this VM under way, by server. */
+  ownWork(): Map<InstanceId, number> {
+    const busy = [...this.#rows].filter(([, row]) => row.work > 0);
+    return new Map(busy.map(([instance, row]) => [instance, row.work]));
+  }
+
+  /** Notes a good answer. */
+  succeeded(instance: InstanceId): void {
+    const row = this.#row(instance);
+    row.failuresInRow = 0;
+    row.failureRate *= 1 - RATE_WEIGHT;
+    if (row.failureRate < EJECT_FAILURE_RATE / 4) row.ejections = 0;
+  }
+
+  /** Notes a failure; returns for how long the server is avoided from now on, if it is. */
+  failed(instance: InstanceId, nowMs: number): number | undefined {
+    const row = this.#row(instance);
+    row.failuresInRow += 1;
+    row.failureRate += RATE_WEIGHT * (1 - row.failureRate);
+    const bad = row.failuresInRow >= FAILURES_TO_EJECT ||
+      row.failureRate >= EJECT_FAILURE_RATE;
+    if (!bad || row.ejectedUntilMs > nowMs) return undefined;
+    return this.#eject(row, nowMs);
+  }
+
+  /** Avoids a server at once, as when it does not take connections. */
+  unreachable(instance: InstanceId, nowMs: number): number | undefined {
+    const row = this.#row(instance);
+    if (row.ejectedUntilMs > nowMs) return undefined;
+    return this.#eject(row, nowMs);
+  }
+
+  /** Whether a server is avoided now. */
+  isEjected(instance: InstanceId, nowMs: number): boolean {
+    return (this.#rows.get(instance)?.ejectedUntilMs ?? 0) > nowMs;
+  }
+
+  /** Share of recent answers of a server that failed. */
+  failureRate(instance: InstanceId): number {
+    return this.#rows.get(instance)?.failureRate ?? 0;
+  }
+
+  /** Forgets a server that is gone. */
+  forget(instance: InstanceId): void {
+    const row = this.#rows.get(instance);
+    if (row !== undefined && row.inFlight === 0) this.#rows.delete(instance);
+  }
+
+  #eject(row: Row, nowMs: number): number {
+    const ejectMs = Math.min(MAX_EJECT_MS, EJECT_MS * 2 ** row.ejections);
+    row.ejections += 1;
+    row.failuresInRow = 0;
+    row.ejectedUntilMs = nowMs + ejectMs;
+    return ejectMs;
+  }
+
+  #row(instance: InstanceId): Row {
+    const known = this.#rows.get(instance);
+    if (known !== undefined) return known;
+    const row: Row = {
+      inFlight: 0,
+      work: 0,
+      workElsewhere: 0,
+      failuresInRow: 0,
+      failureRate: 0,
+      ejectedUntilMs: 0,
+      ejections: 0,
+    };
+    this.#rows.set(instance, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/src/gateway/address_list.ts
@@ -0,0 +1,58 @@
+/** Which addresses callers are told to use. */
+
+import type { DataCentreId } from "../core/ids.ts";
+import type { Member } from "../core/membership/member.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import type { Readiness } from "./readiness.ts";
+
+/**
+ * How long callers keep the answer. Some keep it three times as long, which must end
+ * within the grace of a planned stop.
+ */
+const TTL_MS = 2_000;
+/** Addresses in one answer, at most. */
+const MOST_ADDRESSES = 64;
+
+interface Deps {
+  readonly vmSettings: VmSettings;
+  readonly memberTable: MemberTable;
+  readonly readiness: Readiness;
+}
+
+/** An answer to a caller who asks where to go. */
+export interface AddressAnswer {
+  readonly addresses: readonly string[];
+  readonly ttlMs: number;
+}
+
+/** Names the VMs that are ready, as this one sees them. */
+export class AddressList {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Answers a caller in a data centre. */
+  answer(dataCentre: string | undefined): AddressAnswer {
+    const { vmSettings, memberTable, readiness } = this.#deps;
+    const ttlMs = Math.min(TTL_MS, vmSettings.bounds.maxAddressTtlMs);
+    const members = memberTable.callable().filter((member) =>
+      member.callers !== "" &&
+      (member.id !== vmSettings.vm || readiness.isReady())
+    );
+    const addresses = nearFirst(members, dataCentre as DataCentreId)
+      .slice(0, MOST_ADDRESSES)
+      .map(({ callers }) => callers);
+    return { addresses, ttlMs };
+  }
+}
+
+function nearFirst(
+  members: readonly Member[],
+  dataCentre: DataCentreId,
+): Member[] {
+  const rank = (member: Member) => member.data_centre === dataCentre ? 0 : 1;
+  return [...members].sort((a, b) => rank(a) - rank(b));
+}
--- /dev/null
+++ b/src/gateway/control_server.ts
@@ -0,0 +1,95 @@
+/** Small HTTP servers: readiness for the platform, addresses for callers, metrics. */
+
+import fastify, { type FastifyInstance } from "fastify";
+import { formatAddress } from "../runtime/address.ts";
+import { listenHttp } from "../runtime/listen.ts";
+import {
+  ADDRESSES_PATH,
+  callerDataCentre,
+  encodeAddresses,
+  READINESS_PATH,
+} from "../platform/caller_wire.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import type { AddressList } from "./address_list.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Readiness } from "./readiness.ts";
+
+/** Port of the metrics; the deploy file names it as well. */
+export const METRICS_PORT = 9_464;
+const METRICS_PATH = "/metrics";
+
+interface Deps {
+  readonly vmSettings: VmSettings;
+  readonly readiness: Readiness;
+  readonly addressList: AddressList;
+  readonly gatewayMetrics: GatewayMetrics;
+}
+
+/** Serves all that is not a caller's request. */
+export class ControlServer {
+  readonly #deps: Deps;
+  readonly #servers: FastifyInstance[] = [];
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Starts to listen on each address that the settings name. */
+  async listen(): Promise<void> {
+    const { listen, ip } = this.#deps.vmSettings;
+    const metrics = formatAddress({ host: ip, port: METRICS_PORT });
+    const ready = listen.readiness;
+    const addresses = listen.addresses;
+    if (ready !== undefined) await this.#serveReadiness(ready);
+    if (addresses !== undefined) await this.#serveAddresses(addresses);
+    await this.#serveMetrics(metrics);
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await Promise.all(this.#servers.map((server) => server.close()));
+  }
+
+  async #serveReadiness(address: string): Promise<void> {
+    const server = this.#newServer();
+    const { readiness } = this.#deps;
+    server.get(
+      READINESS_PATH,
+      (_req, reply) =>
+        reply.code(readiness.isReady() ? 200 : 503).send({
+          ready: readiness.isReady(),
+        }),
+    );
+    await listenHttp(server, address);
+  }
+
+  async #serveAddresses(address: string): Promise<void> {
+    const server = this.#newServer();
+    const { addressList } = this.#deps;
+    server.get(ADDRESSES_PATH, (req, reply) => {
+      const query = req.url.slice(req.url.indexOf("?") + 1);
+      const answer = addressList.answer(callerDataCentre(query));
+      // A VM that knows nobody to name lets the caller ask another one.
+      if (answer.addresses.length === 0) return reply.code(503).send();
+      return reply.type("application/json").send(encodeAddresses(answer));
+    });
+    await listenHttp(server, address);
+  }
+
+  async #serveMetrics(address: string): Promise<void> {
+    const server = this.#newServer();
+    const { registry } = this.#deps.gatewayMetrics;
+    server.get(
+      METRICS_PATH,
+      async (_req, reply) =>
+        reply.type(registry.contentType).send(await registry.metrics()),
+    );
+    await listenHttp(server, address);
+  }
+
+  #newServer(): FastifyInstance {
+    const server = fastify({ forceCloseConnections: true });
+    this.#servers.push(server);
+    return server;
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway_container.ts
@@ -0,0 +1,133 @@
+/** Wires the parts of a gateway together. */
+
+import {
+  asClass,
+  asFunction,
+  asValue,
+  type AwilixContainer,
+  createContainer,
+  InjectionMode,
+} from "awilix";
+import { BackendConnections } from "../backends/backend_connections.ts";
+import { NO_REVISION } from "../core/ids.ts";
+import { RepeatBudget } from "../core/limits/repeat_budget.ts";
+import { MemberTable } from "../core/membership/member_table.ts";
+import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import { AffinityChoice } from "../core/routing/affinity_choice.ts";
+import { ServerDirectory } from "../core/servers/server_directory.ts";
+import { ServerLoads } from "../core/servers/server_loads.ts";
+import { HttpObjectStore } from "../platform/http_object_store.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import { type Clock, SystemClock } from "../runtime/clock.ts";
+import { unitHash } from "../runtime/hashing.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { RollOutFollower } from "../store/roll_out_follower.ts";
+import { RoutingFollower } from "../store/routing_follower.ts";
+import { ServerFollower } from "../store/server_follower.ts";
+import { StoreHealthKeeper } from "../store/store_health.ts";
+import { AddressList } from "./address_list.ts";
+import { ControlServer } from "./control_server.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { Readiness } from "./readiness.ts";
+import { RequestAdmission } from "./request_admission.ts";
+import { RequestLog } from "./request_log.ts";
+import { RequestServer } from "./request_server.ts";
+import { ServerSelector } from "./server_selector.ts";
+import { StopState } from "./stop_state.ts";
+
+/** What a gateway is built from. */
+export interface GatewayOptions {
+  readonly vmSettings: VmSettings;
+  readonly logger: Logger;
+}
+
+/** Parts that the process starts and stops, by name. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly memberTable: MemberTable;
+  readonly objectStore: HttpObjectStore;
+  readonly routingFollower: RoutingFollower;
+  readonly serverFollower: ServerFollower;
+  readonly rollOutFollower: RollOutFollower;
+  readonly backendConnections: BackendConnections;
+  readonly serverLoads: ServerLoads;
+  readonly requestServer: RequestServer;
+  readonly controlServer: ControlServer;
+  readonly stopState: StopState;
+}
+
+/** Returns a container with all parts of one gateway. */
+export function createGatewayContainer(
+  { vmSettings, logger }: GatewayOptions,
+): AwilixContainer<GatewayParts> {
+  const container = createContainer<GatewayParts>({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+  container.register({
+    vmSettings: asValue(vmSettings),
+    bounds: asValue(vmSettings.bounds),
+    logger: asValue(logger),
+    chance: asValue(Math.random),
+    unitHash: asValue(unitHash),
+    clock: asClass(SystemClock).singleton(),
+  });
+  registerDecisions(container, vmSettings);
+  registerEdges(container, vmSettings);
+  return container;
+}
+
+function registerDecisions(
+  container: AwilixContainer,
+  vmSettings: VmSettings,
+): void {
+  const { bounds } = vmSettings;
+  container.register({
+    serverDirectory: asClass(ServerDirectory).singleton(),
+    serverLoads: asClass(ServerLoads).singleton(),
+    releaseGate: asClass(ReleaseGate).singleton(),
+    affinityChoice: asClass(AffinityChoice).singleton(),
+    repeatBudget: asValue(
+      new RepeatBudget({
+        ratio: bounds.retryRatio,
+        windowMs: bounds.retryWindowMs,
+        allowance: bounds.retryAllowance,
+      }),
+    ),
+    memberTable: asFunction(({ clock }: { clock: Clock }) =>
+      new MemberTable({
+        id: vmSettings.vm,
+        data_centre: vmSettings.dataCentre,
+        callers: vmSettings.listen.callers ?? "",
+        peers: vmSettings.listen.peers ?? "",
+        // Grows with each start, as no state outlives the process.
+        incarnation: clock.wallMs(),
+        state: "alive",
+        revision: NO_REVISION,
+      })
+    ).singleton(),
+  });
+}
+
+function registerEdges(
+  container: AwilixContainer,
+  vmSettings: VmSettings,
+): void {
+  container.register({
+    objectStore: asValue(new HttpObjectStore(vmSettings.store.address)),
+    storeHealth: asClass(StoreHealthKeeper).singleton(),
+    routingFollower: asClass(RoutingFollower).singleton(),
+    serverFollower: asClass(ServerFollower).singleton(),
+    rollOutFollower: asClass(RollOutFollower).singleton(),
+    backendConnections: asClass(BackendConnections).singleton(),
+    stopState: asClass(StopState).singleton(),
+    readiness: asClass(Readiness).singleton(),
+    addressList: asClass(AddressList).singleton(),
+    serverSelector: asClass(ServerSelector).singleton(),
+    requestAdmission: asClass(RequestAdmission).singleton(),
+    requestLog: asClass(RequestLog).singleton(),
+    requestServer: asClass(RequestServer).singleton(),
+    gatewayMetrics: asClass(GatewayMetrics).singleton(),
+    controlServer: asClass(ControlServer).singleton(),
+  });
+}
--- /dev/null
+++ b/src/gateway/gateway_metrics.ts
@@ -0,0 +1,63 @@
+/** Counters, gauges and histograms of the gateway, in the Prometheus form. */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16, 32];
+
+/** All metrics of one gateway. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+
+  readonly requests = new Counter({
+    name: "fieldrack_gateway_requests_total",
+    help: "Requests that ended, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.registry],
+  });
+
+  readonly refusals = new Counter({
+    name: "fieldrack_gateway_refusals_total",
+    help: "Requests that got no server's answer, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+
+  readonly tries = new Counter({
+    name: "fieldrack_gateway_tries_total",
+    help: "Tries at backend servers, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.registry],
+  });
+
+  readonly duration = new Histogram({
+    name: "fieldrack_gateway_request_seconds",
+    help: "Time to the whole answer, in seconds, by service",
+    labelNames: ["service"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly configurationVersion = new Gauge({
+    name: "fieldrack_gateway_configuration_version",
+    help: "Version of the configuration in force; 0 before the first",
+    registers: [this.registry],
+  });
+
+  readonly confirmationAge = new Gauge({
+    name: "fieldrack_gateway_confirmation_age_seconds",
+    help: "Time since the configuration was last confirmed as the newest",
+    registers: [this.registry],
+  });
+
+  readonly servers = new Gauge({
+    name: "fieldrack_gateway_servers",
+    help: "Backend servers that are known",
+    registers: [this.registry],
+  });
+
+  readonly members = new Gauge({
+    name: "fieldrack_gateway_vms",
+    help: "Other entry VMs that are not dead, as seen here",
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/src/gateway/gateway_process.ts
@@ -0,0 +1,72 @@
+/** The long-running process of a VM on the users' platform: its start and its stop. */
+
+import { pause } from "../runtime/pause.ts";
+import type { Logger } from "../runtime/logger.ts";
+import {
+  createGatewayContainer,
+  type GatewayOptions,
+  type GatewayParts,
+} from "./gateway_container.ts";
+
+/** Time between looks for requests that are still under way during a stop. */
+const POLL_MS = 50;
+/** Time before the kill at which the process ends by itself. */
+const END_MARGIN_MS = 150;
+/** Time for which callers may still come although nothing is under way. */
+const QUIET_SHARE = 0.8;
+
+/** One gateway. */
+export class GatewayProcess {
+  readonly #parts: GatewayParts;
+  readonly #options: GatewayOptions;
+  readonly #logger: Logger;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    this.#parts = createGatewayContainer(options).cradle;
+    this.#logger = options.logger;
+  }
+
+  /** Starts to follow the store and to serve. */
+  async start(): Promise<void> {
+    const parts = this.#parts;
+    const { listen } = this.#options.vmSettings;
+    parts.routingFollower.start();
+    parts.rollOutFollower.start();
+    parts.serverFollower.start();
+    parts.serverFollower.onRemoved(({ instance }) => {
+      parts.backendConnections.drop(instance);
+      parts.serverLoads.forget(instance);
+    });
+    parts.routingFollower.onChange(({ configuration }) =>
+      parts.requestServer.setLimits(configuration.limits)
+    );
+    if (listen.callers !== undefined) {
+      await parts.requestServer.listen(listen.callers);
+    }
+    await parts.controlServer.listen();
+    this.#logger.info("Gateway serves", {
+      callers: listen.callers,
+      peers: listen.peers,
+      store: this.#options.vmSettings.store.address,
+    });
+  }
+
+  /** Planned stop: callers are sent elsewhere, and those that still come are served. */
+  async drain(): Promise<void> {
+    const { stopState, memberTable, requestServer } = this.#parts;
+    stopState.begin();
+    memberTable.leave();
+    this.#logger.info("Gateway leaves", { in_flight: requestServer.inFlight });
+    const { stopGraceMs } = this.#options.vmSettings.bounds;
+    const quietMs = stopGraceMs * (1 - QUIET_SHARE);
+    while (stopState.leftMs() > END_MARGIN_MS) {
+      const idle = requestServer.inFlight === 0;
+      if (idle && stopState.leftMs() < quietMs) break;
+      await pause(POLL_MS);
+    }
+    this.#logger.info("Gateway has stopped", {
+      in_flight: requestServer.inFlight,
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/server_selector.ts
@@ -0,0 +1,83 @@
+/** Chooses service and server for a request. */
+
+import type {
+  DataCentreId,
+  InstanceId,
+  ModelId,
+  ServiceId,
+} from "../core/ids.ts";
+import type { ReleaseGate } from "../core/rollout/release_gate.ts";
+import type { Route } from "../core/routes/route.ts";
+import type { AffinityChoice } from "../core/routing/affinity_choice.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { CallerHead } from "../platform/header_wire.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import type { RollOutFollower } from "../store/roll_out_follower.ts";
+import type { Clock } from "../runtime/clock.ts";
+
+interface Deps {
+  readonly vmSettings: VmSettings;
+  readonly serverDirectory: ServerDirectory;
+  readonly releaseGate: ReleaseGate;
+  readonly rollOutFollower: RollOutFollower;
+  readonly affinityChoice: AffinityChoice;
+  readonly clock: Clock;
+  readonly chance: () => number;
+}
+
+/** What a server is chosen for. */
+export interface Selection {
+  readonly service: ServiceId;
+  readonly head: CallerHead;
+  readonly model: ModelId | undefined;
+  readonly tried: ReadonlySet<InstanceId>;
+}
+
+/** Joins the directory of servers, roll-outs and loads. */
+export class ServerSelector {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Picks one of the services of a route, by weight. */
+  serviceFor({ targets }: Route): ServiceId {
+    const total = targets.reduce((sum, target) => sum + target.weight, 0);
+    let point = this.#deps.chance() * total;
+    for (const { service, weight } of targets) {
+      point -= weight;
+      if (point < 0) return service;
+    }
+    return targets.at(-1)?.service ?? ("" as ServiceId);
+  }
+
+  /** Returns the server to use; undefined when none takes new work. */
+  choose(selection: Selection): ServerRecord | undefined {
+    const { affinityChoice, vmSettings, clock } = this.#deps;
+    const dataCentre: DataCentreId = vmSettings.dataCentre;
+    return affinityChoice.choose({
+      candidates: this.#candidates(selection),
+      affinity: affinityOf(selection),
+      dataCentre,
+      tried: selection.tried,
+      nowMs: clock.monotonicMs(),
+    });
+  }
+
+  #candidates({ service }: Selection): readonly ServerRecord[] {
+    const { serverDirectory, releaseGate, rollOutFollower, clock } = this.#deps;
+    if (!rollOutFollower.ready) return [];
+    const servers = serverDirectory.usable(service);
+    return releaseGate.split(service, { servers, nowMs: clock.monotonicMs() })
+      .stable;
+  }
+}
+
+/** Requests with the same longest shared beginning of their prompt gain from one server. */
+function affinityOf({ head, model }: Selection): string | undefined {
+  const parts = head.promptParts;
+  const shared = parts.length >= 2 ? parts.at(-2) : parts[0];
+  return shared === undefined ? undefined : `${model ?? ""}/${shared.id}`;
+}
--- /dev/null
+++ b/src/platform/roll_out_wire.ts
@@ -0,0 +1,56 @@
+/** Decodes orders of roll-outs, and encodes what we report of them. */
+
+import { z } from "zod";
+import type { ReleaseId, ServiceId } from "../core/ids.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import type {
+  RollOutOrder,
+  RollOutState,
+} from "../core/servers/roll_out_order.ts";
+import { type DecodeError, decodeErrorOf } from "./decode_error.ts";
+
+/** Kind of roll-outs in the store. */
+export const ROLL_OUT_KIND = "rollouts";
+
+const MS_PER_SECOND = 1_000;
+
+const orderSchema = z.object({
+  Service: z.string(),
+  TargetVersion: z.string(),
+  DeadlineS: z.number().min(0),
+});
+
+const statusSchema = z.object({
+  State: z.enum(["in_progress", "completed", "rolled_back"]).optional(),
+  TargetVersion: z.string().optional(),
+}).nullish();
+
+/** Decodes an order and how far it has come. */
+export function decodeRollOut(
+  name: string,
+  { spec, status }: { spec: unknown; status: unknown },
+): Result<RollOutOrder, DecodeError> {
+  const order = orderSchema.safeParse(spec);
+  if (!order.success) {
+    return fail(decodeErrorOf(`roll-out ${name}`, order.error));
+  }
+  const known = statusSchema.safeParse(status);
+  if (!known.success) {
+    return fail(decodeErrorOf(`status of roll-out ${name}`, known.error));
+  }
+  return ok({
+    service: order.data.Service as ServiceId,
+    release: order.data.TargetVersion as ReleaseId,
+    limitMs: order.data.DeadlineS * MS_PER_SECOND,
+    state: known.data?.State,
+    stateRelease: known.data?.TargetVersion as ReleaseId | undefined,
+  });
+}
+
+/** Encodes how far a roll-out has come. */
+export function encodeRollOutStatus(
+  release: ReleaseId,
+  state: RollOutState,
+): unknown {
+  return { State: state, TargetVersion: release };
+}
--- /dev/null
+++ b/src/platform/server_wire.ts
@@ -0,0 +1,46 @@
+/** Decodes what backend servers write of themselves to the store. */
+
+import { z } from "zod";
+import type {
+  DataCentreId,
+  InstanceId,
+  ReleaseId,
+  ServiceId,
+} from "../core/ids.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import { type DecodeError, decodeErrorOf } from "./decode_error.ts";
+
+/** Kind of the entries of backend servers in the store. */
+export const SERVER_KIND = "servers";
+
+const serverSchema = z.object({
+  Service: z.string(),
+  Address: z.string(),
+  Zone: z.string().default(""),
+  Version: z.string().default(""),
+  Slots: z.number().min(0).default(1),
+  State: z.string().default("ready"),
+});
+
+/** Decodes an entry; the name of its object is the instance. */
+export function decodeServer(
+  name: string,
+  spec: unknown,
+): Result<ServerRecord, DecodeError> {
+  const parsed = serverSchema.safeParse(spec);
+  if (!parsed.success) {
+    return fail(decodeErrorOf(`server ${name}`, parsed.error));
+  }
+  const wire = parsed.data;
+  return ok({
+    instance: name as InstanceId,
+    service: wire.Service as ServiceId,
+    address: wire.Address,
+    dataCentre: wire.Zone as DataCentreId,
+    // Of its software; unlike the version of a model's weights.
+    release: wire.Version as ReleaseId,
+    slots: wire.Slots,
+    state: wire.State === "ready" ? "ready" : "draining",
+  });
+}
--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -2,6 +2,7 @@
 
 import "./enable_logs.ts";
 import process from "node:process";
+import type { LineSink } from "./line_writer.ts";
 import { type Logger as RoarrLogger, Roarr } from "roarr";
 
 /** Values that explain a log line. */
@@ -17,12 +18,12 @@
   warn(message: string, context?: LogContext): void;
 }
 
-/** Writes to standard error. */
+/** Writes JSON lines to standard error, or to the sink that is given. */
 export class ProcessLogger implements Logger {
   readonly #roarr: RoarrLogger;
 
-  constructor(context: LogContext) {
-    globalRoarr().write = (line) => void process.stderr.write(`${line}\n`);
+  constructor(context: LogContext, sink: LineSink = STANDARD_ERROR) {
+    globalRoarr().write = (line) => sink.write(line);
     this.#roarr = Roarr.child({ ...context });
   }
 
@@ -35,6 +36,10 @@
   }
 }
 
+const STANDARD_ERROR: LineSink = {
+  write: (line) => void process.stderr.write(`${line}\n`),
+};
+
 /** Keeps quiet. */
 export class SilentLogger implements Logger {
   info(): void {}
--- /dev/null
+++ b/src/store/routing_follower.ts
@@ -0,0 +1,166 @@
+/** Keeps the newest routing configuration, and how lately it was confirmed. */
+
+import { RouteTable } from "../core/routes/route_table.ts";
+import { describeDecodeError } from "../platform/decode_error.ts";
+import {
+  describeStoreError,
+  type ObjectStore,
+  type StoredObject,
+} from "../platform/object_store.ts";
+import {
+  CONFIGURATION_KIND,
+  CONFIGURATION_NAME,
+  decodeConfiguration,
+} from "../platform/routing_wire.ts";
+import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { KindFollower, type KindListener } from "./kind_follower.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+
+/**
+ * Confirmations in the time that a change may take to be in force; with the store's
+ * answer the second of two may fail.
+ */
+const CONFIRMATIONS_PER_APPLY = 1.6;
+/** Confirmations in the time after which a removed key must open nothing. */
+const CONFIRMATIONS_PER_KEY_REMOVAL = 4;
+/** Longest wait for a confirmation; the store usually answers in milliseconds. */
+const CONFIRM_TIMEOUT_MS = 1_000;
+/** Pause after a failed confirmation, spread over the fleet. */
+const RETRY_PAUSE_MS = 200;
+const RETRY_SPREAD_MS = 150;
+/** Intervals differ by so much between VMs, so that their reads do not come as one. */
+const INTERVAL_SPREAD = 0.2;
+
+interface Deps {
+  readonly objectStore: ObjectStore;
+  readonly storeHealth: StoreHealthKeeper;
+  readonly bounds: DeploymentBounds;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly chance: () => number;
+}
+
+/** Follows the configuration by a watch, and confirms it by reads that cannot be stale. */
+export class RoutingFollower implements KindListener {
+  readonly #deps: Deps;
+  readonly #follower: KindFollower;
+  #table: RouteTable | undefined;
+  #confirmedAtMs = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
+  readonly #listeners: ((table: RouteTable) => void)[] = [];
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#follower = new KindFollower(deps, {
+      kind: CONFIGURATION_KIND,
+      listener: this,
+    });
+  }
+
+  /** Configuration in force; undefined until the first has been read. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Milliseconds since a read showed that no later configuration was accepted. */
+  confirmedAgeMs(): number {
+    return this.#deps.clock.monotonicMs() - this.#confirmedAtMs;
+  }
+
+  /** Registers a listener for configurations that come into force. */
+  onChange(listener: (table: RouteTable) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    this.#follower.start();
+    void this.#confirm();
+  }
+
+  /** Stops to follow. */
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+    this.#follower.stop();
+  }
+
+  listed(objects: readonly StoredObject[]): void {
+    for (const object of objects) this.changed(object);
+  }
+
+  changed(object: StoredObject): void {
+    if (object.name === CONFIGURATION_NAME) this.#apply(object);
+  }
+
+  deleted(object: StoredObject): void {
+    // The last configuration stays in force: operators replace it, never remove it.
+    this.#deps.logger.warn("Configuration was deleted; the last one stays", {
+      object: object.name,
+    });
+  }
+
+  async #confirm(): Promise<void> {
+    const { objectStore, storeHealth, clock } = this.#deps;
+    const startedMs = clock.monotonicMs();
+    const read = await objectStore.get(
+      { kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME },
+      { timeoutMs: CONFIRM_TIMEOUT_MS },
+    );
+    if (this.#stopped) return;
+    if (read.ok) {
+      storeHealth.answered();
+      if (this.#apply(read.value)) this.#confirmedAtMs = startedMs;
+    } else if (read.error.tag === "missing") {
+      storeHealth.answered();
+    } else {
+      storeHealth.failed(describeStoreError(read.error));
+    }
+    const waitMs = read.ok ? this.#intervalMs() : this.#retryMs();
+    const tookMs = clock.monotonicMs() - startedMs;
+    this.#timer = setTimeout(
+      () => void this.#confirm(),
+      Math.max(0, waitMs - tookMs),
+    );
+  }
+
+  #intervalMs(): number {
+    const { bounds, chance } = this.#deps;
+    const shortest = Math.min(
+      bounds.configurationApplyMs / CONFIRMATIONS_PER_APPLY,
+      bounds.keyRemovalMs / CONFIRMATIONS_PER_KEY_REMOVAL,
+    );
+    return shortest * (1 - INTERVAL_SPREAD * chance());
+  }
+
+  #retryMs(): number {
+    return RETRY_PAUSE_MS + RETRY_SPREAD_MS * this.#deps.chance();
+  }
+
+  /** Returns whether the configuration in force is at least as new as the object. */
+  #apply(object: StoredObject): boolean {
+    const { logger } = this.#deps;
+    const decoded = decodeConfiguration(object.spec);
+    if (!decoded.ok) {
+      logger.warn("Configuration is not understood; the last one stays", {
+        reason: describeDecodeError(decoded.error),
+      });
+      return false;
+    }
+    const configuration = decoded.value;
+    const known = this.#table?.version;
+    if (known !== undefined && configuration.version <= known) return true;
+    this.#table = new RouteTable(configuration);
+    for (const listener of this.#listeners) listener(this.#table);
+    logger.info("Configuration is in force", {
+      version: configuration.version,
+      before: known,
+      routes: configuration.routes.length,
+      accounts: configuration.accounts?.length,
+    });
+    return true;
+  }
+}
--- /dev/null
+++ b/src/store/server_follower.ts
@@ -0,0 +1,118 @@
+/** Follows the list of backend servers. */
+
+import type { InstanceId } from "../core/ids.ts";
+import type {
+  DirectoryChange,
+  ServerDirectory,
+} from "../core/servers/server_directory.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import { describeDecodeError } from "../platform/decode_error.ts";
+import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
+import { decodeServer, SERVER_KIND } from "../platform/server_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { KindFollower, type KindListener } from "./kind_follower.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+
+/** Time between looks for servers that were not listed again. */
+const EXPIRY_INTERVAL_MS = 250;
+
+/** Called when servers get no new work any more. */
+export type RemovalListener = (server: ServerRecord) => void;
+
+interface Deps {
+  readonly objectStore: ObjectStore;
+  readonly storeHealth: StoreHealthKeeper;
+  readonly serverDirectory: ServerDirectory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly chance: () => number;
+}
+
+/** Keeps the directory of servers true to the list. */
+export class ServerFollower implements KindListener {
+  readonly #deps: Deps;
+  readonly #follower: KindFollower;
+  readonly #listeners: RemovalListener[] = [];
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#follower = new KindFollower(deps, {
+      kind: SERVER_KIND,
+      listener: this,
+    });
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    this.#follower.start();
+    const { serverDirectory } = this.#deps;
+    this.#timer = setInterval(
+      () => this.#note(serverDirectory.expire(this.#at())),
+      EXPIRY_INTERVAL_MS,
+    );
+  }
+
+  /** Stops to follow. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#follower.stop();
+  }
+
+  /** Registers a listener for servers that get no new work any more. */
+  onRemoved(listener: RemovalListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Notes that another server answers at the address of this one. */
+  misdirected(instance: InstanceId): void {
+    this.#note(this.#deps.serverDirectory.misdirected(instance));
+  }
+
+  listed(objects: readonly StoredObject[]): void {
+    const records = objects.flatMap((object) => this.#decode(object));
+    const { serverDirectory } = this.#deps;
+    this.#note(serverDirectory.replaceAll(records, this.#at()));
+  }
+
+  changed(object: StoredObject): void {
+    for (const record of this.#decode(object)) {
+      this.#note(this.#deps.serverDirectory.put(record));
+    }
+  }
+
+  deleted(object: StoredObject): void {
+    const instance = object.name as InstanceId;
+    this.#note(this.#deps.serverDirectory.remove(instance, this.#at()));
+  }
+
+  #at() {
+    const { storeHealth, clock } = this.#deps;
+    return { health: storeHealth.health, nowMs: clock.monotonicMs() };
+  }
+
+  #decode(object: StoredObject): ServerRecord[] {
+    const decoded = decodeServer(object.name, object.spec);
+    if (decoded.ok) return [decoded.value];
+    this.#deps.logger.warn("Entry of a server is not understood", {
+      reason: describeDecodeError(decoded.error),
+    });
+    return [];
+  }
+
+  #note(changes: readonly DirectoryChange[]): void {
+    for (const change of changes) {
+      this.#deps.logger.info("Server list changed", {
+        change: change.tag,
+        reason: change.tag === "removed" ? change.reason : undefined,
+        server: change.server.instance,
+        service: change.server.service,
+        release: change.server.release,
+        state: change.server.state,
+      });
+      if (change.tag !== "removed") continue;
+      for (const listener of this.#listeners) listener(change.server);
+    }
+  }
+}
--- /dev/null
+++ b/src/store/store_health.ts
@@ -0,0 +1,53 @@
+/** Whether the platform's store answers this entry VM, and since when. */
+
+import type { StoreHealth } from "../core/servers/server_directory.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+
+/** Called when the store answers again after it did not. */
+export type BackListener = () => void;
+
+/** Keeps what the last calls of the store have shown. */
+export class StoreHealthKeeper {
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #listeners: BackListener[] = [];
+  #reachable = true;
+  #lostAtMs = 0;
+  #backSinceMs: number | undefined;
+
+  constructor({ clock, logger }: { clock: Clock; logger: Logger }) {
+    this.#clock = clock;
+    this.#logger = logger;
+  }
+
+  /** What explains entries that are missing from the store's lists. */
+  get health(): StoreHealth {
+    return { reachable: this.#reachable, backSinceMs: this.#backSinceMs };
+  }
+
+  /** Registers a listener for the store's return. */
+  onBack(listener: BackListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Notes that a call was answered. */
+  answered(): void {
+    if (this.#reachable) return;
+    const nowMs = this.#clock.monotonicMs();
+    this.#reachable = true;
+    this.#backSinceMs = nowMs;
+    this.#logger.info("Store is back", {
+      away_ms: Math.round(nowMs - this.#lostAtMs),
+    });
+    for (const listener of this.#listeners) listener();
+  }
+
+  /** Notes that a call was not answered, or was turned away. */
+  failed(reason: string): void {
+    if (!this.#reachable) return;
+    this.#reachable = false;
+    this.#lostAtMs = this.#clock.monotonicMs();
+    this.#logger.warn("Store is lost", { reason });
+  }
+}
