Run roll-outs by evidence; exchange digests between VMs; test the decisions

Cause: bad releases must be braked by all VMs and good ones completed in time, and callers must not be named VMs that have gone. Digests carry members, load, evidence and the sessions a trial begins with; trials step by an object of our own kind.

--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -79,6 +79,15 @@
     );
   }
 
+  /** What this VM believes of one that talks to it, where that is wrong. */
+  misjudged(id: EntryId): Member[] {
+    const member = this.#rows.get(id)?.member;
+    if (member === undefined) return [];
+    return member.state === "suspect" || member.state === "dead"
+      ? [member]
+      : [];
+  }
+
   /** Takes in news from a message; returns the entry VMs whose state changed. */
   merge(news: readonly Member[], nowMs: number): Member[] {
     return news.filter((member) => this.#mergeOne(member, nowMs));
--- /dev/null
+++ b/src/core/rollout/evidence.ts
@@ -0,0 +1,104 @@
+/** Counts how the answers of each release do, here and at other VMs. */
+
+import type { EntryId, ReleaseId, RouteId, ServiceId } from "../ids.ts";
+
+/** Answers of one release on one route. */
+export interface Evidence {
+  readonly service: ServiceId;
+  readonly release: ReleaseId;
+  readonly route: RouteId;
+  readonly answers: number;
+  /** Answers that failed; they count among the answers as well. */
+  readonly failures: number;
+  /** Sum of the natural logarithms of the times to the first byte, in milliseconds. */
+  readonly logMsSum: number;
+}
+
+/** One answer, as evidence. */
+export interface Observation {
+  readonly service: ServiceId;
+  readonly release: ReleaseId;
+  readonly route: RouteId;
+  readonly failed: boolean;
+  /** Time to the first byte; undefined where none came. */
+  readonly firstByteMs: number | undefined;
+}
+
+/** Evidence that another VM has told. */
+interface Told {
+  readonly life: number;
+  readonly evidence: readonly Evidence[];
+}
+
+/** Evidence of this VM and the last that each other VM told. */
+export class EvidenceBook {
+  readonly #own = new Map<string, Evidence>();
+  readonly #told = new Map<string, Told>();
+
+  /** Counts an answer. */
+  observe(observation: Observation): void {
+    const { service, release, route, failed, firstByteMs } = observation;
+    const key = `${service}/${release}/${route}`;
+    const known = this.#own.get(key) ??
+      { service, release, route, answers: 0, failures: 0, logMsSum: 0 };
+    this.#own.set(key, {
+      ...known,
+      answers: known.answers + 1,
+      failures: known.failures + (failed ? 1 : 0),
+      logMsSum: known.logMsSum + Math.log(Math.max(1, firstByteMs ?? 1)),
+    });
+  }
+
+  /** Evidence of this VM about a service. */
+  own(service: ServiceId): Evidence[] {
+    return [...this.#own.values()].filter((row) => row.service === service);
+  }
+
+  /** Takes in what another VM has counted in one life of its process. */
+  hear(
+    vm: EntryId,
+    { life, evidence }: { life: number; evidence: readonly Evidence[] },
+  ): void {
+    // Counts of an earlier life stay: those answers were given as well.
+    this.#told.set(`${vm}/${life}`, { life, evidence });
+  }
+
+  /** All evidence about one release, added up by route. */
+  total(service: ServiceId, release: ReleaseId): Map<RouteId, Evidence> {
+    const all = [
+      ...this.#own.values(),
+      ...[...this.#told.values()].flatMap(({ evidence }) => evidence),
+    ];
+    return sumByRoute(
+      all.filter((row) => row.service === service && row.release === release),
+    );
+  }
+
+  /** Forgets what was counted of a service, once its roll-out is over. */
+  forget(service: ServiceId): void {
+    for (const [key, row] of this.#own) {
+      if (row.service === service) this.#own.delete(key);
+    }
+    for (const [key, told] of this.#told) {
+      const evidence = told.evidence.filter((row) => row.service !== service);
+      this.#told.set(key, { ...told, evidence });
+    }
+  }
+}
+
+function sumByRoute(rows: readonly Evidence[]): Map<RouteId, Evidence> {
+  const sums = new Map<RouteId, Evidence>();
+  for (const row of rows) {
+    const known = sums.get(row.route);
+    sums.set(
+      row.route,
+      known === undefined ? row : {
+        ...row,
+        answers: known.answers + row.answers,
+        failures: known.failures + row.failures,
+        logMsSum: known.logMsSum + row.logMsSum,
+      },
+    );
+  }
+  return sums;
+}
--- a/src/core/rollout/release_gate.ts
+++ b/src/core/rollout/release_gate.ts
@@ -1,8 +1,9 @@
 /** Which releases of a service may get work, by the orders of roll-outs. */
 
-import type { InstanceId, ReleaseId, ServiceId } from "../ids.ts";
+import type { ReleaseId, ServiceId } from "../ids.ts";
 import type { RollOutOrder } from "../servers/roll_out_order.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
+import type { ReleaseKey, Trial } from "./trial.ts";
 
 /**
  * A release that nobody has ordered yet is held back this long: servers and orders are
@@ -24,6 +25,8 @@
   readonly #orders = new Map<ServiceId, RollOutOrder>();
   readonly #firstSeenMs = new Map<string, number>();
   readonly #alone = new Set<string>();
+  readonly #trials = new Map<ServiceId, Trial>();
+  readonly #braked = new Map<string, ReleaseKey>();
 
   /** Takes in an order or its state. */
   setOrder(order: RollOutOrder): void {
@@ -40,6 +43,45 @@
     return this.#orders.get(service);
   }
 
+  /** Orders that are neither completed nor rolled back. */
+  openOrders(): RollOutOrder[] {
+    return [...this.#orders.values()].filter((order) => !isDecided(order));
+  }
+
+  /** Takes in how far a trial has come; its share never shrinks. */
+  setTrial(trial: Trial): void {
+    const known = this.#trials.get(trial.service);
+    const older = known?.release === trial.release &&
+      known.share >= trial.share;
+    if (!older) this.#trials.set(trial.service, trial);
+  }
+
+  /** Share of sessions that the ordered release of a service gets now. */
+  trialShare(service: ServiceId): number {
+    const trial = this.#trials.get(service);
+    const order = this.#orders.get(service);
+    if (trial === undefined || trial.release !== order?.release) return 0;
+    return trial.share;
+  }
+
+  /** Ends a trial for good; returns whether that is new. */
+  brake({ service, release }: ReleaseKey): boolean {
+    const key = `${service}/${release}`;
+    if (this.#braked.has(key)) return false;
+    this.#braked.set(key, { service, release });
+    return true;
+  }
+
+  /** Whether a release was found bad. */
+  isBraked({ service, release }: ReleaseKey): boolean {
+    return this.#braked.has(`${service}/${release}`);
+  }
+
+  /** Releases that were found bad. */
+  brakedReleases(): Iterable<ReleaseKey> {
+    return this.#braked.values();
+  }
+
   /** Splits the servers of a service by what their releases may get. */
   split(
     service: ServiceId,
@@ -55,7 +97,8 @@
     if (decided && order.state === "completed") {
       return { stable: ordered, trial: [] };
     }
-    const braked = decided && order.state === "rolled_back";
+    const braked = (decided && order.state === "rolled_back") ||
+      this.isBraked(order);
     return { stable: others, trial: braked ? [] : ordered };
   }
 
@@ -95,9 +138,8 @@
   }
 }
 
-/** Servers by instance, for looking one up. */
-export function byInstance(
-  servers: readonly ServerRecord[],
-): Map<InstanceId, ServerRecord> {
-  return new Map(servers.map((server) => [server.instance, server]));
+/** Whether a roll-out needs nothing more. */
+function isDecided(order: RollOutOrder): boolean {
+  if (order.stateRelease !== order.release) return false;
+  return order.state === "completed" || order.state === "rolled_back";
 }
--- /dev/null
+++ b/src/core/rollout/session_book.ts
@@ -0,0 +1,68 @@
+/** Remembers which release served a session last. */
+
+import type { PromptPartId, ReleaseId } from "../ids.ts";
+
+/** Sessions kept, at most; the oldest are forgotten first. */
+const MOST_SESSIONS = 20_000;
+
+/** A session that was seen lately. */
+export interface SeenSession {
+  readonly session: PromptPartId;
+  readonly release: ReleaseId;
+  readonly seenMs: number;
+  /** Whether this VM served the request, and so has to tell of it. */
+  readonly here: boolean;
+}
+
+/** Sessions of this VM, and those that others have told of. */
+export class SessionBook {
+  readonly #gapMs: number;
+  /** In order of their last request. */
+  readonly #seen = new Map<PromptPartId, SeenSession>();
+
+  /** After `gapMs` without a request a session is over. */
+  constructor(gapMs: number) {
+    this.#gapMs = gapMs;
+  }
+
+  /** Notes a request of a session, here or elsewhere. */
+  note(seen: SeenSession): void {
+    const known = this.#seen.get(seen.session);
+    if (known !== undefined && known.seenMs >= seen.seenMs) return;
+    this.#seen.delete(seen.session);
+    this.#seen.set(seen.session, seen);
+    if (this.#seen.size <= MOST_SESSIONS) return;
+    const [oldest] = this.#seen.keys();
+    if (oldest !== undefined) this.#seen.delete(oldest);
+  }
+
+  /** Release that served a session last; undefined once the session is over. */
+  releaseOf(session: PromptPartId, nowMs: number): ReleaseId | undefined {
+    const seen = this.#seen.get(session);
+    if (seen === undefined || nowMs - seen.seenMs > this.#gapMs) {
+      return undefined;
+    }
+    return seen.release;
+  }
+
+  /** Sessions that were served here and are not over, the latest first, at most so many. */
+  recent(
+    nowMs: number,
+    { wanted, most }: {
+      wanted: (session: PromptPartId) => boolean;
+      most: number;
+    },
+  ): SeenSession[] {
+    this.#forgetOld(nowMs);
+    return [...this.#seen.values()].reverse()
+      .filter(({ session, here }) => here && wanted(session))
+      .slice(0, most);
+  }
+
+  #forgetOld(nowMs: number): void {
+    for (const [session, { seenMs }] of this.#seen) {
+      if (nowMs - seenMs <= this.#gapMs) return;
+      this.#seen.delete(session);
+    }
+  }
+}
--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -8,9 +8,9 @@
 
 /**
  * How long callers keep the answer. Some keep it three times as long, which must end
- * within the grace of a planned stop.
+ * well within the grace of a planned stop, after which streams are no longer taken.
  */
-const TTL_MS = 2_000;
+const TTL_MS = 1_000;
 /** Addresses in one answer, at most. */
 const MOST_ADDRESSES = 64;
 
@@ -38,10 +38,13 @@
   answer(dataCentre: string | undefined): AddressAnswer {
     const { vmSettings, memberTable, readiness } = this.#deps;
     const ttlMs = Math.min(TTL_MS, vmSettings.bounds.maxAddressTtlMs);
-    const members = memberTable.callable().filter((member) =>
+    const callable = memberTable.callable().filter((member) =>
       member.callers !== "" &&
       (member.id !== vmSettings.vm || readiness.isReady())
     );
+    // Suspects are left out, unless there are so many that this VM may be the one cut off.
+    const sound = callable.filter(({ state }) => state === "alive");
+    const members = 2 * sound.length > callable.length ? sound : callable;
     const addresses = nearFirst(members, dataCentre as DataCentreId)
       .slice(0, MOST_ADDRESSES)
       .map(({ callers }) => callers);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -12,10 +12,17 @@
 import { NO_REVISION } from "../core/ids.ts";
 import { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
+import { EvidenceBook } from "../core/rollout/evidence.ts";
+import { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import { SessionBook } from "../core/rollout/session_book.ts";
+import { ProbeOrder } from "../core/membership/probe_order.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { DigestExchanger } from "../fleet/digest_exchanger.ts";
+import { DigestKeeper } from "../fleet/digest_keeper.ts";
+import { DigestServer } from "../fleet/digest_server.ts";
 import { HttpObjectStore } from "../platform/http_object_store.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import { type Clock, SystemClock } from "../runtime/clock.ts";
@@ -24,6 +31,7 @@
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
 import { ServerFollower } from "../store/server_follower.ts";
+import { TrialFollower } from "../store/trial_follower.ts";
 import { StoreHealthKeeper } from "../store/store_health.ts";
 import { AddressList } from "./address_list.ts";
 import { ControlServer } from "./control_server.ts";
@@ -34,6 +42,10 @@
 import { RequestServer } from "./request_server.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
+import { TrialController } from "./trial_controller.ts";
+
+/** What other VMs tell of sessions is up to this old. */
+const SESSION_MARGIN_MS = 1_000;
 
 /** What a gateway is built from. */
 export interface GatewayOptions {
@@ -51,6 +63,11 @@
   readonly rollOutFollower: RollOutFollower;
   readonly backendConnections: BackendConnections;
   readonly serverLoads: ServerLoads;
+  readonly trialFollower: TrialFollower;
+  readonly trialController: TrialController;
+  readonly digestServer: DigestServer;
+  readonly digestExchanger: DigestExchanger;
+  readonly repeatBudget: RepeatBudget;
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
   readonly stopState: StopState;
@@ -86,6 +103,12 @@
     serverDirectory: asClass(ServerDirectory).singleton(),
     serverLoads: asClass(ServerLoads).singleton(),
     releaseGate: asClass(ReleaseGate).singleton(),
+    releaseChoice: asClass(ReleaseChoice).singleton(),
+    evidenceBook: asClass(EvidenceBook).singleton(),
+    sessionBook: asValue(
+      new SessionBook(bounds.sessionGapMs + SESSION_MARGIN_MS),
+    ),
+    probeOrder: asFunction(({ chance }) => new ProbeOrder(chance)).singleton(),
     affinityChoice: asClass(AffinityChoice).singleton(),
     repeatBudget: asValue(
       new RepeatBudget({
@@ -119,6 +142,12 @@
     routingFollower: asClass(RoutingFollower).singleton(),
     serverFollower: asClass(ServerFollower).singleton(),
     rollOutFollower: asClass(RollOutFollower).singleton(),
+    trialFollower: asClass(TrialFollower).singleton(),
+    trialController: asClass(TrialController).singleton(),
+    digestKeeper: asClass(DigestKeeper).singleton(),
+    digestServer: asClass(DigestServer).singleton(),
+    digestExchanger: asClass(DigestExchanger).singleton(),
+    seedAddresses: asValue(() => vmSettings.seeds),
     backendConnections: asClass(BackendConnections).singleton(),
     stopState: asClass(StopState).singleton(),
     readiness: asClass(Readiness).singleton(),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -41,6 +41,12 @@
     parts.routingFollower.onChange(({ configuration }) =>
       parts.requestServer.setLimits(configuration.limits)
     );
+    parts.trialFollower.start();
+    if (listen.peers !== undefined) {
+      await parts.digestServer.listen(listen.peers);
+      parts.digestExchanger.start();
+    }
+    parts.trialController.start();
     if (listen.callers !== undefined) {
       await parts.requestServer.listen(listen.callers);
     }
@@ -57,6 +63,7 @@
     const { stopState, memberTable, requestServer } = this.#parts;
     stopState.begin();
     memberTable.leave();
+    void this.#parts.digestExchanger.announce();
     this.#logger.info("Gateway leaves", { in_flight: requestServer.inFlight });
     const { stopGraceMs } = this.#options.vmSettings.bounds;
     const quietMs = stopGraceMs * (1 - QUIET_SHARE);
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -4,6 +4,8 @@
 import { escalateTo, firstModel } from "../core/cascade/model_ladder.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
+import type { EvidenceBook } from "../core/rollout/evidence.ts";
+import type { SessionBook } from "../core/rollout/session_book.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
@@ -21,7 +23,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { Admitted, RequestAdmission } from "./request_admission.ts";
-import type { ServerSelector } from "./server_selector.ts";
+import { type ServerSelector, sessionOf } from "./server_selector.ts";
 import { predictedWorkMs } from "./predicted_work.ts";
 import type { RequestLog } from "./request_log.ts";
 
@@ -40,6 +42,8 @@
   readonly serverLoads: ServerLoads;
   readonly serverFollower: ServerFollower;
   readonly repeatBudget: RepeatBudget;
+  readonly evidenceBook: EvidenceBook;
+  readonly sessionBook: SessionBook;
   readonly requestLog: RequestLog;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -51,6 +55,8 @@
   readonly release: string;
   readonly model: ModelId | undefined;
   readonly startedMs: number;
+  /** Time to the first byte of the answer. */
+  firstByteMs: number | undefined;
   outcome: string;
   confidence: number | undefined;
 }
@@ -163,6 +169,7 @@
       release: server.release,
       model: this.#model,
       startedMs: clock.monotonicMs(),
+      firstByteMs: undefined,
       outcome: "",
       confidence: undefined,
     };
@@ -173,6 +180,7 @@
       model: this.#model,
     });
     serverLoads.begin(server.instance, work);
+    this.#noteSession(server);
     this.#current = new BackendTry(backendConnections, {
       server,
       request: this.#backendRequest(server),
@@ -182,16 +190,59 @@
       sink: {
         judge: (head) => this.#judge(head, record),
         write: (chunk) => this.#passOn(chunk),
-        onProgress: () => {},
+        onProgress: () => {
+          record.firstByteMs ??= clock.monotonicMs() - record.startedMs;
+        },
       },
     });
     const outcome = await this.#current.run();
     this.#current = undefined;
     serverLoads.end(server.instance, work);
     record.outcome = outcome.tag;
+    this.#noteEvidence(outcome, { server, record });
     return outcome;
   }
 
+  #noteSession({ release }: ServerRecord): void {
+    const session = sessionOf(this.#exchange.head);
+    if (session === undefined) return;
+    const seenMs = this.#deps.clock.monotonicMs();
+    this.#deps.sessionBook.note({ session, release, seenMs, here: true });
+  }
+
+  #noteEvidence(
+    outcome: TryOutcome,
+    { server, record }: { server: ServerRecord; record: TryRecord },
+  ): void {
+    const failed = this.#isFailure(outcome);
+    if (failed === undefined) return;
+    this.#deps.evidenceBook.observe({
+      service: this.#service,
+      release: server.release,
+      route: this.#admitted.route.id,
+      failed,
+      firstByteMs: record.firstByteMs,
+    });
+  }
+
+  /** Whether a try speaks against its release; undefined where it says nothing. */
+  #isFailure(outcome: TryOutcome): boolean | undefined {
+    switch (outcome.tag) {
+      case "streamed":
+      case "turned_down":
+        return false;
+      case "answered":
+        return outcome.head.status >= 500;
+      case "broken":
+      case "stream_broken":
+        return true;
+      case "given_up":
+        return this.#expired ? true : undefined;
+      default:
+        return undefined;
+    }
+  }
+
   #backendRequest(server: ServerRecord) {
     const { method, url, host, rawHeaders } = this.#exchange;
     const { account, route } = this.#admitted;
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -4,8 +4,10 @@
   DataCentreId,
   InstanceId,
   ModelId,
+  PromptPartId,
   ServiceId,
 } from "../core/ids.ts";
+import type { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import type { Route } from "../core/routes/route.ts";
 import type { AffinityChoice } from "../core/routing/affinity_choice.ts";
@@ -20,6 +22,7 @@
   readonly vmSettings: VmSettings;
   readonly serverDirectory: ServerDirectory;
   readonly releaseGate: ReleaseGate;
+  readonly releaseChoice: ReleaseChoice;
   readonly rollOutFollower: RollOutFollower;
   readonly affinityChoice: AffinityChoice;
   readonly clock: Clock;
@@ -55,10 +58,21 @@
 
   /** Returns the server to use; undefined when none takes new work. */
   choose(selection: Selection): ServerRecord | undefined {
+    for (const candidates of this.#candidates(selection)) {
+      const server = this.#among(candidates, selection);
+      if (server !== undefined) return server;
+    }
+    return undefined;
+  }
+
+  #among(
+    candidates: readonly ServerRecord[],
+    selection: Selection,
+  ): ServerRecord | undefined {
     const { affinityChoice, vmSettings, clock } = this.#deps;
     const dataCentre: DataCentreId = vmSettings.dataCentre;
     return affinityChoice.choose({
-      candidates: this.#candidates(selection),
+      candidates,
       affinity: affinityOf(selection),
       dataCentre,
       tried: selection.tried,
@@ -66,15 +80,28 @@
     });
   }
 
-  #candidates({ service }: Selection): readonly ServerRecord[] {
-    const { serverDirectory, releaseGate, rollOutFollower, clock } = this.#deps;
+  /** Sets of servers to choose from, the best set first. */
+  #candidates({ service, head }: Selection): (readonly ServerRecord[])[] {
+    const { serverDirectory, releaseGate, rollOutFollower } = this.#deps;
     if (!rollOutFollower.ready) return [];
+    const nowMs = this.#deps.clock.monotonicMs();
     const servers = serverDirectory.usable(service);
-    return releaseGate.split(service, { servers, nowMs: clock.monotonicMs() })
-      .stable;
+    return this.#deps.releaseChoice.choose({
+      service,
+      allowed: releaseGate.split(service, { servers, nowMs }),
+      share: releaseGate.trialShare(service),
+      session: sessionOf(head),
+      requestKey: head.attempt ?? "",
+      nowMs,
+    });
   }
 }
 
+/** The last part of a prompt is that of the session. */
+export function sessionOf(head: CallerHead): PromptPartId | undefined {
+  return head.promptParts.at(-1)?.id;
+}
+
 /** Requests with the same longest shared beginning of their prompt gain from one server. */
 function affinityOf({ head, model }: Selection): string | undefined {
   const parts = head.promptParts;
--- a/src/gateway/stop_state.ts
+++ b/src/gateway/stop_state.ts
@@ -6,12 +6,10 @@
 import type { Clock } from "../runtime/clock.ts";
 
 /**
- * Part of the grace after which requests that may outlast it are refused. Callers have
- * heard by then that this VM is not to be used.
+ * Part of the grace after which streams are refused: what begins later may outlast the
+ * process. Callers have heard by then that this VM is not to be used.
  */
-const LATE_SHARE = 0.5;
-/** Answers with at least so many tokens may take seconds. */
-const LONG_ANSWER_TOKENS = 100;
+const LAST_STREAM_SHARE = 0.33;
 /** Part of the grace after which nothing new is taken. */
 const LAST_SHARE = 0.85;
 
@@ -45,8 +43,8 @@
   refusal(head: CallerHead): Refusal | undefined {
     if (this.#sinceMs === undefined) return undefined;
     const share = this.#goneMs() / this.#bounds.stopGraceMs;
-    const long = head.outputTokens >= LONG_ANSWER_TOKENS;
-    if (share < (long ? LATE_SHARE : LAST_SHARE)) return undefined;
+    const isStream = head.outputTokens > 0;
+    if (share < (isStream ? LAST_STREAM_SHARE : LAST_SHARE)) return undefined;
     return { tag: "stopping" };
   }
 
--- /dev/null
+++ b/src/gateway/trial_controller.ts
@@ -0,0 +1,214 @@
+/** Runs roll-outs: one VM steps and reports them, every VM brakes. */
+
+import type {
+  RollOutOrder,
+  RollOutState,
+} from "../core/servers/roll_out_order.ts";
+import type { EvidenceBook } from "../core/rollout/evidence.ts";
+import type { ReleaseGate } from "../core/rollout/release_gate.ts";
+import {
+  type PlanStep,
+  planStep,
+  timeOfShare,
+} from "../core/rollout/trial_plan.ts";
+import { judgeTrial, type Verdict } from "../core/rollout/trial_verdict.ts";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerLoads } from "../core/servers/server_loads.ts";
+import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { RepeatedTask } from "../runtime/repeated_task.ts";
+import type { RollOutFollower } from "../store/roll_out_follower.ts";
+import type { TrialFollower } from "../store/trial_follower.ts";
+import type { StopState } from "./stop_state.ts";
+
+/** Time between looks at the evidence; a bad release answers every few of these. */
+const TICK_MS = 200;
+/** A VM acts in place of another that did not for this long. */
+const TAKEOVER_MS = 1_200;
+
+interface Deps {
+  readonly releaseGate: ReleaseGate;
+  readonly evidenceBook: EvidenceBook;
+  readonly memberTable: MemberTable;
+  readonly serverDirectory: ServerDirectory;
+  readonly serverLoads: ServerLoads;
+  readonly rollOutFollower: RollOutFollower;
+  readonly trialFollower: TrialFollower;
+  readonly stopState: StopState;
+  readonly bounds: DeploymentBounds;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What this VM has seen of one order. */
+interface Watch {
+  readonly release: string;
+  readonly seenMs: number;
+  /** What should be done, and since when it should. */
+  wanted: string;
+  wantedSinceMs: number;
+}
+
+/** Looks at all open orders again and again. */
+export class TrialController {
+  readonly #deps: Deps;
+  readonly #watches = new Map<string, Watch>();
+  readonly #task = new RepeatedTask({
+    intervalMs: TICK_MS,
+    run: () => this.#tick(),
+  });
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Starts to look. */
+  start(): void {
+    this.#task.start();
+  }
+
+  /** Stops to look. */
+  stop(): void {
+    this.#task.stop();
+  }
+
+  async #tick(): Promise<void> {
+    for (const order of this.#deps.releaseGate.openOrders()) {
+      const watch = this.#watch(order);
+      const verdict = this.#judge(order);
+      if (verdict.tag === "bad") this.#brake(order, verdict);
+      const step = this.#plan(order, { watch, verdict });
+      await this.#act(order, { watch, step });
+    }
+  }
+
+  #watch({ service, release }: RollOutOrder): Watch {
+    const known = this.#watches.get(service);
+    if (known?.release === release) return known;
+    const nowMs = this.#deps.clock.monotonicMs();
+    const watch = { release, seenMs: nowMs, wanted: "", wantedSinceMs: nowMs };
+    this.#watches.set(service, watch);
+    this.#deps.evidenceBook.forget(service);
+    return watch;
+  }
+
+  #judge({ service, release }: RollOutOrder): Verdict {
+    const { evidenceBook, releaseGate, serverDirectory, clock } = this.#deps;
+    const servers = serverDirectory.usable(service);
+    const nowMs = clock.monotonicMs();
+    const { stable } = releaseGate.split(service, { servers, nowMs });
+    const before = stable[0]?.release;
+    const trial = evidenceBook.total(service, release);
+    return judgeTrial({
+      trial,
+      stable: before === undefined
+        ? new Map()
+        : evidenceBook.total(service, before),
+    });
+  }
+
+  #brake(order: RollOutOrder, verdict: Verdict): void {
+    const { service, release } = order;
+    if (!this.#deps.releaseGate.brake({ service, release })) return;
+    this.#deps.logger.warn("Release is braked", {
+      service,
+      release,
+      told_by: "own evidence",
+      ...(verdict.tag === "bad"
+        ? {
+          route: verdict.route,
+          reason: verdict.reason,
+          answers: verdict.answers,
+          failures: verdict.failures,
+        }
+        : {}),
+    });
+  }
+
+  #plan(
+    order: RollOutOrder,
+    { watch, verdict }: { watch: Watch; verdict: Verdict },
+  ): PlanStep | { readonly tag: "begin" } {
+    const { releaseGate, serverDirectory, clock, bounds } = this.#deps;
+    const { service, release, limitMs } = order;
+    if (releaseGate.isBraked({ service, release })) return { tag: "roll_back" };
+    if (order.stateRelease !== release) return { tag: "begin" };
+    const share = releaseGate.trialShare(service);
+    const servers = serverDirectory.usable(service);
+    // A VM that has just started knows the time of the order by the step it finds.
+    const elapsedMs = Math.max(
+      clock.monotonicMs() - watch.seenMs,
+      timeOfShare(share) * limitMs,
+    );
+    return planStep({
+      share,
+      elapsedMs,
+      limitMs,
+      verdict,
+      trialShare: bounds.trialShare,
+      hasServers: servers.some((server) => server.release === release),
+      oldWorkMs: this.#workOffRelease(order),
+    });
+  }
+
+  #workOffRelease({ service, release }: RollOutOrder): number {
+    const { serverDirectory, serverLoads } = this.#deps;
+    return serverDirectory.usable(service)
+      .filter((server) => server.release !== release)
+      .reduce((sum, { instance }) => sum + serverLoads.work(instance), 0);
+  }
+
+  async #act(
+    order: RollOutOrder,
+    { watch, step }: {
+      watch: Watch;
+      step: PlanStep | { readonly tag: "begin" };
+    },
+  ): Promise<void> {
+    if (step.tag === "stay") return;
+    if (!this.#isMyTurn(watch, JSON.stringify(step))) return;
+    const { service, release } = order;
+    switch (step.tag) {
+      case "begin":
+        return await this.#report(order, "in_progress");
+      case "share": {
+        const { share } = step;
+        await this.#deps.trialFollower.write({ service, release, share });
+        return;
+      }
+      case "complete":
+        return await this.#report(order, "completed");
+      case "roll_back":
+        return await this.#report(order, "rolled_back");
+    }
+  }
+
+  async #report(order: RollOutOrder, state: RollOutState): Promise<void> {
+    const done = await this.#deps.rollOutFollower.report(order, state);
+    this.#deps.logger.info("Roll-out is reported", {
+      service: order.service,
+      release: order.release,
+      state,
+      written: done,
+    });
+  }
+
+  /** VMs act in the order of their names, each when those before it have not. */
+  #isMyTurn(watch: Watch, wanted: string): boolean {
+    const { memberTable, clock, stopState } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    if (watch.wanted !== wanted) {
+      watch.wanted = wanted;
+      watch.wantedSinceMs = nowMs;
+    }
+    const alive = memberTable.callable().filter(({ state }) =>
+      state === "alive"
+    );
+    const ids = alive.map(({ id }) => id).sort();
+    const turn = ids.indexOf(memberTable.self.id);
+    const rank = turn < 0 || stopState.stopping ? ids.length : turn;
+    return nowMs - watch.wantedSinceMs >= rank * TAKEOVER_MS;
+  }
+}
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -11,10 +11,14 @@
 import { addressSchema, nameSchema } from "./ids_schema.ts";
 import { headDeltaSchema, headSchema } from "./stored_schema.ts";
 
+/** Longest name of a VM or data centre; that of a host name. */
+const MAX_NAME = 253;
+
 /** Schema of what is told about one entry VM. */
 export const memberSchema: z.ZodType<Member, unknown> = z.object({
-  id: nameSchema<EntryId>(),
-  data_centre: nameSchema<DataCentreId>(),
+  // Names of VMs are chosen by whoever runs the machines, so their form is open.
+  id: z.string().min(1).max(MAX_NAME).transform((id) => id as EntryId),
+  data_centre: z.string().max(MAX_NAME).transform((id) => id as DataCentreId),
   callers: z.string(),
   peers: z.string(),
   incarnation: z.number(),
--- a/src/runtime/socket_meter.ts
+++ b/src/runtime/socket_meter.ts
@@ -43,7 +43,9 @@
   meter: SocketMeter,
   options: Agent.Options,
 ): Agent {
-  const connect = buildConnector({});
+  const connect = buildConnector(
+    typeof options.connect === "object" ? options.connect : {},
+  );
   return new Agent({
     ...options,
     connect: (target, done) =>
--- a/src/store/roll_out_follower.ts
+++ b/src/store/roll_out_follower.ts
@@ -2,14 +2,28 @@
 
 import type { ServiceId } from "../core/ids.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
-import type { RollOutOrder } from "../core/servers/roll_out_order.ts";
+import type {
+  RollOutOrder,
+  RollOutState,
+} from "../core/servers/roll_out_order.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
-import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
-import { decodeRollOut, ROLL_OUT_KIND } from "../platform/roll_out_wire.ts";
+import {
+  describeStoreError,
+  type ObjectStore,
+  type StoredObject,
+} from "../platform/object_store.ts";
+import {
+  decodeRollOut,
+  encodeRollOutStatus,
+  ROLL_OUT_KIND,
+} from "../platform/roll_out_wire.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower, type KindListener } from "./kind_follower.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
+/** Longest wait for the answer to a write. */
+const WRITE_TIMEOUT_MS = 1_000;
+
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
@@ -72,6 +86,44 @@
     this.#forget(object.name);
   }
 
+  /**
+   * Writes how far a roll-out has come, unless it is decided or has changed meanwhile.
+   * Returns whether it was written.
+   */
+  async report(order: RollOutOrder, state: RollOutState): Promise<boolean> {
+    const { objectStore, logger } = this.#deps;
+    const name = this.#nameOf(order.service);
+    if (name === undefined) return false;
+    const key = { kind: ROLL_OUT_KIND, name };
+    const call = { timeoutMs: WRITE_TIMEOUT_MS };
+    const read = await objectStore.get(key, call);
+    if (!read.ok) return false;
+    this.changed(read.value);
+    const current = this.#deps.releaseGate.order(order.service);
+    if (current === undefined || !mayReport(current, { order, state })) {
+      return false;
+    }
+    const written = await objectStore.replaceStatus(key, {
+      ...call,
+      status: encodeRollOutStatus(order.release, state),
+      revision: read.value.revision,
+    });
+    if (written.ok) {
+      this.changed(written.value);
+      return true;
+    }
+    logger.info("State of a roll-out was not written", {
+      service: order.service,
+      state,
+      reason: describeStoreError(written.error),
+    });
+    return false;
+  }
+
+  #nameOf(service: ServiceId): string | undefined {
+    return [...this.#services].find(([, known]) => known === service)?.[0];
+  }
+
   #note(name: string, order: RollOutOrder): void {
     const { releaseGate, logger } = this.#deps;
     const known = releaseGate.order(order.service);
@@ -92,3 +144,13 @@
     if (service !== undefined) this.#deps.releaseGate.removeOrder(service);
   }
 }
+
+/** A decided roll-out stays as it is, and a newer order is not reported on by an older. */
+function mayReport(
+  current: RollOutOrder,
+  { order, state }: { order: RollOutOrder; state: RollOutState },
+): boolean {
+  if (current.release !== order.release) return false;
+  if (current.stateRelease !== current.release) return true;
+  return current.state === "in_progress" && state !== "in_progress";
+}
