Tell a reset from the end of an answer; pin sessions by their shared part

The socket's error is now heard first; the test with a raw server failed before and passes. Sessions go by the part before the last now.

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -1,7 +1,7 @@
 /** One connection to a backend server, which carries one request at a time. */
 
 import type { Buffer } from "node:buffer";
-import { Client, type Dispatcher } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** Wait for a connection; servers stand a few milliseconds away. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -43,12 +43,15 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
 /** One connection. */
 export class BackendConnection {
   readonly #client: Client;
   #controller: Dispatcher.DispatchController | undefined;
   #reusable = true;
   #busy = false;
+  #broken = false;
   #idleSinceMs = 0;
 
   /** `onLost` is called when an idle connection ends. */
@@ -58,7 +61,13 @@
   ) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (target, done) =>
+        connect(target, (...result) => {
+          // Heard before undici hears it, which takes a reset for the end of an answer
+          // without a length.
+          result[1]?.once("error", () => this.#broken = true);
+          done(...result);
+        }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       // The deadline of the request bounds these waits.
@@ -97,6 +106,7 @@
         new ExchangeHandler(listener, {
           onController: (controller) => this.#controller = controller,
           onDone: (whole) => this.#done(whole),
+          isBroken: () => this.#broken,
         }),
       );
     } catch (err) {
@@ -134,23 +144,22 @@
   }
 }
 
+/** What a handler tells its connection, and asks of it. */
+interface HandlerHooks {
+  readonly onController: (controller: Dispatcher.DispatchController) => void;
+  readonly onDone: (whole: boolean) => void;
+  /** Whether the connection has failed, as by a reset. */
+  readonly isBroken: () => boolean;
+}
+
 /** Turns undici's calls into those of a listener, and ends them after a failure. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #listener: ExchangeListener;
-  readonly #hooks: {
-    readonly onController: (controller: Dispatcher.DispatchController) => void;
-    readonly onDone: (whole: boolean) => void;
-  };
+  readonly #hooks: HandlerHooks;
   #sent = false;
   #ended = false;
 
-  constructor(
-    listener: ExchangeListener,
-    hooks: {
-      onController: (controller: Dispatcher.DispatchController) => void;
-      onDone: (whole: boolean) => void;
-    },
-  ) {
+  constructor(listener: ExchangeListener, hooks: HandlerHooks) {
     this.#listener = listener;
     this.#hooks = hooks;
   }
@@ -184,8 +193,10 @@
   onResponseEnd(): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#hooks.onDone(true);
-    this.#listener.onEnd();
+    const whole = !this.#hooks.isBroken();
+    this.#hooks.onDone(whole);
+    if (whole) this.#listener.onEnd();
+    else this.#listener.onFailure({ tag: "broken", reason: "reset" });
   }
 
   onResponseError(
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -38,6 +38,7 @@
       attempt: exchange.head.attempt,
       path: exchange.path,
       service: run.service,
+      parts: exchange.head.promptParts.map(({ id }) => id).join(","),
       status,
       state: exchange.state,
       age_ms: Math.round(exchange.ageMs()),
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -97,14 +97,24 @@
   }
 }
 
-/** The last part of a prompt is that of the session. */
+/**
+ * Returns what stands for the session of a request. The last part of a prompt may be the
+ * request's own or the session's; all requests of a session share the part before it.
+ */
 export function sessionOf(head: CallerHead): PromptPartId | undefined {
-  return head.promptParts.at(-1)?.id;
+  return longestSharedPart(head);
 }
 
 /** Requests with the same longest shared beginning of their prompt gain from one server. */
 function affinityOf({ head, model }: Selection): string | undefined {
-  const parts = head.promptParts;
-  const shared = parts.length >= 2 ? parts.at(-2) : parts[0];
-  return shared === undefined ? undefined : `${model ?? ""}/${shared.id}`;
+  const shared = longestSharedPart(head);
+  return shared === undefined ? undefined : `${model ?? ""}/${shared}`;
+}
+
+/** The last part that other requests may have in common with this one. */
+function longestSharedPart(
+  { promptParts }: CallerHead,
+): PromptPartId | undefined {
+  const part = promptParts.length >= 2 ? promptParts.at(-2) : promptParts[0];
+  return part?.id;
 }
