Tell a reset from an end also when both come together; load less at start

Cause: a reset that arrives with the last bytes is reported by the event library as a plain end (hang-up with a partial read). The connection is now half-open, and writing an empty line shows a reset; the test where both come at once failed first.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -15,6 +15,7 @@
   format: "cjs",
   sourcemap: "linked",
   logLevel: "warning",
+  alias: { undici: "./scripts/undici_parts.cjs" },
   define: {
     FIELDRACK_VERSION: JSON.stringify(version),
     "import.meta.url": "importMetaUrl",
--- a/scripts/write_reference.ts
+++ b/scripts/write_reference.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync, writeFileSync } from "node:fs";
 import process from "node:process";
-import { z } from "zod";
+import * as z from "zod";
 import { ENTRY_SCHEMAS } from "../src/protocol/configuration_schema.ts";
 import { settingsSchema } from "../src/protocol/settings_schema.ts";
 
--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -1,6 +1,7 @@
 /** One connection to a backend server, which carries one request at a time. */
 
 import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** Wait for a connection; servers stand a few milliseconds away. */
@@ -43,7 +44,15 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
-const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+/** Sent to find out how the other side has ended; servers pass over empty lines. */
+const EMPTY_LINE = "\r\n";
+const RESET_CODES: readonly unknown[] = ["EPIPE", "ECONNRESET"];
+
+// Half-open, so that a connection can still be asked how it has ended.
+const connect = buildConnector({
+  timeout: CONNECT_TIMEOUT_MS,
+  allowHalfOpen: true,
+});
 
 /** One connection. */
 export class BackendConnection {
@@ -51,7 +60,9 @@
   #controller: Dispatcher.DispatchController | undefined;
   #reusable = true;
   #busy = false;
+  #socket: Socket | undefined;
   #broken = false;
+  #ended = false;
   #idleSinceMs = 0;
 
   /** `onLost` is called when an idle connection ends. */
@@ -63,9 +74,7 @@
       pipelining: 1,
       connect: (target, done) =>
         connect(target, (...result) => {
-          // Heard before undici hears it, which takes a reset for the end of an answer
-          // without a length.
-          result[1]?.once("error", () => this.#broken = true);
+          if (result[1]) this.#watch(result[1]);
           done(...result);
         }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
@@ -106,7 +115,7 @@
         new ExchangeHandler(listener, {
           onController: (controller) => this.#controller = controller,
           onDone: (whole) => this.#done(whole),
-          isBroken: () => this.#broken,
+          askEnd: (answer) => this.#askEnd(answer),
         }),
       );
     } catch (err) {
@@ -138,6 +147,28 @@
     void this.#client.destroy();
   }
 
+  /** Listens before undici does, which takes a reset for the end of some answers. */
+  #watch(socket: Socket): void {
+    this.#socket = socket;
+    socket.once("error", () => this.#broken = true);
+    socket.once("end", () => this.#ended = true);
+  }
+
+  /**
+   * Tells whether the connection has been reset. A reset that arrives together with the
+   * last bytes is reported as a plain end; only writing shows which it was.
+   */
+  #askEnd(answer: (reset: boolean) => void): void {
+    if (this.#broken || !this.#ended || this.#socket === undefined) {
+      answer(this.#broken);
+      return;
+    }
+    this.#socket.write(EMPTY_LINE, (err) => {
+      const { code } = (err ?? {}) as NodeJS.ErrnoException;
+      answer(RESET_CODES.includes(code));
+    });
+  }
+
   #done(whole: boolean): void {
     this.#busy = false;
     if (!whole) this.#reusable = false;
@@ -148,8 +179,8 @@
 interface HandlerHooks {
   readonly onController: (controller: Dispatcher.DispatchController) => void;
   readonly onDone: (whole: boolean) => void;
-  /** Whether the connection has failed, as by a reset. */
-  readonly isBroken: () => boolean;
+  /** Finds out whether the connection has been reset. */
+  readonly askEnd: (answer: (reset: boolean) => void) => void;
 }
 
 /** Turns undici's calls into those of a listener, and ends them after a failure. */
@@ -193,10 +224,11 @@
   onResponseEnd(): void {
     if (this.#ended) return;
     this.#ended = true;
-    const whole = !this.#hooks.isBroken();
-    this.#hooks.onDone(whole);
-    if (whole) this.#listener.onEnd();
-    else this.#listener.onFailure({ tag: "broken", reason: "reset" });
+    this.#hooks.askEnd((reset) => {
+      this.#hooks.onDone(!reset);
+      if (reset) this.#listener.onFailure({ tag: "broken", reason: "reset" });
+      else this.#listener.onEnd();
+    });
   }
 
   onResponseError(
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -155,6 +155,15 @@
     assert.equal((await send()).tag, "broken");
   });
 
+  it("should tell a reset that comes together with the last bytes from an end", async () => {
+    const { send } = await fixture(({ socket }) => {
+      // Both are on their way before the other side looks, as it runs in this process.
+      socket.write(`${head()}\r\nok`);
+      socket.resetAndDestroy();
+    });
+    assert.equal((await send()).tag, "broken");
+  });
+
   it("should cut a stream off when its connection is reset", async () => {
     const { send, streamed } = await fixture(({ socket }) => {
       const chunked = head({ extra: "Transfer-Encoding: chunked\r\n" });
--- a/src/configuration/configuration_loader.ts
+++ b/src/configuration/configuration_loader.ts
@@ -1,6 +1,6 @@
 /** Fetches the objects of a head, from the platform or from another entry VM. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Section } from "../core/config/configuration.ts";
 import type {
   ConfigurationStore,
--- a/src/entry/json_body.ts
+++ b/src/entry/json_body.ts
@@ -1,7 +1,7 @@
 /** Reads JSON bodies of callers, with errors that say where. */
 
 import { type Buffer, isUtf8 } from "node:buffer";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 
--- a/src/files/configuration_directory.ts
+++ b/src/files/configuration_directory.ts
@@ -3,7 +3,7 @@
 import { readdirSync } from "node:fs";
 import { Buffer } from "node:buffer";
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type Configuration,
   type Section,
--- a/src/files/yaml_file.ts
+++ b/src/files/yaml_file.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from "node:fs";
 import { type Document, isNode, LineCounter, parseDocument } from "yaml";
-import type { z } from "zod";
+import type * as z from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import { type FileProblem, formatKey } from "./file_problem.ts";
 
--- a/src/platform/decode_error.ts
+++ b/src/platform/decode_error.ts
@@ -1,6 +1,6 @@
 /** Why something read from the platform could not be understood. */
 
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Says which field is wrong and how. */
 export interface DecodeError {
--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's store over HTTP. */
 
 import { Agent, type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { Deadline } from "../runtime/deadline.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -1,7 +1,7 @@
 /** The platform's object API over HTTP. */
 
 import { type Agent, type Dispatcher, request } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import {
   platformConflictSchema,
--- a/src/platform/roll_out_wire.ts
+++ b/src/platform/roll_out_wire.ts
@@ -1,6 +1,6 @@
 /** Decodes orders of roll-outs, and encodes what we report of them. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { ReleaseId, ServiceId } from "../core/ids.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type {
--- a/src/platform/routing_wire.ts
+++ b/src/platform/routing_wire.ts
@@ -1,6 +1,6 @@
 /** Decodes the routing configuration that operators write to the store. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type {
   AccountId,
   ApiKey,
--- a/src/platform/server_wire.ts
+++ b/src/platform/server_wire.ts
@@ -1,6 +1,6 @@
 /** Decodes what backend servers write of themselves to the store. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type {
   DataCentreId,
   InstanceId,
--- a/src/platform/vm_settings_wire.ts
+++ b/src/platform/vm_settings_wire.ts
@@ -1,7 +1,7 @@
 /** Decodes the settings file that the platform lays on each VM. */
 
 import { parse } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentreId, EntryId } from "../core/ids.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import { type DecodeError, decodeErrorOf } from "./decode_error.ts";
--- a/src/protocol/address_schema.ts
+++ b/src/protocol/address_schema.ts
@@ -1,6 +1,6 @@
 /** Answer to callers who ask which addresses to use. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Addresses, best first, and how long to keep them. */
 export const addressesSchema = z.object({
--- a/src/protocol/chat_schema.ts
+++ b/src/protocol/chat_schema.ts
@@ -1,6 +1,6 @@
 /** Messages of the chat API, towards callers and model servers. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const messageSchema = z.looseObject({
   role: z.enum(["system", "user", "assistant", "tool", "developer"]),
--- a/src/protocol/configuration_schema.ts
+++ b/src/protocol/configuration_schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the declared configuration, in files and in the platform alike. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Configuration, Section } from "../core/config/configuration.ts";
 import type {
   AccountId,
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -1,6 +1,6 @@
 /** Messages by which VMs on the users' platform tell each other what they see. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type {
   InstanceId,
   PromptPartId,
--- a/src/protocol/ids_schema.ts
+++ b/src/protocol/ids_schema.ts
@@ -1,6 +1,6 @@
 /** Schemas of ids, shared by all wire and file formats. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 const SHA256_PATTERN = /^[0-9a-f]{64}$/;
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -1,6 +1,6 @@
 /** Messages between entry VMs. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Member } from "../core/membership/member.ts";
 import type {
   BackendId,
--- a/src/protocol/platform_schema.ts
+++ b/src/protocol/platform_schema.ts
@@ -1,6 +1,6 @@
 /** Messages of the platform's object API, as this project's stand-in speaks it. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** One stored object. */
 export const platformObjectSchema = z.object({
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the settings file of an entry. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentreId, EntryId } from "../core/ids.ts";
 import { addressSchema, nameSchema } from "./ids_schema.ts";
 import { strictObject } from "./strict_object.ts";
--- a/src/protocol/status_schema.ts
+++ b/src/protocol/status_schema.ts
@@ -1,6 +1,6 @@
 /** What an entry tells operators about itself. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the status of an entry. */
 export const entryStatusSchema = z.object({
--- a/src/protocol/stored_schema.ts
+++ b/src/protocol/stored_schema.ts
@@ -1,6 +1,6 @@
 /** Schema of the head object in the platform. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Head } from "../core/config/stored_configuration.ts";
 import type { HeadDelta } from "../core/config/head_delta.ts";
 import { SECTIONS } from "../core/config/configuration.ts";
--- a/src/protocol/strict_object.ts
+++ b/src/protocol/strict_object.ts
@@ -1,6 +1,6 @@
 /** Objects that take only the keys they declare, with an error that lists them. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Like `z.strictObject`, but an unknown key is answered with those allowed. */
 export function strictObject<Shape extends z.core.$ZodLooseShape>(
--- a/src/standins/model_faults.ts
+++ b/src/standins/model_faults.ts
@@ -1,6 +1,6 @@
 /** Faults of a model server stand-in. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the faults that are on. */
 export const modelFaultsSchema = z.strictObject({
--- a/src/standins/plain_service_standin.ts
+++ b/src/standins/plain_service_standin.ts
@@ -5,7 +5,7 @@
   type FastifyReply,
   type FastifyRequest,
 } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import { listenHttp } from "../runtime/listen.ts";
 
 const faultsSchema = z.strictObject({
--- a/src/standins/rating_standin.ts
+++ b/src/standins/rating_standin.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the service that rates answers; ratings come late. */
 
 import fastify, { type FastifyInstance } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import { listenHttp } from "../runtime/listen.ts";
 
 const DEFAULT_DELAY_MS = 500;
--- a/src/store/trial_follower.ts
+++ b/src/store/trial_follower.ts
@@ -1,6 +1,6 @@
 /** Follows and writes how far trials have come: objects of our own kind in the store. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { ReleaseId, ServiceId } from "../core/ids.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import type { Trial } from "../core/rollout/trial.ts";
