Leave silent servers, predict the larger model's time, lend confirmations

Causes: requests waited for mute and dark servers until their deadline; escalations went on though the larger model could not end in time; each VM read the configuration every 1.1 s. Trials judged m0 and m2 together braked a good release as slow after 9 answers: evidence is kept by model, a cold cache took 3.2 times as long, so 4.2 counts. A choice by cost of missing prefixes at its own time read twice as much again: factor 3.

--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -1,14 +1,20 @@
 /** Chooses among models of unlike size, by how sure the smaller one is of its answer. */
 
 import type { ModelId } from "../ids.ts";
+import type { PredictedRun } from "./model_pace.ts";
 
-/** Confidence from which an answer is passed on, where there is time for another. */
+/**
+ * Confidence from which an answer is passed on where a larger model would still answer
+ * in time. Of 50, 60, 65, 70 and 85 tried on calm days, those around 65 paid best.
+ */
 const CONFIDENT = 65;
 /**
- * Part of the time limit that must be left for a run of a larger model; it reads the
- * prompt anew and is slower by several times.
+ * The same where the larger model's answer would come late: a late answer is worth a
+ * third to a half, so the small one's must be likely wrong.
  */
-const TIME_LEFT_TO_ESCALATE = 0.55;
+const CONFIDENT_IF_LATE = 35;
+/** Part of the predicted time that must be left at least; predictions are means. */
+const NEEDED_PART = 0.85;
 
 /** What is known when the head of an answer has come. */
 export interface LadderInput {
@@ -21,6 +27,10 @@
   readonly usedMs: number;
   /** Time within which the answer should begin, in milliseconds. */
   readonly targetMs: number;
+  /** Time after which the answer is of no use, in milliseconds. */
+  readonly limitMs: number;
+  /** What the largest model takes lately; undefined before it was used. */
+  readonly largest: PredictedRun | undefined;
   /** Further runs that the route allows. */
   readonly runsLeft: number;
 }
@@ -32,10 +42,20 @@
 
 /** Returns the larger model to ask instead; undefined when the answer should be passed on. */
 export function escalateTo(input: LadderInput): ModelId | undefined {
-  const { models, model, confidence, usedMs, targetMs, runsLeft } = input;
-  if (confidence === undefined || confidence >= CONFIDENT) return undefined;
-  if (runsLeft < 1) return undefined;
-  if (targetMs - usedMs < TIME_LEFT_TO_ESCALATE * targetMs) return undefined;
+  const { models, model, confidence, runsLeft } = input;
+  if (confidence === undefined || runsLeft < 1) return undefined;
+  if (!hasTime(input)) return undefined;
+  const enough = beginsInTime(input) ? CONFIDENT : CONFIDENT_IF_LATE;
+  if (confidence >= enough) return undefined;
   const largest = models.at(-1);
   return largest === model ? undefined : largest;
 }
+
+function hasTime({ usedMs, limitMs, largest }: LadderInput): boolean {
+  const needed = NEEDED_PART * (largest?.totalMs ?? 0);
+  return usedMs + needed < limitMs;
+}
+
+function beginsInTime({ usedMs, targetMs, largest }: LadderInput): boolean {
+  return usedMs + (largest?.firstMs ?? 0) < targetMs;
+}
--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -1,12 +1,20 @@
 /** Counts how the answers of each release do, here and at other VMs. */
 
-import type { EntryId, ReleaseId, RouteId, ServiceId } from "../ids.ts";
+import type {
+  EntryId,
+  ModelId,
+  ReleaseId,
+  RouteId,
+  ServiceId,
+} from "../ids.ts";
 
-/** Answers of one release on one route. */
+/** Answers of one release on one route, by one model. */
 export interface Evidence {
   readonly service: ServiceId;
   readonly release: ReleaseId;
   readonly route: RouteId;
+  /** Undefined where the system did not choose the model. */
+  readonly model?: ModelId | undefined;
   readonly answers: number;
   /** Answers that failed; they count among the answers as well. */
   readonly failures: number;
@@ -14,11 +22,15 @@
   readonly logMsSum: number;
 }
 
+/** Evidence by route and model, whose answers are alike enough to compare. */
+export type EvidenceByKind = ReadonlyMap<string, Evidence>;
+
 /** One answer, as evidence. */
 export interface Observation {
   readonly service: ServiceId;
   readonly release: ReleaseId;
   readonly route: RouteId;
+  readonly model?: ModelId | undefined;
   readonly failed: boolean;
   /** Time to the first byte; undefined where none came. */
   readonly firstByteMs: number | undefined;
@@ -37,10 +49,10 @@
 
   /** Counts an answer. */
   observe(observation: Observation): void {
-    const { service, release, route, failed, firstByteMs } = observation;
-    const key = `${service}/${release}/${route}`;
+    const { failed, firstByteMs, ...about } = observation;
+    const key = `${about.service}/${about.release}/${kindOfEvidence(about)}`;
     const known = this.#own.get(key) ??
-      { service, release, route, answers: 0, failures: 0, logMsSum: 0 };
+      { ...about, answers: 0, failures: 0, logMsSum: 0 };
     this.#own.set(key, {
       ...known,
       answers: known.answers + 1,
@@ -63,13 +75,13 @@
     this.#told.set(`${vm}/${life}`, { life, evidence });
   }
 
-  /** All evidence about one release, added up by route. */
-  total(service: ServiceId, release: ReleaseId): Map<RouteId, Evidence> {
+  /** All evidence about one release, added up by route and model. */
+  total(service: ServiceId, release: ReleaseId): EvidenceByKind {
     const all = [
       ...this.#own.values(),
       ...[...this.#told.values()].flatMap(({ evidence }) => evidence),
     ];
-    return sumByRoute(
+    return sumByKind(
       all.filter((row) => row.service === service && row.release === release),
     );
   }
@@ -86,12 +98,19 @@
   }
 }
 
-function sumByRoute(rows: readonly Evidence[]): Map<RouteId, Evidence> {
-  const sums = new Map<RouteId, Evidence>();
+function kindOfEvidence(
+  { route, model }: Pick<Evidence, "route" | "model">,
+): string {
+  return `${route}/${model ?? ""}`;
+}
+
+function sumByKind(rows: readonly Evidence[]): EvidenceByKind {
+  const sums = new Map<string, Evidence>();
   for (const row of rows) {
-    const known = sums.get(row.route);
+    const kind = kindOfEvidence(row);
+    const known = sums.get(kind);
     sums.set(
-      row.route,
+      kind,
       known === undefined ? row : {
         ...row,
         answers: known.answers + row.answers,
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -190,7 +190,7 @@
     book.hear("vm-2" as EntryId, { life: 1, evidence: [told] });
     book.hear("vm-2" as EntryId, { life: 1, evidence: [told] });
     book.hear("vm-2" as EntryId, { life: 2, evidence: [told] });
-    assert.equal(book.total(SERVICE, NEW).get(route)?.answers, 10);
+    assert.equal(book.total(SERVICE, NEW).get(`${route}/`)?.answers, 10);
   });
 });
 
@@ -227,7 +227,7 @@
   it("should roll back a bad release at any time", () => {
     const verdict = {
       tag: "bad",
-      route: undefined,
+      kind: undefined,
       reason: "failures",
       answers: 8,
       failures: 4,
--- a/src/core/rollout/trial_verdict.ts
+++ b/src/core/rollout/trial_verdict.ts
@@ -1,7 +1,6 @@
 /** Judges a release on trial against the one that it should replace. */
 
-import type { RouteId } from "../ids.ts";
-import type { Evidence } from "./evidence.ts";
+import type { Evidence, EvidenceByKind } from "./evidence.ts";
 
 /** `bad` ends the trial; `sound` lets it go on; `unsure` needs more answers. */
 export type Verdict =
@@ -9,7 +8,8 @@
   | { readonly tag: "sound"; readonly answers: number }
   | {
     readonly tag: "bad";
-    readonly route: RouteId | undefined;
+    /** Route and model on which it shows; undefined where it shows on all together. */
+    readonly kind: string | undefined;
     readonly reason: "failures" | "slow";
     readonly answers: number;
     readonly failures: number;
@@ -24,27 +24,30 @@
 const FAILURE_FACTOR = 3;
 const FAILURE_SLACK = 0.1;
 /** Answers on a route, at least, before its latency is judged. */
-const MIN_LATENCY_ANSWERS = 8;
-/** How many times slower, in the geometric mean, a bad release is. A cold cache is not. */
-const SLOW_FACTOR = 3;
+const MIN_LATENCY_ANSWERS = 10;
+/**
+ * How many times slower, in the geometric mean, a bad release is. With a cold cache a
+ * release reads whole prompts, which took up to 3.2 times as long where most is shared.
+ */
+const SLOW_FACTOR = 4.2;
 /** Answers on trial, at least, before a release is found sound. */
 const MIN_SOUND_ANSWERS = 25;
 
 /** Judges by all evidence of the fleet. */
 export function judgeTrial(
   { stable, trial }: {
-    stable: ReadonlyMap<RouteId, Evidence>;
-    trial: ReadonlyMap<RouteId, Evidence>;
+    stable: EvidenceByKind;
+    trial: EvidenceByKind;
   },
 ): Verdict {
   const allTrial = sum([...trial.values()]);
   const allStable = sum([...stable.values()]);
   const bad = badOn(undefined, { trial: allTrial, stable: allStable });
   if (bad !== undefined) return bad;
-  for (const [route, evidence] of trial) {
-    const before = stable.get(route) ?? allStable;
-    const found = badOn(route, { trial: evidence, stable: before }) ??
-      slowOn(route, { trial: evidence, stable: stable.get(route) });
+  for (const [kind, evidence] of trial) {
+    const before = stable.get(kind) ?? allStable;
+    const found = badOn(kind, { trial: evidence, stable: before }) ??
+      slowOn(kind, { trial: evidence, stable: stable.get(kind) });
     if (found !== undefined) return found;
   }
   const { answers } = allTrial;
@@ -54,7 +57,7 @@
 type Counts = Pick<Evidence, "answers" | "failures" | "logMsSum">;
 
 function badOn(
-  route: RouteId | undefined,
+  kind: string | undefined,
   { trial, stable }: { trial: Counts; stable: Counts },
 ): Verdict | undefined {
   const { answers, failures } = trial;
@@ -63,11 +66,11 @@
   if (failures / answers <= FAILURE_FACTOR * before + FAILURE_SLACK) {
     return undefined;
   }
-  return { tag: "bad", route, reason: "failures", answers, failures };
+  return { tag: "bad", kind, reason: "failures", answers, failures };
 }
 
 function slowOn(
-  route: RouteId,
+  kind: string,
   { trial, stable }: { trial: Counts; stable: Counts | undefined },
 ): Verdict | undefined {
   if (stable === undefined || stable.answers < MIN_LATENCY_ANSWERS) {
@@ -78,7 +81,7 @@
     stable.logMsSum / stable.answers;
   if (slower < Math.log(SLOW_FACTOR)) return undefined;
   const { answers, failures } = trial;
-  return { tag: "bad", route, reason: "slow", answers, failures };
+  return { tag: "bad", kind, reason: "slow", answers, failures };
 }
 
 function sum(rows: readonly Counts[]): Counts {
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -6,12 +6,15 @@
 import type { UnitHash } from "./version_choice.ts";
 
 /**
- * A server is passed over for its cached prompt when its work exceeds the mean by this
- * factor and by `SLACK_MS`. Bounded loads of consistent hashing use 1.25 to 2.
+ * Part of the cost of reading shared parts that the second server of a prompt pays: what
+ * the first cannot take goes there, so it often holds them as well.
  */
-const BOUND_FACTOR = 1.5;
-/** Work that may lie on one server before its load matters, in milliseconds. */
-const SLACK_MS = 300;
+const SECOND_SERVER_PART = 0.5;
+/**
+ * What reading shared parts again counts for, beyond its own time: it also holds up all
+ * that runs on the server. At 1, calm days read twice as many shared parts again.
+ */
+const MISSING_FACTOR = 3;
 /** Work by which a server in another data centre must be less busy to be taken. */
 const OTHER_DATA_CENTRE_MS = 15;
 /** Work that a failure rate of 1 counts as, in milliseconds. */
@@ -22,6 +25,8 @@
   readonly candidates: readonly ServerRecord[];
   /** What requests have in common that gain from the same server, if anything. */
   readonly affinity: string | undefined;
+  /** What a server pays that does not hold the shared parts, in milliseconds. */
+  readonly sharedMs: number;
   readonly dataCentre: DataCentreId;
   /** Servers that this request has been sent to already. */
   readonly tried: ReadonlySet<InstanceId>;
@@ -55,36 +60,25 @@
       !this.#loads.isEjected(server.instance, input.nowMs)
     );
     const servers = sound.length > 0 ? sound : untried;
-    if (input.affinity === undefined) return this.#leastBusy(servers, input);
-    return this.#byAffinity(servers, input);
+    return this.#cheapest(servers, input);
   }
 
-  #byAffinity(
+  #cheapest(
     servers: readonly ServerRecord[],
     input: ChoiceInput,
   ): ServerRecord | undefined {
-    const total = servers.reduce((sum, server) => sum + this.#work(server), 0);
-    const bound = BOUND_FACTOR * total / Math.max(1, servers.length) + SLACK_MS;
-    const ranked = servers
-      .map((server) => ({
-        server,
-        rank: this.#unitHash(`${input.affinity}/${server.instance}`),
-      }))
-      .sort((a, b) => a.rank - b.rank);
-    const first = ranked.find(({ server }) => this.#work(server) <= bound);
-    return first?.server ?? this.#leastBusy(servers, input);
-  }
-
-  #leastBusy(
-    servers: readonly ServerRecord[],
-    { dataCentre }: ChoiceInput,
-  ): ServerRecord | undefined {
+    const holders = this.#holders(servers, input.affinity);
     let best: ServerRecord | undefined;
     let bestCost = Infinity;
     for (const server of servers) {
-      const away = server.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+      const away = server.dataCentre === input.dataCentre
+        ? 0
+        : OTHER_DATA_CENTRE_MS;
+      const missing = holders.length === 0
+        ? 0
+        : MISSING_FACTOR * input.sharedMs * missingPart(server, holders);
       // Chance breaks ties, so that VMs do not all turn to the same server.
-      const cost = this.#work(server) + away + this.#chance();
+      const cost = this.#work(server) + away + missing + this.#chance();
       if (cost >= bestCost) continue;
       best = server;
       bestCost = cost;
@@ -92,8 +86,32 @@
     return best;
   }
 
+  /** Servers that prompts with these parts go to first, the same on every VM. */
+  #holders(
+    servers: readonly ServerRecord[],
+    affinity: string | undefined,
+  ): ServerRecord[] {
+    if (affinity === undefined) return [];
+    return servers
+      .map((server) => ({
+        server,
+        rank: this.#unitHash(`${affinity}/${server.instance}`),
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, 2)
+      .map(({ server }) => server);
+  }
+
   #work({ instance }: ServerRecord): number {
     const failures = this.#loads.failureRate(instance) * FAILURE_PENALTY_MS;
     return this.#loads.work(instance) + failures;
   }
 }
+
+function missingPart(
+  server: ServerRecord,
+  [first, second]: readonly ServerRecord[],
+): number {
+  if (server === first) return 0;
+  return server === second ? SECOND_SERVER_PART : 1;
+}
--- a/src/core/servers/server_loads.ts
+++ b/src/core/servers/server_loads.ts
@@ -43,6 +43,12 @@
     row.work = Math.max(0, row.work - work);
   }
 
+  /** Notes that part of a request's work is done. */
+  lighten(instance: InstanceId, work: number): void {
+    const row = this.#row(instance);
+    row.work = Math.max(0, row.work - work);
+  }
+
   /** Takes in what other VMs have under way. */
   setElsewhere(work: ReadonlyMap<InstanceId, number>): void {
     for (const row of this.#rows.values()) row.workElsewhere = 0;
--- /dev/null
+++ b/src/core/servers/silence.ts
@@ -0,0 +1,89 @@
+/** Tells servers that have fallen silent from those that are only slow. */
+
+import type { InstanceId, RouteId } from "../ids.ts";
+
+/** A server that sends nothing at all for this long may have fallen silent. */
+const SERVER_SILENT_MS = 900;
+/** Part of the patience with a first byte after which a silent server is given up. */
+const SILENT_PATIENCE = 0.6;
+/** How many times longer than usual a first byte may take before it is given up. */
+const FIRST_BYTE_FACTOR = 6;
+/** Part of the latency objective that a first byte may take in any case. */
+const TARGET_PART = 0.75;
+/** Shortest wait for a first byte: that of a queue, or of one packet lost. */
+const FIRST_BYTE_MIN_MS = 300;
+/** Wait for a first byte before any was seen on the route. */
+const FIRST_BYTE_UNKNOWN_MS = 1_500;
+/** Longest pause within a stream while its server talks to others. */
+const STREAM_PAUSE_MS = 1_600;
+/** Weight of the newest first byte in the usual time. */
+const WEIGHT = 0.1;
+
+/** A try that waits for bytes. */
+export interface WaitingTry {
+  readonly instance: InstanceId;
+  /** Stands for requests of the same kind: route and model. */
+  readonly kind: string;
+  readonly sentMs: number;
+  /** Latency objective of its route; undefined where there is none. */
+  readonly targetMs: number | undefined;
+  /** When its last byte came; undefined before the first. */
+  readonly byteMs: number | undefined;
+}
+
+/** Why a try is given up. */
+export type SilenceReason = "server_silent" | "no_first_byte" | "stream_paused";
+
+/** Names a kind of request. */
+export function kindOf(route: RouteId, model: string | undefined): string {
+  return `${route}/${model ?? ""}`;
+}
+
+/** Keeps when servers last spoke, and how long first bytes take. */
+export class SilenceWatch {
+  readonly #spokeMs = new Map<InstanceId, number>();
+  readonly #firstByteMs = new Map<string, number>();
+
+  /** Notes a byte of a server. */
+  spoke(instance: InstanceId, nowMs: number): void {
+    this.#spokeMs.set(instance, nowMs);
+  }
+
+  /** Notes how long a first byte took. */
+  firstByte(kind: string, ms: number): void {
+    const known = this.#firstByteMs.get(kind);
+    const next = known === undefined ? ms : known + WEIGHT * (ms - known);
+    this.#firstByteMs.set(kind, next);
+  }
+
+  /** Forgets a server that is gone. */
+  forget(instance: InstanceId): void {
+    this.#spokeMs.delete(instance);
+  }
+
+  /** Says why a try should be given up now, if it should. */
+  judge(waiting: WaitingTry, nowMs: number): SilenceReason | undefined {
+    const { instance, sentMs, byteMs } = waiting;
+    const spoke = Math.max(this.#spokeMs.get(instance) ?? 0, byteMs ?? sentMs);
+    const silent = nowMs - spoke >= SERVER_SILENT_MS;
+    if (byteMs !== undefined) {
+      if (silent) return "server_silent";
+      return nowMs - byteMs >= STREAM_PAUSE_MS ? "stream_paused" : undefined;
+    }
+    const waited = nowMs - sentMs;
+    const patienceMs = this.#patienceMs(waiting);
+    if (waited >= patienceMs) return "no_first_byte";
+    const long = waited >= SILENT_PATIENCE * patienceMs;
+    return silent && long ? "server_silent" : undefined;
+  }
+
+  #patienceMs({ kind, targetMs = 0 }: WaitingTry): number {
+    const usual = this.#firstByteMs.get(kind);
+    if (usual === undefined) return FIRST_BYTE_UNKNOWN_MS;
+    return Math.max(
+      FIRST_BYTE_MIN_MS,
+      FIRST_BYTE_FACTOR * usual,
+      TARGET_PART * targetMs,
+    );
+  }
+}
--- /dev/null
+++ b/src/core/servers/silence_test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { InstanceId } from "../ids.ts";
+import { SilenceWatch } from "./silence.ts";
+
+const instance = "i-1" as InstanceId;
+const TRY = {
+  instance,
+  kind: "r/m",
+  sentMs: 1_000,
+  targetMs: 200,
+  byteMs: undefined,
+};
+
+describe("silence watch", () => {
+  it("should give up a server that says nothing to anybody", () => {
+    const watch = new SilenceWatch();
+    assert.equal(watch.judge(TRY, 1_500), undefined);
+    assert.equal(watch.judge(TRY, 2_000), "server_silent");
+  });
+
+  it("should wait on while the server talks to others, but not without end", () => {
+    const watch = new SilenceWatch();
+    watch.spoke(instance, 1_900);
+    assert.equal(watch.judge(TRY, 2_000), undefined);
+    watch.spoke(instance, 2_500);
+    assert.equal(watch.judge(TRY, 2_600), "no_first_byte");
+  });
+
+  it("should know from others of the kind how long a first byte takes", () => {
+    const watch = new SilenceWatch();
+    watch.firstByte("r/m", 100);
+    watch.spoke(instance, 1_450);
+    assert.equal(watch.judge(TRY, 1_590), undefined);
+    assert.equal(watch.judge(TRY, 1_600), "no_first_byte");
+  });
+
+  it("should leave a request most of its latency objective", () => {
+    const watch = new SilenceWatch();
+    watch.firstByte("r/m", 100);
+    watch.spoke(instance, 2_400);
+    const patient = { ...TRY, targetMs: 2_000 };
+    assert.equal(watch.judge(patient, 2_490), undefined);
+    assert.equal(watch.judge(patient, 2_500), "no_first_byte");
+  });
+
+  it("should give up a stream that pauses for long", () => {
+    const watch = new SilenceWatch();
+    const streaming = { ...TRY, byteMs: 1_200 };
+    watch.spoke(instance, 2_700);
+    assert.equal(watch.judge(streaming, 2_700), undefined);
+    assert.equal(watch.judge(streaming, 2_900), "stream_paused");
+  });
+});
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -122,13 +122,14 @@
   async #ask(address: string): Promise<boolean> {
     const { digestKeeper } = this.#deps;
     const input: VmDigest = digestKeeper.digest();
+    const askedMs = this.#deps.clock.monotonicMs();
     const answer = await this.#clients.call(address, {
       timeoutMs: TIMEOUT_MS,
       ask: async (client, signal) =>
         digestSchema.parse(await client.exchange.mutate(input, { signal })),
     });
     if (!answer.ok) return false;
-    digestKeeper.hear(answer.value);
+    digestKeeper.hearAnswer(answer.value, askedMs);
     return true;
   }
 }
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -11,6 +11,7 @@
 import type { VmDigest } from "../protocol/digest_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { DigestExchange } from "./digest_router.ts";
 
 /** Loads that other VMs told longer ago than this no longer count. */
@@ -18,12 +19,16 @@
 /** Sessions in one digest, at most. */
 const MOST_SESSIONS = 200;
 
+/** Stands for "never", which JSON cannot say. */
+const MAX_AGE_MS = 1_000_000_000;
+
 interface Deps {
   readonly memberTable: MemberTable;
   readonly serverLoads: ServerLoads;
   readonly evidenceBook: EvidenceBook;
   readonly sessionBook: SessionBook;
   readonly releaseGate: ReleaseGate;
+  readonly routingFollower: RoutingFollower;
   readonly unitHash: UnitHash;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -60,11 +65,14 @@
   /** What this VM tells now. */
   digest(): VmDigest {
     const { memberTable, serverLoads, releaseGate, evidenceBook } = this.#deps;
+    const { confirmation } = this.#deps.routingFollower;
     const [self, ...news] = memberTable.newsToTell();
     return {
       self: self ?? memberTable.self,
       life: this.#life,
       news,
+      configurationVersion: confirmation.version,
+      confirmedAgeMs: Math.min(MAX_AGE_MS, Math.ceil(confirmation.ageMs)),
       work: [...serverLoads.ownWork()].map(([instance, ms]) => ({
         instance,
         ms: Math.round(ms),
@@ -96,6 +104,18 @@
     this.#addUpWork(nowMs);
   }
 
+  /**
+   * Takes in the answer to a question that was asked at `askedMs`. Only answers date a
+   * confirmation: a digest that comes unasked may have been on its way for long.
+   */
+  hearAnswer(told: VmDigest, askedMs: number): void {
+    this.hear(told);
+    this.#deps.routingFollower.hearConfirmation({
+      version: told.configurationVersion,
+      atMs: askedMs - told.confirmedAgeMs,
+    });
+  }
+
   /** Forgets loads that have grown old. */
   expire(): void {
     this.#addUpWork(this.#deps.clock.monotonicMs());
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -9,6 +9,7 @@
   InjectionMode,
 } from "awilix";
 import { BackendConnections } from "../backends/backend_connections.ts";
+import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
@@ -19,6 +20,7 @@
 import { ProbeOrder } from "../core/membership/probe_order.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
+import { SilenceWatch } from "../core/servers/silence.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
@@ -63,6 +65,7 @@
   readonly rollOutFollower: RollOutFollower;
   readonly backendConnections: BackendConnections;
   readonly serverLoads: ServerLoads;
+  readonly silenceWatch: SilenceWatch;
   readonly trialFollower: TrialFollower;
   readonly trialController: TrialController;
   readonly digestServer: DigestServer;
@@ -103,6 +106,8 @@
     serverDirectory: asClass(ServerDirectory).singleton(),
     serverLoads: asClass(ServerLoads).singleton(),
     releaseGate: asClass(ReleaseGate).singleton(),
+    modelPace: asClass(ModelPace).singleton(),
+    silenceWatch: asClass(SilenceWatch).singleton(),
     releaseChoice: asClass(ReleaseChoice).singleton(),
     evidenceBook: asClass(EvidenceBook).singleton(),
     sessionBook: asValue(
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -37,6 +37,7 @@
     parts.serverFollower.onRemoved(({ instance }) => {
       parts.backendConnections.drop(instance);
       parts.serverLoads.forget(instance);
+      parts.silenceWatch.forget(instance);
     });
     parts.routingFollower.onChange(({ configuration }) =>
       parts.requestServer.setLimits(configuration.limits)
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -2,12 +2,18 @@
 
 import type { Buffer } from "node:buffer";
 import { escalateTo, firstModel } from "../core/cascade/model_ladder.ts";
+import type { ModelPace } from "../core/cascade/model_pace.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { SessionBook } from "../core/rollout/session_book.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
+import {
+  kindOf,
+  type SilenceReason,
+  type SilenceWatch,
+} from "../core/servers/silence.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { BackendConnections } from "../backends/backend_connections.ts";
 import {
@@ -24,7 +30,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { Admitted, RequestAdmission } from "./request_admission.ts";
 import { type ServerSelector, sessionOf } from "./server_selector.ts";
-import { predictedWorkMs } from "./predicted_work.ts";
+import { type PredictedWork, predictWork } from "./predicted_work.ts";
 import type { RequestLog } from "./request_log.ts";
 
 /** Wait of a caller that names none and whose route names none, in milliseconds. */
@@ -44,6 +50,8 @@
   readonly repeatBudget: RepeatBudget;
   readonly evidenceBook: EvidenceBook;
   readonly sessionBook: SessionBook;
+  readonly modelPace: ModelPace;
+  readonly silenceWatch: SilenceWatch;
   readonly requestLog: RequestLog;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -57,6 +65,8 @@
   readonly startedMs: number;
   /** Time to the first byte of the answer. */
   firstByteMs: number | undefined;
+  /** When the last byte came, by the monotonic clock. */
+  byteMs: number | undefined;
   outcome: string;
   confidence: number | undefined;
 }
@@ -77,6 +87,8 @@
   /** Larger model to ask instead, once a head was turned down. */
   #escalation: ModelId | undefined;
   #current: BackendTry | undefined;
+  /** Part of the predicted work that ends with the first byte. */
+  #reading: { readonly instance: InstanceId; readonly ms: number } | undefined;
   #splitter = new EventSplitter();
   #lastEvent: string | undefined;
   #runs = 0;
@@ -152,6 +164,7 @@
       head: this.#exchange.head,
       model: this.#model,
       tried: this.#tried,
+      sharedMs: this.#predictWork().sharedMs,
     });
   }
 
@@ -170,16 +183,15 @@
       model: this.#model,
       startedMs: clock.monotonicMs(),
       firstByteMs: undefined,
+      byteMs: undefined,
       outcome: "",
       confidence: undefined,
     };
     this.#tries.push(record);
     this.#tried.add(server.instance);
-    const work = predictedWorkMs(this.#exchange.head, {
-      service: this.#admitted.table.service(this.#service),
-      model: this.#model,
-    });
-    serverLoads.begin(server.instance, work);
+    const { readMs, writeMs } = this.#predictWork();
+    this.#reading = { instance: server.instance, ms: readMs };
+    serverLoads.begin(server.instance, readMs + writeMs);
     this.#noteSession(server);
     this.#current = new BackendTry(backendConnections, {
       server,
@@ -190,19 +202,68 @@
       sink: {
         judge: (head) => this.#judge(head, record),
         write: (chunk) => this.#passOn(chunk),
-        onProgress: () => {
-          record.firstByteMs ??= clock.monotonicMs() - record.startedMs;
-        },
+        onProgress: () => this.#noteByte(record),
       },
     });
     const outcome = await this.#current.run();
     this.#current = undefined;
-    serverLoads.end(server.instance, work);
+    this.#endReading();
+    serverLoads.end(server.instance, writeMs);
     record.outcome = outcome.tag;
     this.#noteEvidence(outcome, { server, record });
+    this.#notePace(outcome, record);
     return outcome;
   }
 
+  /** Called again and again while the request runs, to notice silent servers. */
+  look(nowMs: number): void {
+    const record = this.#tries.at(-1);
+    const current = this.#current;
+    if (current === undefined || record === undefined || !current.sent) return;
+    if (!this.#mayRepeat(1)) return;
+    const reason = this.#deps.silenceWatch.judge({
+      instance: record.server,
+      kind: kindOf(this.#admitted.route.id, record.model),
+      sentMs: record.startedMs,
+      targetMs: this.#admitted.route.targetMs,
+      byteMs: record.byteMs,
+    }, nowMs);
+    if (reason !== undefined) this.#leaveSilent(reason, current);
+  }
+
+  #leaveSilent(reason: SilenceReason, current: BackendTry): void {
+    const { repeatBudget, clock } = this.#deps;
+    const left = repeatBudget.left(this.#service, clock.monotonicMs());
+    if (left < 1 || this.#choose() === undefined) return;
+    const streaming = this.#exchange.state === "begun";
+    current.giveUp({ tag: streaming ? "stream_broken" : "broken", reason });
+  }
+
+  #noteByte(record: TryRecord): void {
+    const { silenceWatch, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    silenceWatch.spoke(record.server, nowMs);
+    record.byteMs = nowMs;
+    if (record.firstByteMs !== undefined) return;
+    record.firstByteMs = nowMs - record.startedMs;
+    this.#endReading();
+    const kind = kindOf(this.#admitted.route.id, record.model);
+    silenceWatch.firstByte(kind, record.firstByteMs);
+  }
+
+  #notePace(outcome: TryOutcome, record: TryRecord): void {
+    if (outcome.tag !== "streamed" || record.model === undefined) return;
+    const { modelPace, clock } = this.#deps;
+    modelPace.observe({
+      route: this.#admitted.route.id,
+      model: record.model,
+      firstMs: record.firstByteMs ?? 0,
+      totalMs: clock.monotonicMs() - record.startedMs,
+      promptTokens: this.#exchange.head.promptTokens,
+      outputTokens: this.#exchange.head.outputTokens,
+    });
+  }
+
   #noteSession({ release }: ServerRecord): void {
     const session = sessionOf(this.#exchange.head);
     if (session === undefined) return;
@@ -220,6 +281,7 @@
       service: this.#service,
       release: server.release,
       route: this.#admitted.route.id,
+      model: record.model,
       failed,
       firstByteMs: record.firstByteMs,
     });
@@ -243,6 +305,21 @@
     }
   }
 
+  #predictWork(): PredictedWork {
+    return predictWork(this.#exchange.head, {
+      service: this.#admitted.table.service(this.#service),
+      model: this.#model,
+    });
+  }
+
+  /** With the first byte, the prompt has been read. */
+  #endReading(): void {
+    if (this.#reading === undefined) return;
+    const { instance, ms } = this.#reading;
+    this.#reading = undefined;
+    this.#deps.serverLoads.lighten(instance, ms);
+  }
+
   #backendRequest(server: ServerRecord) {
     const { method, url, host, rawHeaders } = this.#exchange;
     const { account, route } = this.#admitted;
@@ -283,12 +360,23 @@
     if (repeatBudget.left(this.#service, clock.monotonicMs()) < 1) {
       return undefined;
     }
+    const { head, arrivedMs } = this.#exchange;
+    const limitMs = this.#deadlineMs - arrivedMs;
+    const largest = route.models.at(-1);
     return escalateTo({
       models: route.models,
       model: this.#model,
       confidence,
       usedMs: this.#exchange.ageMs(),
-      targetMs: route.targetMs ?? this.#deadlineMs - this.#exchange.arrivedMs,
+      targetMs: route.targetMs ?? limitMs,
+      limitMs,
+      largest: largest === undefined
+        ? undefined
+        : this.#deps.modelPace.predict(route.id, {
+          model: largest,
+          promptTokens: head.promptTokens,
+          outputTokens: head.outputTokens,
+        }),
       runsLeft: route.maxRuns - this.#runs - 1,
     });
   }
@@ -380,11 +468,11 @@
   }
 
   /** Whether a request that may have run may be sent again. */
-  #mayRepeat(): boolean {
+  #mayRepeat(underWay = 0): boolean {
     const { route } = this.#admitted;
     const repeatable = route.kind === "repeatable" ||
       (route.kind === "stream" && route.resumable);
-    return repeatable && this.#runs < route.maxRuns;
+    return repeatable && this.#runs + underWay < route.maxRuns;
   }
 
   #hasOther(): boolean {
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits } from "../core/routes/route.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { listenHttp } from "../runtime/listen.ts";
+import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { RequestAdmission } from "./request_admission.ts";
@@ -26,6 +27,8 @@
  * does not cross our close.
  */
 const IDLE_SLACK_MS = 2_000;
+/** Time between looks for silent servers; a part of the shortest patience with them. */
+const LOOK_MS = 100;
 /** Time between looks for callers that are too slow. */
 const TIMEOUT_CHECK_MS = 500;
 
@@ -42,6 +45,11 @@
   readonly #deps: Deps;
   readonly #http: FastifyInstance;
   #limits = FIRST_LIMITS;
+  readonly #runs = new Set<RequestRun>();
+  readonly #looks = new RepeatedTask({
+    intervalMs: LOOK_MS,
+    run: () => this.#look(),
+  });
   #inFlight = 0;
 
   constructor(deps: Deps) {
@@ -72,6 +80,7 @@
 
   /** Starts to listen; returns the address in use. */
   listen(address: string): Promise<string> {
+    this.#looks.start();
     return listenHttp(this.#http, address);
   }
 
@@ -86,9 +95,16 @@
 
   /** Stops to listen and closes what is idle. */
   async close(): Promise<void> {
+    this.#looks.stop();
     await this.#http.close();
   }
 
+  #look(): Promise<void> {
+    const nowMs = this.#deps.clock.monotonicMs();
+    for (const run of this.#runs) run.look(nowMs);
+    return Promise.resolve();
+  }
+
   async #handle(
     req: IncomingMessage,
     { res, url }: { res: ServerResponse; url: string },
@@ -129,7 +145,12 @@
       admitted: admitted.value,
       body: body.value,
     });
-    await run.run();
+    this.#runs.add(run);
+    try {
+      await run.run();
+    } finally {
+      this.#runs.delete(run);
+    }
     requestLog.ended(exchange, run);
   }
 }
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -35,6 +35,8 @@
   readonly head: CallerHead;
   readonly model: ModelId | undefined;
   readonly tried: ReadonlySet<InstanceId>;
+  /** What a server pays that does not hold the shared parts of the prompt. */
+  readonly sharedMs: number;
 }
 
 /** Joins the directory of servers, roll-outs and loads. */
@@ -76,6 +78,7 @@
       affinity: affinityOf(selection),
       dataCentre,
       tried: selection.tried,
+      sharedMs: selection.sharedMs,
       nowMs: clock.monotonicMs(),
     });
   }
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -118,7 +118,7 @@
       told_by: "own evidence",
       ...(verdict.tag === "bad"
         ? {
-          route: verdict.route,
+          kind: verdict.kind,
           reason: verdict.reason,
           answers: verdict.answers,
           failures: verdict.failures,
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -3,6 +3,7 @@
 import * as z from "zod";
 import type {
   InstanceId,
+  ModelId,
   PromptPartId,
   ReleaseId,
   RouteId,
@@ -17,6 +18,7 @@
   service: id<ServiceId>(),
   release: id<ReleaseId>(),
   route: id<RouteId>(),
+  model: id<ModelId>().optional(),
   answers: z.number(),
   failures: z.number(),
   logMsSum: z.number(),
@@ -35,6 +37,10 @@
   /** Life of the process that tells; counts start anew with each. */
   life: z.number(),
   news: z.array(memberSchema).max(1_000),
+  /** Version of the configuration in force; 0 before the first. */
+  configurationVersion: z.number(),
+  /** Time since a read of the store showed that it is the newest. */
+  confirmedAgeMs: z.number(),
   /** Predicted work under way at each server, in milliseconds. */
   work: z.array(z.object({ instance: id<InstanceId>(), ms: z.number() })),
   /** Answers of services that a roll-out is under way for. */
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -18,6 +18,12 @@
 const RETRY_PAUSE_MS = 150;
 const RETRY_SPREAD_MS = 200;
 
+/**
+ * Pause after changes, so that those that come in quick succession take one call: each
+ * watch is counted. Small beside the seconds in which changes must be in force.
+ */
+const BATCH_PAUSE_MS = 120;
+
 /** Who wants to know of the objects. */
 export interface KindListener {
   /** The whole list was read. */
@@ -111,6 +117,7 @@
       if (deleted) this.#listener.deleted(object);
       else this.#listener.changed(object);
     }
+    if (changes.value.events.length > 0) await pause(BATCH_PAUSE_MS);
     return undefined;
   }
 
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -19,12 +19,12 @@
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /**
- * Confirmations in the time that a change may take to be in force; with the store's
- * answer the second of two may fail.
+ * Confirmations in the time that a change may take to be in force. The watch tells of
+ * changes at once; reads are for a watch that hears nothing.
  */
-const CONFIRMATIONS_PER_APPLY = 1.6;
+const CONFIRMATIONS_PER_APPLY = 1.3;
 /** Confirmations in the time after which a removed key must open nothing. */
-const CONFIRMATIONS_PER_KEY_REMOVAL = 4;
+const CONFIRMATIONS_PER_KEY_REMOVAL = 3;
 /** Longest wait for a confirmation; the store usually answers in milliseconds. */
 const CONFIRM_TIMEOUT_MS = 1_000;
 /** Pause after a failed confirmation, spread over the fleet. */
@@ -50,6 +50,7 @@
   #confirmedAtMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
+  #reading = false;
   readonly #listeners: ((table: RouteTable) => void)[] = [];
 
   constructor(deps: Deps) {
@@ -75,6 +76,28 @@
     this.#listeners.push(listener);
   }
 
+  /** Milliseconds since the confirmation and the version, as other VMs may use them. */
+  get confirmation(): { readonly version: number; readonly ageMs: number } {
+    return { version: this.#table?.version ?? 0, ageMs: this.confirmedAgeMs() };
+  }
+
+  /**
+   * Takes in what another VM has confirmed: `atMs` is when its read began, or earlier.
+   * A later version there is read from the store at once.
+   */
+  hearConfirmation(
+    { version, atMs }: { version: number; atMs: number },
+  ): void {
+    const own = this.#table?.version;
+    if (own === undefined || this.#stopped) return;
+    if (version === own) {
+      this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+    } else if (version > own && !this.#reading) {
+      clearTimeout(this.#timer);
+      void this.#confirm();
+    }
+  }
+
   /** Starts to follow. */
   start(): void {
     this.#follower.start();
@@ -103,13 +126,25 @@
     });
   }
 
+  /** Reads, unless another VM has confirmed the configuration meanwhile. */
+  async #confirmIfDue(): Promise<void> {
+    const dueInMs = this.#intervalMs() - this.confirmedAgeMs();
+    if (dueInMs <= 0 || !this.#deps.storeHealth.health.reachable) {
+      await this.#confirm();
+      return;
+    }
+    this.#timer = setTimeout(() => void this.#confirmIfDue(), dueInMs);
+  }
+
   async #confirm(): Promise<void> {
     const { objectStore, storeHealth, clock } = this.#deps;
     const startedMs = clock.monotonicMs();
+    this.#reading = true;
     const read = await objectStore.get(
       { kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME },
       { timeoutMs: CONFIRM_TIMEOUT_MS },
     );
+    this.#reading = false;
     if (this.#stopped) return;
     if (read.ok) {
       storeHealth.answered();
@@ -122,7 +157,7 @@
     const waitMs = read.ok ? this.#intervalMs() : this.#retryMs();
     const tookMs = clock.monotonicMs() - startedMs;
     this.#timer = setTimeout(
-      () => void this.#confirm(),
+      () => void this.#confirmIfDue(),
       Math.max(0, waitMs - tookMs),
     );
   }
