--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -5,6 +5,7 @@
 import type { Freshness } from "../core/config/freshness.ts";
 import { applyHeadDelta } from "../core/config/head_delta.ts";
 import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
+import type { Result } from "../core/result.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import type { Peers } from "../peers/peers.ts";
@@ -87,24 +88,54 @@
    * whether the platform answered in a way that confirms what is in force.
    */
   async ask(kind: AskKind, waitMs: number): Promise<boolean> {
-    const { platform, clock, freshness, entryMetrics } = this.#deps;
+    if (waitMs <= 0) return await this.#confirmByRead(kind);
+    const { platform, clock } = this.#deps;
     const startedMs = clock.monotonicMs();
-    const afterVersion = this.#headVersion;
-    const { signal } = this.#stop;
     const answer = await platform.watch(HEAD_KEY, {
-      afterVersion,
+      afterVersion: this.#headVersion,
       waitMs,
-      signal,
+      signal: this.#stop.signal,
     });
+    if (!this.#noteAnswer(kind, answer)) return false;
+    // A watch that hears nothing may be stuck; only a read shows that nothing changed.
+    if (answer.value === undefined) return await this.#confirmByRead("confirm");
+    return await this.#confirmBy(answer.value, startedMs);
+  }
+
+  async #confirmByRead(kind: AskKind): Promise<boolean> {
+    const { platform, clock, freshness } = this.#deps;
+    const startedMs = clock.monotonicMs();
+    const { signal } = this.#stop;
+    const answer = await platform.get(HEAD_KEY, { signal });
+    if (!answer.ok && answer.error.tag === "missing") {
+      this.#notePlatform(undefined);
+      if (this.#headVersion > 0) return false;
+      freshness.confirm(startedMs);
+      return true;
+    }
+    if (!this.#noteAnswer(kind, answer)) return false;
+    return await this.#confirmBy(answer.value, startedMs);
+  }
+
+  /** Counts an answer; returns whether there was one and it still matters. */
+  #noteAnswer<T>(
+    kind: AskKind,
+    answer: Result<T, PlatformError>,
+  ): answer is { readonly ok: true; readonly value: T } {
     if (this.#stop.signal.aborted) return false;
     const outcome = answer.ok ? "answered" : answer.error.tag;
-    entryMetrics.platformCalls.inc({ kind, outcome });
+    this.#deps.entryMetrics.platformCalls.inc({ kind, outcome });
     this.#notePlatform(answer.ok ? undefined : answer.error);
-    if (!answer.ok) return false;
-    if (answer.value !== undefined && !await this.#takeObject(answer.value)) {
-      return false;
-    }
-    freshness.confirm(startedMs);
+    return answer.ok;
+  }
+
+  async #confirmBy(
+    object: PlatformObject,
+    startedMs: number,
+  ): Promise<boolean> {
+    const known = object.version <= this.#headVersion;
+    if (!known && !await this.#takeObject(object)) return false;
+    this.#deps.freshness.confirm(startedMs);
     return true;
   }
 
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -1,6 +1,6 @@
 /** Which entry VMs there are, as this one sees it; news spreads with probes. */
 
-import type { EntryId, Revision } from "../ids.ts";
+import { type EntryId, NO_REVISION, type Revision } from "../ids.ts";
 import { isNewer, type Member, type MemberState } from "./member.ts";
 
 /** Members that one message carries, at most. */
@@ -72,11 +72,16 @@
     return id === this.#self.id ? this.#self : this.#rows.get(id)?.member;
   }
 
-  /** Entry VMs that callers may be told of, this one included unless it leaves. */
+  /**
+   * Entry VMs that callers may be told of, this one included unless it leaves. Those that
+   * have no configuration yet could only refuse, so they are named where all are so.
+   */
   callable(): Member[] {
-    return [this.#self, ...this.others()].filter((member) =>
+    const present = [this.#self, ...this.others()].filter((member) =>
       member.state === "alive" || member.state === "suspect"
     );
+    const serving = present.filter(({ revision }) => revision > NO_REVISION);
+    return serving.length > 0 ? serving : present;
   }
 
   /** What this VM believes of one that talks to it, where that is wrong. */
--- a/src/core/membership/member_table_test.ts
+++ b/src/core/membership/member_table_test.ts
@@ -32,6 +32,14 @@
     assert.equal(stateOf(table, "b"), "alive");
   });
 
+  test("should not name those without a configuration, unless all are so", () => {
+    const table = new MemberTable(member("a"));
+    table.merge([member("b")], 0);
+    assert.deepEqual(table.callable().map(({ id }) => id), ["a", "b"]);
+    table.merge([member("c", { revision: 3 as Revision })], 0);
+    assert.deepEqual(table.callable().map(({ id }) => id), ["c"]);
+  });
+
   test("should not name the dead and the leaving to callers", () => {
     const table = new MemberTable(member("a"));
     table.merge([member("b"), member("c")], 0);
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -78,7 +78,8 @@
         ? 0
         : MISSING_FACTOR * input.sharedMs * missingPart(server, holders);
       // Chance breaks ties, so that VMs do not all turn to the same server.
-      const cost = this.#work(server) + away + missing + this.#chance();
+      const cost = this.#work(server, input.nowMs) + away + missing +
+        this.#chance();
       if (cost >= bestCost) continue;
       best = server;
       bestCost = cost;
@@ -102,8 +103,9 @@
       .map(({ server }) => server);
   }
 
-  #work({ instance }: ServerRecord): number {
-    const failures = this.#loads.failureRate(instance) * FAILURE_PENALTY_MS;
+  #work({ instance }: ServerRecord, nowMs: number): number {
+    const failures = this.#loads.failureRate(instance, nowMs) *
+      FAILURE_PENALTY_MS;
     return this.#loads.work(instance) + failures;
   }
 }
--- a/src/core/servers/server_loads.ts
+++ b/src/core/servers/server_loads.ts
@@ -8,6 +8,8 @@
 const EJECT_FAILURE_RATE = 0.3;
 /** Weight of the newest answer in the failure rate. */
 const RATE_WEIGHT = 0.15;
+/** Time in which half of a failure rate is forgotten, so that a server is tried again. */
+const RATE_HALF_LIFE_MS = 1_000;
 /** How long a server is avoided the first time, in milliseconds. */
 const EJECT_MS = 1_500;
 /** Longest that a server is avoided, in milliseconds. */
@@ -21,6 +23,8 @@
   workElsewhere: number;
   failuresInRow: number;
   failureRate: number;
+  /** When the rate was last brought up to date. */
+  rateAtMs: number;
   ejectedUntilMs: number;
   ejections: number;
 }
@@ -73,8 +77,9 @@
   }
 
   /** Notes a good answer. */
-  succeeded(instance: InstanceId): void {
+  succeeded(instance: InstanceId, nowMs: number): void {
     const row = this.#row(instance);
+    fade(row, nowMs);
     row.failuresInRow = 0;
     row.failureRate *= 1 - RATE_WEIGHT;
     if (row.failureRate < EJECT_FAILURE_RATE / 4) row.ejections = 0;
@@ -83,6 +88,7 @@
   /** Notes a failure; returns for how long the server is avoided from now on, if it is. */
   failed(instance: InstanceId, nowMs: number): number | undefined {
     const row = this.#row(instance);
+    fade(row, nowMs);
     row.failuresInRow += 1;
     row.failureRate += RATE_WEIGHT * (1 - row.failureRate);
     const bad = row.failuresInRow >= FAILURES_TO_EJECT ||
@@ -104,8 +110,11 @@
   }
 
   /** Share of recent answers of a server that failed. */
-  failureRate(instance: InstanceId): number {
-    return this.#rows.get(instance)?.failureRate ?? 0;
+  failureRate(instance: InstanceId, nowMs: number): number {
+    const row = this.#rows.get(instance);
+    if (row === undefined) return 0;
+    fade(row, nowMs);
+    return row.failureRate;
   }
 
   /** Forgets a server that is gone. */
@@ -131,6 +140,7 @@
       workElsewhere: 0,
       failuresInRow: 0,
       failureRate: 0,
+      rateAtMs: 0,
       ejectedUntilMs: 0,
       ejections: 0,
     };
@@ -138,3 +148,9 @@
     return row;
   }
 }
+
+function fade(row: Row, nowMs: number): void {
+  const ageMs = Math.max(0, nowMs - row.rateAtMs);
+  row.failureRate *= 0.5 ** (ageMs / RATE_HALF_LIFE_MS);
+  row.rateAtMs = nowMs;
+}
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -14,8 +14,6 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Readiness } from "./readiness.ts";
 
-/** Port of the metrics; the deploy file names it as well. */
-export const METRICS_PORT = 9_464;
 const METRICS_PATH = "/metrics";
 
 interface Deps {
@@ -36,13 +34,13 @@
 
   /** Starts to listen on each address that the settings name. */
   async listen(): Promise<void> {
-    const { listen, ip } = this.#deps.vmSettings;
-    const metrics = formatAddress({ host: ip, port: METRICS_PORT });
+    const { listen, ip, metricsPort } = this.#deps.vmSettings;
     const ready = listen.readiness;
     const addresses = listen.addresses;
     if (ready !== undefined) await this.#serveReadiness(ready);
     if (addresses !== undefined) await this.#serveAddresses(addresses);
-    await this.#serveMetrics(metrics);
+    if (metricsPort === undefined) return;
+    await this.#serveMetrics(formatAddress({ host: ip, port: metricsPort }));
   }
 
   /** Ends all connections. */
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -1,5 +1,6 @@
 /** The long-running process of a VM on the users' platform: its start and its stop. */
 
+import type { Revision } from "../core/ids.ts";
 import { pause } from "../runtime/pause.ts";
 import type { Logger } from "../runtime/logger.ts";
 import {
@@ -39,9 +40,10 @@
       parts.serverLoads.forget(instance);
       parts.silenceWatch.forget(instance);
     });
-    parts.routingFollower.onChange(({ configuration }) =>
-      parts.requestServer.setLimits(configuration.limits)
-    );
+    parts.routingFollower.onChange(({ configuration, version }) => {
+      parts.requestServer.setLimits(configuration.limits);
+      parts.memberTable.setOwnRevision(version as Revision);
+    });
     parts.trialFollower.start();
     if (listen.peers !== undefined) {
       await parts.digestServer.listen(listen.peers);
@@ -77,4 +79,20 @@
       in_flight: requestServer.inFlight,
     });
   }
+
+  /** Ends at once all that was started. */
+  async stop(): Promise<void> {
+    const parts = this.#parts;
+    parts.trialController.stop();
+    parts.trialFollower.stop();
+    parts.rollOutFollower.stop();
+    parts.serverFollower.stop();
+    parts.routingFollower.stop();
+    await parts.digestExchanger.stop();
+    await parts.requestServer.close();
+    await parts.digestServer.close();
+    await parts.controlServer.close();
+    parts.backendConnections.close();
+    await parts.objectStore.close();
+  }
 }
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -40,6 +40,8 @@
 /** Servers asked for one request while each says that it did not run it. */
 const MAX_REFUSALS = 3;
 
+const NONE: ReadonlySet<InstanceId> = new Set();
+
 /** What all runs share. */
 export interface RequestRunDeps {
   readonly requestAdmission: RequestAdmission;
@@ -158,12 +160,19 @@
     return this.#after(outcome, server);
   }
 
+  /** Returns the server for the next try; one that was tried only where no other is left. */
   #choose(): ServerRecord | undefined {
+    const untried = this.#select(this.#tried);
+    if (untried !== undefined || this.#runs === 0) return untried;
+    return this.#select(NONE);
+  }
+
+  #select(tried: ReadonlySet<InstanceId>): ServerRecord | undefined {
     return this.#deps.serverSelector.choose({
       service: this.#service,
       head: this.#exchange.head,
       model: this.#model,
-      tried: this.#tried,
+      tried,
       sharedMs: this.#predictWork().sharedMs,
     });
   }
@@ -490,7 +499,7 @@
       server: instance,
       outcome: outcome.tag,
       for_ms: ejectMs,
-      failure_rate: serverLoads.failureRate(instance),
+      failure_rate: serverLoads.failureRate(instance, nowMs),
     });
   }
 
@@ -502,10 +511,10 @@
     switch (outcome.tag) {
       case "streamed":
       case "turned_down":
-        serverLoads.succeeded(instance);
+        serverLoads.succeeded(instance, nowMs);
         return undefined;
       case "answered":
-        if (outcome.head.status < 500) serverLoads.succeeded(instance);
+        if (outcome.head.status < 500) serverLoads.succeeded(instance, nowMs);
         else return serverLoads.failed(instance, nowMs);
         return undefined;
       case "not_sent":
--- a/src/platform/vm_settings_wire.ts
+++ b/src/platform/vm_settings_wire.ts
@@ -11,6 +11,9 @@
 /** Environment variable with the path of the settings file. */
 export const SETTINGS_VARIABLE = "FIELDRACK_SETTINGS";
 
+/** Port of the metrics; the deploy file names it as well, and settings do not. */
+const METRICS_PORT = 9_464;
+
 /** What one process is told about its VM and the deployment. */
 export interface VmSettings {
   readonly vm: EntryId;
@@ -34,6 +37,8 @@
   readonly seeds: readonly string[];
   /** First and last port that is free for the system's own use. */
   readonly internalPorts: { readonly first: number; readonly last: number };
+  /** Where the metrics are served; undefined where nobody asks for them. */
+  readonly metricsPort: number | undefined;
   readonly memoryMb: number;
   readonly store: {
     /** `IP:port`. */
@@ -158,6 +163,7 @@
       first: wire.InternalPortRange[0],
       last: wire.InternalPortRange[1],
     },
+    metricsPort: METRICS_PORT,
     memoryMb: wire.Limits.MemoryMb,
     store: {
       address: store.Address,
