--- a/src/core/rollout/trial_plan.ts
+++ b/src/core/rollout/trial_plan.ts
@@ -19,7 +19,7 @@
 /** Part of the time from which a moved service is completed as soon as it is idle. */
 const COMPLETE_FROM = 0.74;
 /** Part of the time by which it is completed whatever still runs on the old release. */
-const COMPLETE_BY = 0.93;
+const COMPLETE_BY = 0.86;
 
 /** What a step depends on. */
 export interface PlanInput {
--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -7,10 +7,11 @@
 import type { Readiness } from "./readiness.ts";
 
 /**
- * How long callers keep the answer. Some keep it three times as long, which must end
- * well within the grace of a planned stop, after which streams are no longer taken.
+ * How long callers keep the answer. At 1 s they asked so often that each VM that had lost
+ * power cost its neighbours' callers a second again and again; a VM that stops serves on
+ * for longer than this, and who comes later finds its port closed and tries another.
  */
-const TTL_MS = 1_000;
+const TTL_MS = 3_000;
 /** Addresses in one answer, at most. */
 const MOST_ADDRESSES = 64;
 
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -26,7 +26,7 @@
 /** Time between looks at the evidence; a bad release answers every few of these. */
 const TICK_MS = 200;
 /** A VM acts in place of another that did not for this long. */
-const TAKEOVER_MS = 1_200;
+const TAKEOVER_MS = 600;
 
 interface Deps {
   readonly releaseGate: ReleaseGate;
