Find other VMs by the store when all seeds are gone; reload settings; count requests

Cause: a VM whose seeds were all replaced stayed alone, took the whole retry allowance for itself and named only itself to callers; seeds are read again when the settings change, with or without a signal; the gateway's metrics were declared but not counted.

--- a/src/cli/gateway_command.ts
+++ b/src/cli/gateway_command.ts
@@ -1,13 +1,15 @@
 /** `fieldrack gateway`. */
 
-import { readFileSync } from "node:fs";
+import { readFileSync, watchFile } from "node:fs";
 import process from "node:process";
 import type { CommandModule } from "yargs";
+import { fail, type Result } from "../core/result.ts";
 import { GatewayProcess } from "../gateway/gateway_process.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
 import {
   decodeVmSettings,
   SETTINGS_VARIABLE,
+  type VmSettings,
 } from "../platform/vm_settings_wire.ts";
 import { LineWriter, openForLines } from "../runtime/line_writer.ts";
 import { ProcessLogger } from "../runtime/logger.ts";
@@ -15,6 +17,8 @@
 import { printError } from "./output.ts";
 
 const STANDARD_OUTPUT = 1;
+/** Time between looks at the settings file, which changes rarely. */
+const SETTINGS_CHECK_MS = 5_000;
 
 interface Arguments {
   readonly settings?: string;
@@ -44,32 +48,43 @@
     process.exit(ExitCode.Usage);
   }
   const settings = readVmSettings(path);
+  if (!settings.ok) {
+    printError(settings.error);
+    process.exit(ExitCode.Failed);
+  }
+  const { vm, dataCentre } = settings.value;
   const logger = new ProcessLogger(
-    { vm: settings.vm, data_centre: settings.dataCentre },
+    { vm, data_centre: dataCentre },
     new LineWriter(openForLines(STANDARD_OUTPUT)),
   );
-  const gateway = new GatewayProcess({ vmSettings: settings, logger });
+  const gateway = new GatewayProcess({ vmSettings: settings.value, logger });
   process.on("SIGTERM", () => {
     void gateway.drain().then(() => process.exit(ExitCode.Done));
   });
-  process.on("SIGHUP", () => {
-    logger.info("Settings changed", { path });
-  });
+  const reload = () => {
+    const changed = readVmSettings(path);
+    if (changed.ok) gateway.reload(changed.value);
+    else {
+      logger.warn("Settings are not understood; the last ones stay", {
+        reason: changed.error,
+      });
+    }
+  };
+  process.on("SIGHUP", reload);
+  // The file may change without a signal.
+  watchFile(path, { interval: SETTINGS_CHECK_MS, persistent: false }, reload);
   await gateway.start();
 }
 
-function readVmSettings(path: string) {
+/** Reads a settings file; the error says what is wrong and where. */
+function readVmSettings(path: string): Result<VmSettings, string> {
   let text: string;
   try {
     text = readFileSync(path, "utf8");
   } catch (err) {
-    printError(`Settings cannot be read: ${(err as Error).message}`);
-    process.exit(ExitCode.Failed);
+    return fail(`Settings cannot be read: ${(err as Error).message}`);
   }
   const decoded = decodeVmSettings(text);
-  if (!decoded.ok) {
-    printError(`${path}: ${describeDecodeError(decoded.error)}`);
-    process.exit(ExitCode.Failed);
-  }
-  return decoded.value;
+  if (decoded.ok) return decoded;
+  return fail(`${path}: ${describeDecodeError(decoded.error)}`);
 }
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import { SocketMeter } from "../runtime/socket_meter.ts";
+import type { VmRegistry } from "../store/vm_registry.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
 import type { DigestRouter } from "./digest_router.ts";
 
@@ -31,6 +32,7 @@
   readonly logger: Logger;
   /** Addresses of VMs that may be there, from settings and store. */
   readonly seedAddresses: () => readonly string[];
+  readonly vmRegistry: VmRegistry;
 }
 
 /** Talks to a few VMs in each round. */
@@ -76,6 +78,7 @@
     // Nothing waits for slow VMs: the next round comes whether or not they answer.
     for (const member of this.#chosen()) void this.#probe(member);
     const members = memberTable.others();
+    if (members.length === 0) void this.#deps.vmRegistry.whileAlone();
     if (members.length === 0 || this.#rounds % SEED_EVERY_ROUNDS === 0) {
       this.#askSeeds(members);
     }
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -1,6 +1,8 @@
 /** Small HTTP servers: readiness for the platform, addresses for callers, metrics. */
 
 import fastify, { type FastifyInstance } from "fastify";
+import type { MemberTable } from "../core/membership/member_table.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import {
@@ -10,10 +12,12 @@
   READINESS_PATH,
 } from "../platform/caller_wire.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { AddressList } from "./address_list.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Readiness } from "./readiness.ts";
 
+const MS_PER_SECOND = 1_000;
 const METRICS_PATH = "/metrics";
 
 interface Deps {
@@ -21,6 +25,9 @@
   readonly readiness: Readiness;
   readonly addressList: AddressList;
   readonly gatewayMetrics: GatewayMetrics;
+  readonly routingFollower: RoutingFollower;
+  readonly serverDirectory: ServerDirectory;
+  readonly memberTable: MemberTable;
 }
 
 /** Serves all that is not a caller's request. */
@@ -77,14 +84,24 @@
   async #serveMetrics(address: string): Promise<void> {
     const server = this.#newServer();
     const { registry } = this.#deps.gatewayMetrics;
-    server.get(
-      METRICS_PATH,
-      async (_req, reply) =>
-        reply.type(registry.contentType).send(await registry.metrics()),
-    );
+    server.get(METRICS_PATH, async (_req, reply) => {
+      this.#measure();
+      return reply.type(registry.contentType).send(await registry.metrics());
+    });
     await listenHttp(server, address);
   }
 
+  /** Brings the gauges up to date: what this VM believes now. */
+  #measure(): void {
+    const { gatewayMetrics, routingFollower, serverDirectory, memberTable } =
+      this.#deps;
+    const { version, ageMs } = routingFollower.confirmation;
+    gatewayMetrics.configurationVersion.set(version);
+    gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
+    gatewayMetrics.servers.set(serverDirectory.size);
+    gatewayMetrics.members.set(memberTable.others().length);
+  }
+
   #newServer(): FastifyInstance {
     const server = fastify({ forceCloseConnections: true });
     this.#servers.push(server);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -33,6 +33,7 @@
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
 import { ServerFollower } from "../store/server_follower.ts";
+import { VmRegistry } from "../store/vm_registry.ts";
 import { TrialFollower } from "../store/trial_follower.ts";
 import { StoreHealthKeeper } from "../store/store_health.ts";
 import { AddressList } from "./address_list.ts";
@@ -42,6 +43,7 @@
 import { RequestAdmission } from "./request_admission.ts";
 import { RequestLog } from "./request_log.ts";
 import { RequestServer } from "./request_server.ts";
+import { SeedList } from "./seed_list.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
 import { TrialController } from "./trial_controller.ts";
@@ -74,6 +76,8 @@
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
   readonly stopState: StopState;
+  readonly seedList: SeedList;
+  readonly vmRegistry: VmRegistry;
 }
 
 /** Returns a container with all parts of one gateway. */
@@ -152,7 +156,12 @@
     digestKeeper: asClass(DigestKeeper).singleton(),
     digestServer: asClass(DigestServer).singleton(),
     digestExchanger: asClass(DigestExchanger).singleton(),
-    seedAddresses: asValue(() => vmSettings.seeds),
+    seedList: asValue(new SeedList(vmSettings.seeds)),
+    vmRegistry: asClass(VmRegistry).singleton(),
+    seedAddresses: asFunction((
+      { seedList, vmRegistry }: { seedList: SeedList; vmRegistry: VmRegistry },
+    ) =>
+    () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
     backendConnections: asClass(BackendConnections).singleton(),
     stopState: asClass(StopState).singleton(),
     readiness: asClass(Readiness).singleton(),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -2,6 +2,7 @@
 
 import type { Revision } from "../core/ids.ts";
 import { pause } from "../runtime/pause.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { Logger } from "../runtime/logger.ts";
 import {
   createGatewayContainer,
@@ -48,6 +49,7 @@
     if (listen.peers !== undefined) {
       await parts.digestServer.listen(listen.peers);
       parts.digestExchanger.start();
+      void parts.vmRegistry.write();
     }
     parts.trialController.start();
     if (listen.callers !== undefined) {
@@ -80,6 +82,14 @@
     });
   }
 
+  /** Takes in settings that have changed; addresses to listen on need a restart. */
+  reload(settings: VmSettings): void {
+    this.#parts.seedList.replace(settings.seeds);
+    this.#logger.info("Settings are in force", {
+      seeds: settings.seeds.length,
+    });
+  }
+
   /** Ends at once all that was started. */
   async stop(): Promise<void> {
     const parts = this.#parts;
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -1,24 +1,34 @@
 /** Log lines about requests: all that failed or were slow, and a sample of the others. */
 
 import type { Refusal } from "../core/refusal.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { RequestRun } from "./request_run.ts";
 
+const MS_PER_SECOND = 1_000;
 /** One in so many requests that went well is logged. */
 const SAMPLE = 50;
 
 /** Writes one line for each request that an engineer may be asked about. */
 export class RequestLog {
   readonly #logger: Logger;
+  readonly #metrics: GatewayMetrics;
   #good = 0;
 
-  constructor({ logger }: { logger: Logger }) {
+  constructor(
+    { logger, gatewayMetrics }: {
+      logger: Logger;
+      gatewayMetrics: GatewayMetrics;
+    },
+  ) {
     this.#logger = logger;
+    this.#metrics = gatewayMetrics;
   }
 
   /** Notes a request that got no server's answer. */
   refused(exchange: CallerExchange, refusal: Refusal): void {
+    this.#metrics.refusals.inc({ reason: refusal.tag });
     this.#logger.info("Request refused", {
       attempt: exchange.head.attempt,
       path: exchange.path,
@@ -31,6 +41,7 @@
   /** Notes the end of a request. */
   ended(exchange: CallerExchange, run: RequestRun): void {
     const status = exchange.status ?? 0;
+    this.#count(exchange, run);
     const plain = status >= 200 && status < 300 && run.tries.length === 1 &&
       exchange.state === "ended";
     if (plain && this.#good++ % SAMPLE !== 0) return;
@@ -49,6 +60,20 @@
       ).join(" "),
     });
   }
+
+  #count(exchange: CallerExchange, { service, tries }: RequestRun): void {
+    const { requests, duration, tries: triesMetric } = this.#metrics;
+    requests.inc({ service, outcome: outcomeOf(exchange) });
+    duration.observe({ service }, exchange.ageMs() / MS_PER_SECOND);
+    for (const { outcome } of tries) triesMetric.inc({ service, outcome });
+  }
+}
+
+function outcomeOf(exchange: CallerExchange): string {
+  if (exchange.state === "caller_gone") return "caller_gone";
+  const status = exchange.status ?? 0;
+  if (status === 0) return "none";
+  return `${Math.floor(status / 100)}xx`;
 }
 
 function detailOf(refusal: Refusal): string | undefined {
--- /dev/null
+++ b/src/platform/http_object_store_test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { ObjectStoreStandin } from "../standins/object_store_standin.ts";
+import { HttpObjectStore } from "./http_object_store.ts";
+
+const KEY = { kind: "things", name: "a" };
+const CALL = { timeoutMs: 1_000 };
+
+let standin: ObjectStoreStandin;
+let store: HttpObjectStore;
+
+beforeEach(async () => {
+  standin = new ObjectStoreStandin({ page: 2 });
+  store = new HttpObjectStore(await standin.listen());
+});
+
+afterEach(async () => {
+  await store.close();
+  await standin.close();
+});
+
+describe("client of the store", () => {
+  it("should make, read and replace objects by their revision", async () => {
+    const made = await store.create(KEY, { ...CALL, spec: { n: 1 } });
+    assert.ok(made.ok);
+    const { revision } = made.value;
+    const replaced = await store.replace(KEY, {
+      ...CALL,
+      spec: { n: 2 },
+      revision,
+    });
+    assert.ok(replaced.ok);
+    const read = await store.get(KEY, CALL);
+    assert.deepEqual(read.ok && read.value.spec, { n: 2 });
+    const stale = await store.replace(KEY, {
+      ...CALL,
+      spec: { n: 3 },
+      revision,
+    });
+    assert.equal(!stale.ok && stale.error.tag, "conflict");
+  });
+
+  it("should keep what is declared when the status is replaced", async () => {
+    const made = await store.create(KEY, { ...CALL, spec: { n: 1 } });
+    assert.ok(made.ok);
+    const written = await store.replaceStatus(KEY, {
+      ...CALL,
+      status: "done",
+      revision: made.value.revision,
+    });
+    assert.deepEqual(written.ok && written.value.spec, { n: 1 });
+    assert.equal(written.ok && written.value.status, "done");
+  });
+
+  it("should read all pages of a list", async () => {
+    for (const name of ["a", "b", "c", "d", "e"]) {
+      standin.kinds.put("things", { name, spec: {} });
+    }
+    const listing = await store.list("things", CALL);
+    assert.deepEqual(
+      listing.ok && listing.value.objects.map(({ name }) => name),
+      ["a", "b", "c", "d", "e"],
+    );
+  });
+
+  it("should hear of changes and removals, and that history is lost", async () => {
+    const listing = await store.list("things", CALL);
+    assert.ok(listing.ok);
+    const { revision } = listing.value;
+    const watched = store.watch("things", { ...CALL, revision, waitMs: 1_000 });
+    standin.kinds.put("things", { name: "a", spec: {} });
+    const changes = await watched;
+    assert.ok(changes.ok && changes.value.events.length > 0);
+    standin.kinds.remove("things", "a");
+    const removed = await store.watch("things", {
+      ...CALL,
+      revision: changes.value.revision,
+      waitMs: 1_000,
+    });
+    assert.equal(removed.ok && removed.value.events[0]?.deleted, true);
+    standin.kinds.forgetHistory();
+    const lost = await store.watch("things", { ...CALL, revision, waitMs: 10 });
+    assert.equal(!lost.ok && lost.error.tag, "history_lost");
+  });
+
+  it("should tell a store that is away from a write that may have happened", async () => {
+    standin.setFaults({ down: true });
+    const away = await store.get(KEY, CALL);
+    assert.equal(!away.ok && away.error.tag, "unavailable");
+    standin.setFaults({ loseWriteAnswers: true });
+    const lost = await store.create(KEY, { ...CALL, spec: {} });
+    assert.equal(!lost.ok && lost.error.tag, "uncertain");
+    assert.notEqual(standin.kinds.get("things", "a"), undefined);
+  });
+});
--- /dev/null
+++ b/src/store/vm_registry_test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import type { EntryId } from "../core/ids.ts";
+import { HttpObjectStore } from "../platform/http_object_store.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import { ObjectStoreStandin } from "../standins/object_store_standin.ts";
+import { VmRegistry } from "./vm_registry.ts";
+
+let store: ObjectStoreStandin;
+let client: HttpObjectStore;
+
+beforeEach(async () => {
+  store = new ObjectStoreStandin({ page: 1 });
+  client = new HttpObjectStore(await store.listen());
+});
+
+afterEach(async () => {
+  await client.close();
+  await store.close();
+});
+
+function registry(vm: string, peers: string, nowMs = () => 0): VmRegistry {
+  return new VmRegistry({
+    objectStore: client,
+    vmSettings: { vm: vm as EntryId, listen: { peers } } as VmSettings,
+    clock: { monotonicMs: nowMs, wallMs: () => 0 },
+    logger: new SilentLogger(),
+  });
+}
+
+describe("registry of VMs", () => {
+  it("should let a VM that knows nobody find the others, over several pages", async () => {
+    await registry("a", "10.0.0.1:1").write();
+    await registry("b", "10.0.0.2:1").write();
+    const alone = registry("c", "10.0.0.3:1");
+    await alone.whileAlone();
+    assert.deepEqual(alone.addresses, [
+      "10.0.0.1:1",
+      "10.0.0.2:1",
+      "10.0.0.3:1",
+    ]);
+  });
+
+  it("should replace the address that an earlier life has written", async () => {
+    await registry("a", "10.0.0.1:1").write();
+    await registry("a", "10.0.0.9:1").write();
+    const [object] = store.kinds.list("fieldrack-vms");
+    assert.deepEqual(object?.spec, { peers: "10.0.0.9:1" });
+  });
+
+  it("should not read the list again at once", async () => {
+    let nowMs = 0;
+    const alone = registry("a", "10.0.0.1:1", () => nowMs);
+    await alone.whileAlone();
+    const { calls } = store;
+    nowMs = 500;
+    await alone.whileAlone();
+    assert.equal(store.calls, calls);
+  });
+});
