--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -22,6 +22,8 @@
   /** Undefined where the route needs no key. */
   readonly account: AccountId | undefined;
   readonly priority: number;
+  /** Time since the configuration was confirmed as the newest, in milliseconds. */
+  readonly confirmedAgeMs: number;
 }
 
 interface Deps {
@@ -62,7 +64,13 @@
       priority?: number;
     },
   ): Result<Admitted, Refusal> {
-    return ok({ table, route, account, priority: priority ?? route.priority });
+    return ok({
+      table,
+      route,
+      account,
+      priority: priority ?? route.priority,
+      confirmedAgeMs: this.#deps.routingFollower.confirmedAgeMs(),
+    });
   }
 
   #staleRefusal(): Refusal | undefined {
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -4,7 +4,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import type { RequestRun } from "./request_run.ts";
+import type { RequestRun, TryRecord } from "./request_run.ts";
 
 const MS_PER_SECOND = 1_000;
 /** One in so many requests that went well is logged. */
@@ -49,15 +49,19 @@
       attempt: exchange.head.attempt,
       path: exchange.path,
       service: run.service,
+      route: run.route,
+      account: run.account,
+      configuration: run.configurationVersion,
+      confirmed_ms: Math.round(run.confirmedAgeMs),
+      limit_ms: Math.round(run.limitMs),
+      budget_left: Math.floor(run.budgetLeft),
       parts: exchange.head.promptParts.map(({ id }) => id).join(","),
       status,
       state: exchange.state,
       age_ms: Math.round(exchange.ageMs()),
-      tries: run.tries.map((one) =>
-        `${one.server}@${one.release}/${one.model ?? ""}:${one.outcome}:${
-          one.confidence ?? ""
-        }+${Math.round(one.startedMs - exchange.arrivedMs)}`
-      ).join(" "),
+      tries: run.tries.map((one) => describeTry(one, exchange.arrivedMs)).join(
+        "; ",
+      ),
     });
   }
 
@@ -69,6 +73,20 @@
   }
 }
 
+/** "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte, confidence)". */
+function describeTry(one: TryRecord, arrivedMs: number): string {
+  const model = one.model === undefined ? "" : ` ${one.model}`;
+  const details = [
+    one.reason,
+    one.firstByteMs === undefined
+      ? "no first byte"
+      : `first byte after ${Math.round(one.firstByteMs)} ms`,
+    one.confidence === undefined ? undefined : `confidence ${one.confidence}`,
+  ].filter((text) => text !== undefined).join(", ");
+  const sentMs = Math.round(one.startedMs - arrivedMs);
+  return `${one.server} ${one.release}${model} sent at ${sentMs} ms: ${one.outcome} (${details})`;
+}
+
 function outcomeOf(exchange: CallerExchange): string {
   if (exchange.state === "caller_gone") return "caller_gone";
   const status = exchange.status ?? 0;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -3,7 +3,13 @@
 import type { Buffer } from "node:buffer";
 import { escalateTo, firstModel } from "../core/cascade/model_ladder.ts";
 import type { ModelPace } from "../core/cascade/model_pace.ts";
-import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
+import type {
+  AccountId,
+  InstanceId,
+  ModelId,
+  RouteId,
+  ServiceId,
+} from "../core/ids.ts";
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { SessionBook } from "../core/rollout/session_book.ts";
@@ -70,6 +76,8 @@
   /** When the last byte came, by the monotonic clock. */
   byteMs: number | undefined;
   outcome: string;
+  /** Why it ended as it did, where the outcome does not say. */
+  reason: string | undefined;
   confidence: number | undefined;
 }
 
@@ -133,6 +141,37 @@
     return this.#service;
   }
 
+  /** Route that the request takes. */
+  get route(): RouteId {
+    return this.#admitted.route.id;
+  }
+
+  /** Client account of the request, where its route needs one. */
+  get account(): AccountId | undefined {
+    return this.#admitted.account;
+  }
+
+  /** Version of the configuration by which it was last admitted. */
+  get configurationVersion(): number {
+    return this.#admitted.table.version;
+  }
+
+  /** Time since that configuration was confirmed as the newest, in milliseconds. */
+  get confirmedAgeMs(): number {
+    return this.#admitted.confirmedAgeMs;
+  }
+
+  /** Time within which the request had to end, in milliseconds. */
+  get limitMs(): number {
+    return this.#deadlineMs - this.#exchange.arrivedMs;
+  }
+
+  /** Repeats that the service could still have had. */
+  get budgetLeft(): number {
+    const { repeatBudget, clock } = this.#deps;
+    return repeatBudget.left(this.#service, clock.monotonicMs());
+  }
+
   /** Runs to the end; the caller has its answer then, or is gone. */
   async run(): Promise<void> {
     const { repeatBudget, clock } = this.#deps;
@@ -194,6 +233,7 @@
       firstByteMs: undefined,
       byteMs: undefined,
       outcome: "",
+      reason: undefined,
       confidence: undefined,
     };
     this.#tries.push(record);
@@ -219,6 +259,7 @@
     this.#endReading();
     serverLoads.end(server.instance, writeMs);
     record.outcome = outcome.tag;
+    record.reason = reasonOf(outcome);
     this.#noteEvidence(outcome, { server, record });
     this.#notePace(outcome, record);
     return outcome;
@@ -567,3 +608,18 @@
     return this.#deadlineMs - this.#deps.clock.monotonicMs();
   }
 }
+
+function reasonOf(outcome: TryOutcome): string | undefined {
+  switch (outcome.tag) {
+    case "not_sent":
+    case "broken":
+    case "stream_broken":
+      return outcome.reason;
+    case "not_run":
+      return `status ${outcome.status}`;
+    case "answered":
+      return `status ${outcome.head.status}`;
+    default:
+      return undefined;
+  }
+}
