Split what tries show from how a request runs; run streams that cannot be resumed once

Found by reading: on routes whose streams may not be resumed, a cascade would have run an attempt twice, and a used connection was risked; such streams begin with the largest model on a fresh connection now, with a test.

--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -1,6 +1,7 @@
 /** Chooses among models of unlike size, by how sure the smaller one is of its answer. */
 
 import type { ModelId } from "../ids.ts";
+import { mayRunAgain, type Route } from "../routes/route.ts";
 import type { PredictedRun } from "./model_pace.ts";
 
 /**
@@ -35,9 +36,12 @@
   readonly runsLeft: number;
 }
 
-/** Returns the model to begin with. */
-export function firstModel(models: readonly ModelId[]): ModelId | undefined {
-  return models[0];
+/**
+ * Returns the model to begin with: the smallest, or the largest where an attempt may run
+ * only once and so cannot be asked of another model afterwards.
+ */
+export function firstModel(route: Route): ModelId | undefined {
+  return mayRunAgain(route) ? route.models[0] : route.models.at(-1);
 }
 
 /** Returns the larger model to ask instead; undefined when the answer should be passed on. */
--- a/src/core/cascade/model_ladder_test.ts
+++ b/src/core/cascade/model_ladder_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { ModelId, RouteId } from "../ids.ts";
-import { escalateTo, type LadderInput } from "./model_ladder.ts";
+import { escalateTo, firstModel, type LadderInput } from "./model_ladder.ts";
+import type { Route } from "../routes/route.ts";
 import { ModelPace } from "./model_pace.ts";
 
 const SMALL = "m0" as ModelId;
@@ -18,6 +19,12 @@
 };
 
 describe("model ladder", () => {
+  it("should begin with the smallest, but not where only one run is allowed", () => {
+    const route = { kind: "stream", models: INPUT.models } as unknown as Route;
+    assert.equal(firstModel({ ...route, resumable: true }), SMALL);
+    assert.equal(firstModel({ ...route, resumable: false }), LARGE);
+  });
+
   it("should ask the largest model where the small one is not sure", () => {
     assert.equal(escalateTo(INPUT), LARGE);
     assert.equal(escalateTo({ ...INPUT, confidence: 90 }), undefined);
--- a/src/core/routes/route.ts
+++ b/src/core/routes/route.ts
@@ -41,6 +41,11 @@
   readonly models: readonly ModelId[];
 }
 
+/** Whether an attempt may run more than once; streams may if they can be resumed. */
+export function mayRunAgain({ kind, resumable }: Route): boolean {
+  return kind === "repeatable" || (kind === "stream" && resumable);
+}
+
 /** A model that the servers of a service run, and its price. */
 export interface PricedModel {
   readonly id: ModelId;
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -46,6 +46,7 @@
 import { SeedList } from "./seed_list.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
+import { TryObserver } from "./try_observer.ts";
 import { TrialController } from "./trial_controller.ts";
 
 /** What other VMs tell of sessions is up to this old. */
@@ -168,6 +169,7 @@
     addressList: asClass(AddressList).singleton(),
     serverSelector: asClass(ServerSelector).singleton(),
     requestAdmission: asClass(RequestAdmission).singleton(),
+    tryObserver: asClass(TryObserver).singleton(),
     requestLog: asClass(RequestLog).singleton(),
     requestServer: asClass(RequestServer).singleton(),
     gatewayMetrics: asClass(GatewayMetrics).singleton(),
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -4,7 +4,8 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import type { RequestRun, TryRecord } from "./request_run.ts";
+import type { RequestRun } from "./request_run.ts";
+import { describeTry } from "./try_record.ts";
 
 const MS_PER_SECOND = 1_000;
 /** One in so many requests that went well is logged. */
@@ -73,20 +74,6 @@
   }
 }
 
-/** "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte, confidence)". */
-function describeTry(one: TryRecord, arrivedMs: number): string {
-  const model = one.model === undefined ? "" : ` ${one.model}`;
-  const details = [
-    one.reason,
-    one.firstByteMs === undefined
-      ? "no first byte"
-      : `first byte after ${Math.round(one.firstByteMs)} ms`,
-    one.confidence === undefined ? undefined : `confidence ${one.confidence}`,
-  ].filter((text) => text !== undefined).join(", ");
-  const sentMs = Math.round(one.startedMs - arrivedMs);
-  return `${one.server} ${one.release}${model} sent at ${sentMs} ms: ${one.outcome} (${details})`;
-}
-
 function outcomeOf(exchange: CallerExchange): string {
   if (exchange.state === "caller_gone") return "caller_gone";
   const status = exchange.status ?? 0;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -11,15 +11,13 @@
   ServiceId,
 } from "../core/ids.ts";
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
-import type { EvidenceBook } from "../core/rollout/evidence.ts";
-import type { SessionBook } from "../core/rollout/session_book.ts";
 import type { Refusal } from "../core/refusal.ts";
-import type { ServerLoads } from "../core/servers/server_loads.ts";
 import {
   kindOf,
   type SilenceReason,
   type SilenceWatch,
 } from "../core/servers/silence.ts";
+import { mayRunAgain } from "../core/routes/route.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { BackendConnections } from "../backends/backend_connections.ts";
 import {
@@ -35,9 +33,11 @@
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { Admitted, RequestAdmission } from "./request_admission.ts";
-import { type ServerSelector, sessionOf } from "./server_selector.ts";
+import type { ServerSelector } from "./server_selector.ts";
 import { type PredictedWork, predictWork } from "./predicted_work.ts";
 import type { RequestLog } from "./request_log.ts";
+import type { ObservedTry, TryObserver } from "./try_observer.ts";
+import { endTryRecord, newTryRecord, type TryRecord } from "./try_record.ts";
 
 /** Wait of a caller that names none and whose route names none, in milliseconds. */
 const DEFAULT_WAIT_MS = 30_000;
@@ -53,11 +53,9 @@
   readonly requestAdmission: RequestAdmission;
   readonly serverSelector: ServerSelector;
   readonly backendConnections: BackendConnections;
-  readonly serverLoads: ServerLoads;
   readonly serverFollower: ServerFollower;
   readonly repeatBudget: RepeatBudget;
-  readonly evidenceBook: EvidenceBook;
-  readonly sessionBook: SessionBook;
+  readonly tryObserver: TryObserver;
   readonly modelPace: ModelPace;
   readonly silenceWatch: SilenceWatch;
   readonly requestLog: RequestLog;
@@ -65,22 +63,6 @@
   readonly logger: Logger;
 }
 
-/** A try that was made, for the log. */
-export interface TryRecord {
-  readonly server: InstanceId;
-  readonly release: string;
-  readonly model: ModelId | undefined;
-  readonly startedMs: number;
-  /** Time to the first byte of the answer. */
-  firstByteMs: number | undefined;
-  /** When the last byte came, by the monotonic clock. */
-  byteMs: number | undefined;
-  outcome: string;
-  /** Why it ended as it did, where the outcome does not say. */
-  reason: string | undefined;
-  confidence: number | undefined;
-}
-
 type Next = "again" | "done";
 
 /** Runs one admitted request to its end. */
@@ -97,8 +79,6 @@
   /** Larger model to ask instead, once a head was turned down. */
   #escalation: ModelId | undefined;
   #current: BackendTry | undefined;
-  /** Part of the predicted work that ends with the first byte. */
-  #reading: { readonly instance: InstanceId; readonly ms: number } | undefined;
   #splitter = new EventSplitter();
   #lastEvent: string | undefined;
   #runs = 0;
@@ -127,7 +107,7 @@
       admitted.route.timeLimitMs ?? Infinity,
     );
     this.#deadlineMs = arrivedMs + waitMs;
-    if (head.choosesModel) this.#model = firstModel(admitted.route.models);
+    if (head.choosesModel) this.#model = firstModel(admitted.route);
     this.#lastEvent = head.lastEvent;
   }
 
@@ -224,44 +204,37 @@
   }
 
   async #try(server: ServerRecord): Promise<TryOutcome> {
-    const { backendConnections, serverLoads, clock } = this.#deps;
-    const record: TryRecord = {
-      server: server.instance,
-      release: server.release,
-      model: this.#model,
-      startedMs: clock.monotonicMs(),
-      firstByteMs: undefined,
-      byteMs: undefined,
-      outcome: "",
-      reason: undefined,
-      confidence: undefined,
+    const { backendConnections, tryObserver, clock } = this.#deps;
+    const { route } = this.#admitted;
+    const startedMs = clock.monotonicMs();
+    const record = newTryRecord(server, { model: this.#model, startedMs });
+    const observed: ObservedTry = {
+      server,
+      service: this.#service,
+      route: route.id,
+      head: this.#exchange.head,
+      record,
+      work: this.#predictWork(),
     };
     this.#tries.push(record);
     this.#tried.add(server.instance);
-    const { readMs, writeMs } = this.#predictWork();
-    this.#reading = { instance: server.instance, ms: readMs };
-    serverLoads.begin(server.instance, readMs + writeMs);
-    this.#noteSession(server);
+    tryObserver.began(observed);
     this.#current = new BackendTry(backendConnections, {
       server,
       request: this.#backendRequest(server),
       attempt: this.#exchange.head.attempt,
       // What must not run twice is not risked on a connection that may just be closing.
-      fresh: this.#admitted.route.kind === "once",
+      fresh: !mayRunAgain(route),
       sink: {
         judge: (head) => this.#judge(head, record),
         write: (chunk) => this.#passOn(chunk),
-        onProgress: () => this.#noteByte(record),
+        onProgress: () => tryObserver.byteCame(observed),
       },
     });
     const outcome = await this.#current.run();
     this.#current = undefined;
-    this.#endReading();
-    serverLoads.end(server.instance, writeMs);
-    record.outcome = outcome.tag;
-    record.reason = reasonOf(outcome);
-    this.#noteEvidence(outcome, { server, record });
-    this.#notePace(outcome, record);
+    endTryRecord(record, outcome);
+    tryObserver.ended(observed, { outcome, expired: this.#expired });
     return outcome;
   }
 
@@ -289,72 +262,6 @@
     current.giveUp({ tag: streaming ? "stream_broken" : "broken", reason });
   }
 
-  #noteByte(record: TryRecord): void {
-    const { silenceWatch, clock } = this.#deps;
-    const nowMs = clock.monotonicMs();
-    silenceWatch.spoke(record.server, nowMs);
-    record.byteMs = nowMs;
-    if (record.firstByteMs !== undefined) return;
-    record.firstByteMs = nowMs - record.startedMs;
-    this.#endReading();
-    const kind = kindOf(this.#admitted.route.id, record.model);
-    silenceWatch.firstByte(kind, record.firstByteMs);
-  }
-
-  #notePace(outcome: TryOutcome, record: TryRecord): void {
-    if (outcome.tag !== "streamed" || record.model === undefined) return;
-    const { modelPace, clock } = this.#deps;
-    modelPace.observe({
-      route: this.#admitted.route.id,
-      model: record.model,
-      firstMs: record.firstByteMs ?? 0,
-      totalMs: clock.monotonicMs() - record.startedMs,
-      promptTokens: this.#exchange.head.promptTokens,
-      outputTokens: this.#exchange.head.outputTokens,
-    });
-  }
-
-  #noteSession({ release }: ServerRecord): void {
-    const session = sessionOf(this.#exchange.head);
-    if (session === undefined) return;
-    const seenMs = this.#deps.clock.monotonicMs();
-    this.#deps.sessionBook.note({ session, release, seenMs, here: true });
-  }
-
-  #noteEvidence(
-    outcome: TryOutcome,
-    { server, record }: { server: ServerRecord; record: TryRecord },
-  ): void {
-    const failed = this.#isFailure(outcome);
-    if (failed === undefined) return;
-    this.#deps.evidenceBook.observe({
-      service: this.#service,
-      release: server.release,
-      route: this.#admitted.route.id,
-      model: record.model,
-      failed,
-      firstByteMs: record.firstByteMs,
-    });
-  }
-
-  /** Whether a try speaks against its release; undefined where it says nothing. */
-  #isFailure(outcome: TryOutcome): boolean | undefined {
-    switch (outcome.tag) {
-      case "streamed":
-      case "turned_down":
-        return false;
-      case "answered":
-        return outcome.head.status >= 500;
-      case "broken":
-      case "stream_broken":
-        return true;
-      case "given_up":
-        return this.#expired ? true : undefined;
-      default:
-        return undefined;
-    }
-  }
-
   #predictWork(): PredictedWork {
     return predictWork(this.#exchange.head, {
       service: this.#admitted.table.service(this.#service),
@@ -362,14 +269,6 @@
     });
   }
 
-  /** With the first byte, the prompt has been read. */
-  #endReading(): void {
-    if (this.#reading === undefined) return;
-    const { instance, ms } = this.#reading;
-    this.#reading = undefined;
-    this.#deps.serverLoads.lighten(instance, ms);
-  }
-
   #backendRequest(server: ServerRecord) {
     const { method, url, host, rawHeaders } = this.#exchange;
     const { account, route } = this.#admitted;
@@ -405,7 +304,7 @@
 
   #larger(confidence: number | undefined): ModelId | undefined {
     const { route } = this.#admitted;
-    if (this.#model === undefined) return undefined;
+    if (this.#model === undefined || !mayRunAgain(route)) return undefined;
     const { repeatBudget, clock } = this.#deps;
     if (repeatBudget.left(this.#service, clock.monotonicMs()) < 1) {
       return undefined;
@@ -441,7 +340,6 @@
   }
 
   #after(outcome: TryOutcome, server: ServerRecord): Next {
-    this.#noteHealth(outcome, server);
     switch (outcome.tag) {
       case "given_up":
         this.#runs += 1;
@@ -520,9 +418,7 @@
   /** Whether a request that may have run may be sent again. */
   #mayRepeat(underWay = 0): boolean {
     const { route } = this.#admitted;
-    const repeatable = route.kind === "repeatable" ||
-      (route.kind === "stream" && route.resumable);
-    return repeatable && this.#runs + underWay < route.maxRuns;
+    return mayRunAgain(route) && this.#runs + underWay < route.maxRuns;
   }
 
   #hasOther(): boolean {
@@ -531,44 +427,6 @@
       repeatBudget.left(this.#service, clock.monotonicMs()) >= 1;
   }
 
-  #noteHealth(outcome: TryOutcome, { instance }: ServerRecord): void {
-    const { serverLoads, clock, logger } = this.#deps;
-    const nowMs = clock.monotonicMs();
-    const ejectMs = this.#ejection(outcome, { instance, nowMs });
-    if (ejectMs === undefined) return;
-    logger.warn("Server is avoided", {
-      server: instance,
-      outcome: outcome.tag,
-      for_ms: ejectMs,
-      failure_rate: serverLoads.failureRate(instance, nowMs),
-    });
-  }
-
-  #ejection(
-    outcome: TryOutcome,
-    { instance, nowMs }: { instance: InstanceId; nowMs: number },
-  ): number | undefined {
-    const { serverLoads } = this.#deps;
-    switch (outcome.tag) {
-      case "streamed":
-      case "turned_down":
-        serverLoads.succeeded(instance, nowMs);
-        return undefined;
-      case "answered":
-        if (outcome.head.status < 500) serverLoads.succeeded(instance, nowMs);
-        else return serverLoads.failed(instance, nowMs);
-        return undefined;
-      case "not_sent":
-        return serverLoads.unreachable(instance, nowMs);
-      case "broken":
-      case "stream_broken":
-      case "not_run":
-        return serverLoads.failed(instance, nowMs);
-      default:
-        return undefined;
-    }
-  }
-
   #noServer(): Next {
     if (this.#mayHaveRun) {
       return this.#finish({
@@ -608,18 +466,3 @@
     return this.#deadlineMs - this.#deps.clock.monotonicMs();
   }
 }
-
-function reasonOf(outcome: TryOutcome): string | undefined {
-  switch (outcome.tag) {
-    case "not_sent":
-    case "broken":
-    case "stream_broken":
-      return outcome.reason;
-    case "not_run":
-      return `status ${outcome.status}`;
-    case "answered":
-      return `status ${outcome.head.status}`;
-    default:
-      return undefined;
-  }
-}
--- /dev/null
+++ b/src/gateway/try_observer.ts
@@ -0,0 +1,172 @@
+/** Passes on what each try shows of servers, models and releases. */
+
+import type { TryOutcome } from "../backends/backend_try.ts";
+import type { ModelPace } from "../core/cascade/model_pace.ts";
+import type { InstanceId, RouteId, ServiceId } from "../core/ids.ts";
+import type { EvidenceBook } from "../core/rollout/evidence.ts";
+import type { SessionBook } from "../core/rollout/session_book.ts";
+import type { ServerLoads } from "../core/servers/server_loads.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import { kindOf, type SilenceWatch } from "../core/servers/silence.ts";
+import type { CallerHead } from "../platform/header_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import type { PredictedWork } from "./predicted_work.ts";
+import { sessionOf } from "./server_selector.ts";
+import type { TryRecord } from "./try_record.ts";
+
+interface Deps {
+  readonly serverLoads: ServerLoads;
+  readonly evidenceBook: EvidenceBook;
+  readonly sessionBook: SessionBook;
+  readonly modelPace: ModelPace;
+  readonly silenceWatch: SilenceWatch;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What a try is about. */
+export interface ObservedTry {
+  readonly server: ServerRecord;
+  readonly service: ServiceId;
+  readonly route: RouteId;
+  readonly head: CallerHead;
+  readonly record: TryRecord;
+  readonly work: PredictedWork;
+}
+
+/** Notes the beginning, the bytes and the end of tries. */
+export class TryObserver {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** A request is about to be sent. */
+  began({ server, head, work }: ObservedTry): void {
+    const { serverLoads, sessionBook, clock } = this.#deps;
+    serverLoads.begin(server.instance, work.readMs + work.writeMs);
+    const session = sessionOf(head);
+    if (session === undefined) return;
+    const seenMs = clock.monotonicMs();
+    sessionBook.note({ session, release: server.release, seenMs, here: true });
+  }
+
+  /** A byte of the answer has come. */
+  byteCame({ server, route, record, work }: ObservedTry): void {
+    const { silenceWatch, serverLoads, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    silenceWatch.spoke(server.instance, nowMs);
+    record.byteMs = nowMs;
+    if (record.firstByteMs !== undefined) return;
+    record.firstByteMs = nowMs - record.startedMs;
+    // With the first byte, the prompt has been read.
+    serverLoads.lighten(server.instance, work.readMs);
+    silenceWatch.firstByte(kindOf(route, record.model), record.firstByteMs);
+  }
+
+  /** A try has ended; `expired` tells that the time of its request is up. */
+  ended(
+    observed: ObservedTry,
+    { outcome, expired }: { outcome: TryOutcome; expired: boolean },
+  ): void {
+    const { server, record, work } = observed;
+    const read = record.firstByteMs !== undefined;
+    const left = work.writeMs + (read ? 0 : work.readMs);
+    this.#deps.serverLoads.end(server.instance, left);
+    this.#noteHealth(outcome, server.instance);
+    this.#noteEvidence(observed, { outcome, expired });
+    this.#notePace(observed, outcome);
+  }
+
+  #noteEvidence(
+    { server, service, route, record }: ObservedTry,
+    { outcome, expired }: { outcome: TryOutcome; expired: boolean },
+  ): void {
+    const failed = speaksAgainstRelease(outcome, expired);
+    if (failed === undefined) return;
+    this.#deps.evidenceBook.observe({
+      service,
+      release: server.release,
+      route,
+      model: record.model,
+      failed,
+      firstByteMs: record.firstByteMs,
+    });
+  }
+
+  #notePace({ route, head, record }: ObservedTry, outcome: TryOutcome): void {
+    if (outcome.tag !== "streamed" || record.model === undefined) return;
+    const { modelPace, clock } = this.#deps;
+    modelPace.observe({
+      route,
+      model: record.model,
+      firstMs: record.firstByteMs ?? 0,
+      totalMs: clock.monotonicMs() - record.startedMs,
+      promptTokens: head.promptTokens,
+      outputTokens: head.outputTokens,
+    });
+  }
+
+  #noteHealth(outcome: TryOutcome, instance: InstanceId): void {
+    const { serverLoads, clock, logger } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    const avoidMs = this.#avoidanceMs(outcome, { instance, nowMs });
+    if (avoidMs === undefined) return;
+    logger.warn("Server is avoided", {
+      server: instance,
+      outcome: outcome.tag,
+      for_ms: avoidMs,
+      failure_rate: serverLoads.failureRate(instance, nowMs),
+    });
+  }
+
+  #avoidanceMs(
+    outcome: TryOutcome,
+    { instance, nowMs }: { instance: InstanceId; nowMs: number },
+  ): number | undefined {
+    const { serverLoads } = this.#deps;
+    switch (outcome.tag) {
+      case "streamed":
+      case "turned_down":
+        serverLoads.succeeded(instance, nowMs);
+        return undefined;
+      case "answered":
+        if (outcome.head.status >= 500) {
+          return serverLoads.failed(instance, nowMs);
+        }
+        serverLoads.succeeded(instance, nowMs);
+        return undefined;
+      case "not_sent":
+        return serverLoads.unreachable(instance, nowMs);
+      case "broken":
+      case "stream_broken":
+      case "not_run":
+        return serverLoads.failed(instance, nowMs);
+      default:
+        return undefined;
+    }
+  }
+}
+
+/** Whether a try speaks against its release; undefined where it says nothing. */
+function speaksAgainstRelease(
+  outcome: TryOutcome,
+  expired: boolean,
+): boolean | undefined {
+  switch (outcome.tag) {
+    case "streamed":
+    case "turned_down":
+      return false;
+    case "answered":
+      return outcome.head.status >= 500;
+    case "broken":
+    case "stream_broken":
+      return true;
+    case "given_up":
+      return expired ? true : undefined;
+    default:
+      return undefined;
+  }
+}
--- /dev/null
+++ b/src/gateway/try_record.ts
@@ -0,0 +1,79 @@
+/** What is kept of each try of a request, for decisions and for the log. */
+
+import type { TryOutcome } from "../backends/backend_try.ts";
+import type { InstanceId, ModelId } from "../core/ids.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+
+/** One try. */
+export interface TryRecord {
+  readonly server: InstanceId;
+  readonly release: string;
+  readonly model: ModelId | undefined;
+  /** By the monotonic clock, like all times here. */
+  readonly startedMs: number;
+  /** Time to the first byte of the answer. */
+  firstByteMs: number | undefined;
+  /** When the last byte came. */
+  byteMs: number | undefined;
+  outcome: string;
+  /** Why it ended as it did, where the outcome does not say. */
+  reason: string | undefined;
+  /** How good the model took its answer to be, 0 to 100. */
+  confidence: number | undefined;
+}
+
+/** Begins the record of a try. */
+export function newTryRecord(
+  { instance, release }: ServerRecord,
+  { model, startedMs }: { model: ModelId | undefined; startedMs: number },
+): TryRecord {
+  return {
+    server: instance,
+    release,
+    model,
+    startedMs,
+    firstByteMs: undefined,
+    byteMs: undefined,
+    outcome: "under_way",
+    reason: undefined,
+    confidence: undefined,
+  };
+}
+
+/** Notes how a try ended. */
+export function endTryRecord(record: TryRecord, outcome: TryOutcome): void {
+  record.outcome = outcome.tag;
+  record.reason = reasonOf(outcome);
+}
+
+/** "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte, confidence)". */
+export function describeTry(record: TryRecord, arrivedMs: number): string {
+  const model = record.model === undefined ? "" : ` ${record.model}`;
+  const details = [
+    record.reason,
+    record.firstByteMs === undefined
+      ? "no first byte"
+      : `first byte after ${Math.round(record.firstByteMs)} ms`,
+    record.confidence === undefined
+      ? undefined
+      : `confidence ${record.confidence}`,
+  ].filter((text) => text !== undefined).join(", ");
+  const sentMs = Math.round(record.startedMs - arrivedMs);
+  return `${record.server} ${record.release}${model} sent at ${sentMs} ms: ` +
+    `${record.outcome} (${details})`;
+}
+
+function reasonOf(outcome: TryOutcome): string | undefined {
+  switch (outcome.tag) {
+    case "not_sent":
+    case "broken":
+    case "stream_broken":
+      return outcome.reason;
+    case "not_run":
+      return `status ${outcome.status}`;
+    case "answered":
+      return `status ${outcome.head.status}`;
+    default:
+      return undefined;
+  }
+}
