--- a/scripts/undici_parts.cjs
+++ b/scripts/undici_parts.cjs
@@ -1,6 +1,8 @@
 // The parts of undici that the program uses. Its main module loads fetch, caches and web
 // sockets as well, which cost each small VM some 10 MB and a tenth of a second at start.
-const Dispatcher = require("../node_modules/undici/lib/dispatcher/dispatcher.js");
+const Dispatcher = require(
+  "../node_modules/undici/lib/dispatcher/dispatcher.js",
+);
 const Agent = require("../node_modules/undici/lib/dispatcher/agent.js");
 const Client = require("../node_modules/undici/lib/dispatcher/client.js");
 const buildConnector = require("../node_modules/undici/lib/core/connect.js");
