--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -4,7 +4,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import type { RequestRun } from "./request_run.ts";
+import type { RunSummary } from "./run_summary.ts";
 import { describeTry } from "./try_record.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -40,7 +40,7 @@
   }
 
   /** Notes the end of a request. */
-  ended(exchange: CallerExchange, run: RequestRun): void {
+  ended(exchange: CallerExchange, run: RunSummary): void {
     const status = exchange.status ?? 0;
     this.#count(exchange, run);
     const plain = status >= 200 && status < 300 && run.tries.length === 1 &&
@@ -66,7 +66,7 @@
     });
   }
 
-  #count(exchange: CallerExchange, { service, tries }: RequestRun): void {
+  #count(exchange: CallerExchange, { service, tries }: RunSummary): void {
     const { requests, duration, tries: triesMetric } = this.#metrics;
     requests.inc({ service, outcome: outcomeOf(exchange) });
     duration.observe({ service }, exchange.ageMs() / MS_PER_SECOND);
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -151,6 +151,6 @@
     } finally {
       this.#runs.delete(run);
     }
-    requestLog.ended(exchange, run);
+    requestLog.ended(exchange, run.summary());
   }
 }
--- /dev/null
+++ b/src/gateway/run_summary.ts
@@ -0,0 +1,21 @@
+/** What decided a request, for the log. */
+
+import type { AccountId, RouteId, ServiceId } from "../core/ids.ts";
+import type { TryRecord } from "./try_record.ts";
+
+/** Inputs and tries of one request. */
+export interface RunSummary {
+  readonly service: ServiceId;
+  readonly route: RouteId;
+  /** Undefined where the route needs no key. */
+  readonly account: AccountId | undefined;
+  /** Version of the configuration by which the request was last admitted. */
+  readonly configurationVersion: number;
+  /** Time since that configuration was confirmed as the newest, in milliseconds. */
+  readonly confirmedAgeMs: number;
+  /** Time within which the request had to end, in milliseconds. */
+  readonly limitMs: number;
+  /** Repeats that the service could still have had. */
+  readonly budgetLeft: number;
+  readonly tries: readonly TryRecord[];
+}
--- /dev/null
+++ b/src/gateway/try_sender.ts
@@ -0,0 +1,212 @@
+/** Sends one request to servers, one after the other, and keeps what became of it. */
+
+import type { Buffer } from "node:buffer";
+import type { BackendRequest } from "../backends/backend_connection.ts";
+import type { BackendConnections } from "../backends/backend_connections.ts";
+import {
+  type AnswerHead,
+  BackendTry,
+  type HeadVerdict,
+  type TryOutcome,
+} from "../backends/backend_try.ts";
+import type { InstanceId, ServiceId } from "../core/ids.ts";
+import { mayRunAgain, type Route } from "../core/routes/route.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import {
+  kindOf,
+  type SilenceReason,
+  type SilenceWatch,
+} from "../core/servers/silence.ts";
+import { encodeBackendRequest } from "../platform/header_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import type { ModelChoice } from "./model_choice.ts";
+import { type PredictedWork, predictWork } from "./predicted_work.ts";
+import type { Admitted } from "./request_admission.ts";
+import type { ServerSelector } from "./server_selector.ts";
+import type { StreamRelay } from "./stream_relay.ts";
+import type { ObservedTry, TryObserver } from "./try_observer.ts";
+import { endTryRecord, newTryRecord, type TryRecord } from "./try_record.ts";
+
+/** Least urgent class that servers know. */
+const LEAST_URGENT = 9;
+const NONE: ReadonlySet<InstanceId> = new Set();
+
+/** What all senders share. */
+export interface TrySenderDeps {
+  readonly serverSelector: ServerSelector;
+  readonly backendConnections: BackendConnections;
+  readonly tryObserver: TryObserver;
+  readonly silenceWatch: SilenceWatch;
+  readonly clock: Clock;
+}
+
+/** What stays the same over all tries of a request. */
+export interface SentRequest {
+  readonly exchange: CallerExchange;
+  readonly body: Buffer | undefined;
+  readonly service: ServiceId;
+  readonly models: ModelChoice;
+  readonly stream: StreamRelay;
+}
+
+/** What holds for one try. */
+export interface TryTerms {
+  readonly admitted: Admitted;
+  /** Time that the request has left, in milliseconds. */
+  readonly leftMs: number;
+  /** Decides by the head of an answer. */
+  readonly judge: (head: AnswerHead) => HeadVerdict;
+  /** Whether the time of the request is up, asked when the try has ended. */
+  readonly isExpired: () => boolean;
+}
+
+/** Makes the tries of one request. */
+export class TrySender {
+  readonly #deps: TrySenderDeps;
+  readonly #request: SentRequest;
+  readonly #tried = new Set<InstanceId>();
+  readonly #tries: TryRecord[] = [];
+  #current: BackendTry | undefined;
+
+  constructor(deps: TrySenderDeps, request: SentRequest) {
+    this.#deps = deps;
+    this.#request = request;
+  }
+
+  /** Tries made so far. */
+  get tries(): readonly TryRecord[] {
+    return this.#tries;
+  }
+
+  /** Whether bytes of the try under way may have reached its server. */
+  get isSent(): boolean {
+    return this.#current?.sent ?? false;
+  }
+
+  /**
+   * Returns the server for the next try. One that was tried already comes only where no
+   * other is left and the request `mayComeBack` to it.
+   */
+  choose(
+    admitted: Admitted,
+    { mayComeBack }: { mayComeBack: boolean },
+  ): ServerRecord | undefined {
+    const untried = this.#select(admitted, this.#tried);
+    if (untried !== undefined || !mayComeBack) return untried;
+    return this.#select(admitted, NONE);
+  }
+
+  /** Lets servers be used again that were tried, as with another model. */
+  forgetTried(): void {
+    this.#tried.clear();
+  }
+
+  /** Sends the request; resolves when the try has ended. */
+  async send(server: ServerRecord, terms: TryTerms): Promise<TryOutcome> {
+    const { backendConnections, tryObserver } = this.#deps;
+    const { exchange, stream } = this.#request;
+    const observed = this.#observe(server, terms.admitted);
+    this.#tries.push(observed.record);
+    this.#tried.add(server.instance);
+    tryObserver.began(observed);
+    this.#current = new BackendTry(backendConnections, {
+      server,
+      request: this.#backendRequest(server, terms),
+      attempt: exchange.head.attempt,
+      // What must not run twice is not risked on a connection that may just be closing.
+      fresh: !mayRunAgain(terms.admitted.route),
+      sink: {
+        judge: (head) => {
+          observed.record.confidence = head.decoded.confidence;
+          return terms.judge(head);
+        },
+        write: (chunk) => stream.write(chunk, () => this.#current?.resume()),
+        onProgress: () => tryObserver.byteCame(observed),
+      },
+    });
+    const outcome = await this.#current.run();
+    this.#current = undefined;
+    endTryRecord(observed.record, outcome);
+    tryObserver.ended(observed, { outcome, expired: terms.isExpired() });
+    return outcome;
+  }
+
+  /** Gives the try up that is under way, if there is one. */
+  giveUp(outcome?: TryOutcome): void {
+    this.#current?.giveUp(outcome);
+  }
+
+  /** Says why the try under way should be given up as silent, if it should. */
+  silence(
+    { id, targetMs }: Route,
+    nowMs: number,
+  ): SilenceReason | undefined {
+    const record = this.#tries.at(-1);
+    if (record === undefined || !this.isSent) return undefined;
+    return this.#deps.silenceWatch.judge({
+      instance: record.server,
+      kind: kindOf(id, record.model),
+      sentMs: record.startedMs,
+      targetMs,
+      byteMs: record.byteMs,
+    }, nowMs);
+  }
+
+  #select(
+    admitted: Admitted,
+    tried: ReadonlySet<InstanceId>,
+  ): ServerRecord | undefined {
+    const { exchange, service, models } = this.#request;
+    return this.#deps.serverSelector.choose({
+      service,
+      head: exchange.head,
+      model: models.model,
+      tried,
+      sharedMs: this.#predictWork(admitted).sharedMs,
+    });
+  }
+
+  #observe(server: ServerRecord, admitted: Admitted): ObservedTry {
+    const { exchange, service, models } = this.#request;
+    const { model } = models;
+    const startedMs = this.#deps.clock.monotonicMs();
+    return {
+      server,
+      service,
+      route: admitted.route.id,
+      head: exchange.head,
+      record: newTryRecord(server, { model, startedMs }),
+      work: this.#predictWork(admitted),
+    };
+  }
+
+  #predictWork({ table }: Admitted): PredictedWork {
+    const { exchange, service, models } = this.#request;
+    return predictWork(exchange.head, {
+      service: table.service(service),
+      model: models.model,
+    });
+  }
+
+  #backendRequest(
+    { instance }: ServerRecord,
+    { admitted, leftMs }: TryTerms,
+  ): BackendRequest {
+    const { exchange, body, models, stream } = this.#request;
+    const { method, url, host, rawHeaders } = exchange;
+    const { account, route, priority } = admitted;
+    const headers = encodeBackendRequest(rawHeaders, {
+      host,
+      instance,
+      waitMs: leftMs,
+      account,
+      urgency: route.kind === "stream"
+        ? Math.min(LEAST_URGENT, priority)
+        : undefined,
+      model: models.model,
+      lastEvent: stream.lastEvent,
+    });
+    return { method, path: url, headers, body };
+  }
+}
