--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -22,6 +22,8 @@
   "--test",
   "--test-reporter=spec",
   "--test-concurrency=4",
+  // A hang guard: a test that waits for ever would hold CI up for as long.
+  "--test-timeout=300000",
 ];
 const { status } = spawnSync(process.execPath, [...args, ...files], {
   stdio: "inherit",
