--- a/src/core/membership/member.ts
+++ b/src/core/membership/member.ts
@@ -21,6 +21,8 @@
   readonly state: MemberState;
   /** Revision that the entry had in force when it last told. */
   readonly revision: Revision;
+  /** Processor cores that the VM may use; undefined where it does not tell. */
+  readonly cores?: number | undefined;
 }
 
 const STATE_RANK: Record<MemberState, number> = {
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -185,6 +185,8 @@
   #noteRevision(row: Row, news: Member): void {
     if (news.incarnation !== row.member.incarnation) return;
     if (news.revision <= row.member.revision) return;
+    // Callers are told of those that have a configuration, so the first one is news.
+    if (row.member.revision === NO_REVISION) row.told = 0;
     row.member = { ...row.member, revision: news.revision };
   }
 
--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -36,12 +36,22 @@
   readonly firstByteMs: number | undefined;
 }
 
+/** Whose evidence is told: a VM's own, a relay's and its followers', or the fleet's. */
+export type EvidenceScope = "own" | "group" | "fleet";
+
 /** Evidence that another VM has told. */
-interface Told {
+export interface ToldEvidence {
+  /** Life of the process that tells. */
   readonly life: number;
+  readonly scope: EvidenceScope;
   readonly evidence: readonly Evidence[];
 }
 
+interface Told {
+  readonly vm: EntryId;
+  readonly told: ToldEvidence;
+}
+
 /** Evidence of this VM and the last that each other VM told. */
 export class EvidenceBook {
   readonly #own = new Map<string, Evidence>();
@@ -66,24 +76,35 @@
     return [...this.#own.values()].filter((row) => row.service === service);
   }
 
-  /** Takes in what another VM has counted in one life of its process. */
-  hear(
-    vm: EntryId,
-    { life, evidence }: { life: number; evidence: readonly Evidence[] },
-  ): void {
-    // Counts of an earlier life stay: those answers were given as well.
-    this.#told.set(`${vm}/${life}`, { life, evidence });
+  /** Takes in what another VM has counted. */
+  hear(vm: EntryId, told: ToldEvidence): void {
+    for (const [key, known] of this.#told) {
+      if (replaces({ vm, told }, known)) this.#told.delete(key);
+    }
+    // Counts of a VM's earlier life stay: those answers were given as well.
+    const key = told.scope === "own" ? `${vm}/${told.life}` : vm;
+    this.#told.set(key, { vm, told });
+  }
+
+  /** Evidence of this VM, and what some others have told of themselves, added up. */
+  group(service: ServiceId, vms: ReadonlySet<EntryId>): Evidence[] {
+    const told = [...this.#told.values()].filter(({ vm }) => vms.has(vm));
+    return sumByRelease([...this.own(service), ...rowsOf(told, service)]);
+  }
+
+  /** Evidence of all but one VM that asks, added up. */
+  allBut(vm: EntryId, service: ServiceId): Evidence[] {
+    const told = [...this.#told.values()].filter((row) => row.vm !== vm);
+    return sumByRelease([...this.own(service), ...rowsOf(told, service)]);
   }
 
   /** All evidence about one release, added up by route and model. */
   total(service: ServiceId, release: ReleaseId): EvidenceByKind {
     const all = [
-      ...this.#own.values(),
-      ...[...this.#told.values()].flatMap(({ evidence }) => evidence),
+      ...this.own(service),
+      ...rowsOf([...this.#told.values()], service),
     ];
-    return sumByKind(
-      all.filter((row) => row.service === service && row.release === release),
-    );
+    return sumByKind(all.filter((row) => row.release === release));
   }
 
   /** Forgets what was counted of a service, once its roll-out is over. */
@@ -91,13 +112,32 @@
     for (const [key, row] of this.#own) {
       if (row.service === service) this.#own.delete(key);
     }
-    for (const [key, told] of this.#told) {
+    for (const [key, { vm, told }] of this.#told) {
       const evidence = told.evidence.filter((row) => row.service !== service);
-      this.#told.set(key, { ...told, evidence });
+      this.#told.set(key, { vm, told: { ...told, evidence } });
     }
   }
 }
 
+/** Whether what is told now already contains what was told before. */
+function replaces({ vm, told }: Told, known: Told): boolean {
+  if (told.scope === "fleet" || known.told.scope === "fleet") return true;
+  return known.vm === vm &&
+    (known.told.scope === "group" || told.scope === "group");
+}
+
+function rowsOf(told: readonly Told[], service: ServiceId): Evidence[] {
+  return told.flatMap((row) => row.told.evidence)
+    .filter((row) => row.service === service);
+}
+
+function sumByRelease(rows: readonly Evidence[]): Evidence[] {
+  const releases = new Set(rows.map(({ release }) => release));
+  return [...releases].flatMap((release) => [
+    ...sumByKind(rows.filter((row) => row.release === release)).values(),
+  ]);
+}
+
 function kindOfEvidence(
   { route, model }: Pick<Evidence, "route" | "model">,
 ): string {
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -187,9 +187,9 @@
       failures: 2,
       logMsSum: 20,
     };
-    book.hear("vm-2" as EntryId, { life: 1, evidence: [told] });
-    book.hear("vm-2" as EntryId, { life: 1, evidence: [told] });
-    book.hear("vm-2" as EntryId, { life: 2, evidence: [told] });
+    book.hear("vm-2" as EntryId, { life: 1, scope: "own", evidence: [told] });
+    book.hear("vm-2" as EntryId, { life: 1, scope: "own", evidence: [told] });
+    book.hear("vm-2" as EntryId, { life: 2, scope: "own", evidence: [told] });
     assert.equal(book.total(SERVICE, NEW).get(`${route}/`)?.answers, 10);
   });
 });
--- a/src/core/rollout/session_book.ts
+++ b/src/core/rollout/session_book.ts
@@ -10,10 +10,17 @@
   readonly session: PromptPartId;
   readonly release: ReleaseId;
   readonly seenMs: number;
-  /** Whether this VM served the request, and so has to tell of it. */
+  /** Whether this VM served the request, or a VM that follows it. */
   readonly here: boolean;
 }
 
+/** Which sessions are asked for. */
+export interface SessionFilter {
+  readonly wanted: (seen: SeenSession) => boolean;
+  /** Sessions, at most. */
+  readonly most: number;
+}
+
 /** Sessions of this VM, and those that others have told of. */
 export class SessionBook {
   readonly #gapMs: number;
@@ -45,18 +52,10 @@
     return seen.release;
   }
 
-  /** Sessions that were served here and are not over, the latest first, at most so many. */
-  recent(
-    nowMs: number,
-    { wanted, most }: {
-      wanted: (session: PromptPartId) => boolean;
-      most: number;
-    },
-  ): SeenSession[] {
+  /** Sessions that are not over, the latest first. */
+  recent(nowMs: number, { wanted, most }: SessionFilter): SeenSession[] {
     this.#forgetOld(nowMs);
-    return [...this.#seen.values()].reverse()
-      .filter(({ session, here }) => here && wanted(session))
-      .slice(0, most);
+    return [...this.#seen.values()].reverse().filter(wanted).slice(0, most);
   }
 
   #forgetOld(nowMs: number): void {
--- a/src/core/servers/server_loads.ts
+++ b/src/core/servers/server_loads.ts
@@ -1,6 +1,8 @@
 /** What this VM has under way at each backend server, and how they have done lately. */
 
 import type { InstanceId } from "../ids.ts";
+import { RecentAnswers } from "./recent_answers.ts";
+import type { ServerReport } from "./server_report.ts";
 
 /** Failures in a row after which a server is avoided. */
 const FAILURES_TO_EJECT = 3;
@@ -15,12 +17,24 @@
 /** Longest that a server is avoided, in milliseconds. */
 const MAX_EJECT_MS = 6_000;
 
+/** VMs that must have seen failures before all avoid a server: one may be cut off. */
+const FLEET_WITNESSES = 2;
+/** Recent failures at all VMs, at least, before all avoid a server. */
+const FLEET_FAILURES = 2.5;
+/** Share of recent answers at all VMs that failed, from which all avoid a server. */
+const FLEET_FAILURE_RATE = 0.3;
+/** Count of recent failures from which a VM is a witness of them. */
+const WITNESS_FAILURES = 0.5;
+/** Count of recent answers below which a server is not worth a report. */
+const WORTH_TELLING = 0.1;
+
 interface Row {
   inFlight: number;
   /** Work under way, in predicted milliseconds of a server. */
   work: number;
-  /** The same at other VMs, as they told. */
-  workElsewhere: number;
+  /** What other VMs have told. */
+  elsewhere: ServerReport | undefined;
+  readonly recent: RecentAnswers;
   failuresInRow: number;
   failureRate: number;
   /** When the rate was last brought up to date. */
@@ -53,10 +67,12 @@
     row.work = Math.max(0, row.work - work);
   }
 
-  /** Takes in what other VMs have under way. */
-  setElsewhere(work: ReadonlyMap<InstanceId, number>): void {
-    for (const row of this.#rows.values()) row.workElsewhere = 0;
-    for (const [instance, ms] of work) this.#row(instance).workElsewhere = ms;
+  /** Takes in what all other VMs together have told, instead of what they told before. */
+  setElsewhere(reports: ReadonlyMap<InstanceId, ServerReport>): void {
+    for (const row of this.#rows.values()) row.elsewhere = undefined;
+    for (const [instance, report] of reports) {
+      this.#row(instance).elsewhere = report;
+    }
   }
 
   /** Requests of this VM under way at a server. */
@@ -67,18 +83,21 @@
   /** Predicted work under way at a server, from all VMs. */
   work(instance: InstanceId): number {
     const row = this.#rows.get(instance);
-    return row === undefined ? 0 : row.work + row.workElsewhere;
+    if (row === undefined) return 0;
+    return row.work + (row.elsewhere?.workMs ?? 0);
   }
 
-  /** Work of this VM under way, by server. */
-  ownWork(): Map<InstanceId, number> {
-    const busy = [...this.#rows].filter(([, row]) => row.work > 0);
-    return new Map(busy.map(([instance, row]) => [instance, row.work]));
+  /** What this VM has to tell of servers. */
+  ownReports(nowMs: number): ServerReport[] {
+    return [...this.#rows]
+      .map(([instance, row]) => reportOf(instance, { row, nowMs }))
+      .filter(({ workMs, answers }) => workMs > 0 || answers > WORTH_TELLING);
   }
 
   /** Notes a good answer. */
   succeeded(instance: InstanceId, nowMs: number): void {
     const row = this.#row(instance);
+    row.recent.note(false, nowMs);
     fade(row, nowMs);
     row.failuresInRow = 0;
     row.failureRate *= 1 - RATE_WEIGHT;
@@ -87,6 +106,15 @@
 
   /** Notes a failure; returns for how long the server is avoided from now on, if it is. */
   failed(instance: InstanceId, nowMs: number): number | undefined {
+    this.#row(instance).recent.note(true, nowMs);
+    return this.turnedAway(instance, nowMs);
+  }
+
+  /**
+   * Notes that a server has not run a request, as when it is full. Other VMs are not told:
+   * they see the work that is under way there. Returns as `failed` does.
+   */
+  turnedAway(instance: InstanceId, nowMs: number): number | undefined {
     const row = this.#row(instance);
     fade(row, nowMs);
     row.failuresInRow += 1;
@@ -100,13 +128,16 @@
   /** Avoids a server at once, as when it does not take connections. */
   unreachable(instance: InstanceId, nowMs: number): number | undefined {
     const row = this.#row(instance);
+    row.recent.note(true, nowMs);
     if (row.ejectedUntilMs > nowMs) return undefined;
     return this.#eject(row, nowMs);
   }
 
   /** Whether a server is avoided now. */
   isEjected(instance: InstanceId, nowMs: number): boolean {
-    return (this.#rows.get(instance)?.ejectedUntilMs ?? 0) > nowMs;
+    const row = this.#rows.get(instance);
+    if (row === undefined) return false;
+    return row.ejectedUntilMs > nowMs || fleetAvoids(instance, { row, nowMs });
   }
 
   /** Share of recent answers of a server that failed. */
@@ -137,7 +168,8 @@
     const row: Row = {
       inFlight: 0,
       work: 0,
-      workElsewhere: 0,
+      elsewhere: undefined,
+      recent: new RecentAnswers(),
       failuresInRow: 0,
       failureRate: 0,
       rateAtMs: 0,
@@ -149,6 +181,29 @@
   }
 }
 
+function reportOf(
+  instance: InstanceId,
+  { row, nowMs }: { row: Row; nowMs: number },
+): ServerReport {
+  const { answers, failures } = row.recent.counts(nowMs);
+  const witnesses = failures >= WITNESS_FAILURES ? 1 : 0;
+  return { instance, workMs: row.work, answers, failures, witnesses };
+}
+
+/** Whether the VMs together have seen enough failures of a server to avoid it. */
+function fleetAvoids(
+  instance: InstanceId,
+  { row, nowMs }: { row: Row; nowMs: number },
+): boolean {
+  if (row.elsewhere === undefined) return false;
+  const own = reportOf(instance, { row, nowMs });
+  const { answers, failures, witnesses } = row.elsewhere;
+  const allFailures = failures + own.failures;
+  return witnesses + own.witnesses >= FLEET_WITNESSES &&
+    allFailures >= FLEET_FAILURES &&
+    allFailures >= FLEET_FAILURE_RATE * (answers + own.answers);
+}
+
 function fade(row: Row, nowMs: number): void {
   const ageMs = Math.max(0, nowMs - row.rateAtMs);
   row.failureRate *= 0.5 ** (ageMs / RATE_HALF_LIFE_MS);
--- a/src/core/servers/server_loads_test.ts
+++ b/src/core/servers/server_loads_test.ts
@@ -1,10 +1,22 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { InstanceId } from "../ids.ts";
+import type { ServerReport } from "./server_report.ts";
 import { ServerLoads } from "./server_loads.ts";
 
 const A = "a" as InstanceId;
 
+function report(patch: Partial<ServerReport>): ServerReport {
+  return {
+    instance: A,
+    workMs: 0,
+    answers: 0,
+    failures: 0,
+    witnesses: 0,
+    ...patch,
+  };
+}
+
 /** Returns for how long the server is avoided after at most three failures. */
 function failUntilAvoided(loads: ServerLoads, nowMs: number): number {
   const answers = [1, 2, 3].map(() => loads.failed(A, nowMs));
@@ -31,7 +43,7 @@
   it("should add what other VMs have under way, and replace it", () => {
     const loads = new ServerLoads();
     loads.begin(A, 30);
-    loads.setElsewhere(new Map([[A, 50]]));
+    loads.setElsewhere(new Map([[A, report({ workMs: 50 })]]));
     assert.equal(loads.work(A), 80);
     loads.lighten(A, 10);
     loads.setElsewhere(new Map());
@@ -40,4 +52,39 @@
     assert.equal(loads.work(A), 0);
     assert.equal(loads.inFlight(A), 0);
   });
+
+  it("should avoid a server that fails for several VMs, though hardly seen here", () => {
+    const loads = new ServerLoads();
+    loads.failed(A, 0);
+    const failing = report({ answers: 4, failures: 3, witnesses: 3 });
+    loads.setElsewhere(new Map([[A, failing]]));
+    assert.equal(loads.isEjected(A, 0), true);
+    loads.setElsewhere(new Map());
+    assert.equal(loads.isEjected(A, 0), false);
+  });
+
+  it("should not avoid a server that fails for one VM only, which may be cut off", () => {
+    const loads = new ServerLoads();
+    const failing = report({ answers: 9, failures: 9, witnesses: 1 });
+    loads.setElsewhere(new Map([[A, failing]]));
+    assert.equal(loads.isEjected(A, 0), false);
+  });
+
+  it("should not avoid a server for the failures that all servers have", () => {
+    const loads = new ServerLoads();
+    const usual = report({ answers: 40, failures: 5, witnesses: 5 });
+    loads.setElsewhere(new Map([[A, usual]]));
+    assert.equal(loads.isEjected(A, 0), false);
+  });
+
+  it("should tell of servers with work or answers, and not that they were full", () => {
+    const loads = new ServerLoads();
+    loads.turnedAway(A, 0);
+    assert.deepEqual(loads.ownReports(0), []);
+    loads.failed(A, 0);
+    assert.deepEqual(loads.ownReports(0), [
+      report({ answers: 1, failures: 1, witnesses: 1 }),
+    ]);
+    assert.deepEqual(loads.ownReports(60_000), []);
+  });
 });
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -5,7 +5,7 @@
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ProbeOrder } from "../core/membership/probe_order.ts";
 import { TrpcClients } from "../peers/trpc_clients.ts";
-import { digestSchema, type VmDigest } from "../protocol/digest_schema.ts";
+import { digestAnswerSchema } from "../protocol/digest_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
@@ -13,11 +13,21 @@
 import type { VmRegistry } from "../store/vm_registry.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
 import type { DigestRouter } from "./digest_router.ts";
+import type { RelayRole } from "./relay_role.ts";
 
 /** Time between rounds. Load and sessions that others tell are about as old as this. */
 const ROUND_MS = 400;
-/** VMs asked in one round: at 7 VMs each pair talks about every 1.2 seconds. */
-const ASKED_PER_ROUND = 1;
+/**
+ * Other relays for each one that a relay asks in a round: each pair of them talks about
+ * every 1.2 seconds, counting the questions of both.
+ */
+const RELAYS_PER_ASKED = 6;
+/** A VM that follows a relay asks one VM of all in so many rounds, to find who has failed. */
+const PROBE_EVERY_ROUNDS = 5;
+/** Silent followers that a relay asks in one round, at most. */
+const MOST_SILENT_ASKED = 4;
+/** Relays that a VM asks in one round, at most, until one answers. */
+const MOST_RELAYS_TRIED = 2;
 /** Longest wait for an answer; VMs stand a few milliseconds apart. */
 const TIMEOUT_MS = 700;
 /** Every so many rounds a seed is asked, so that fleets that were apart join again. */
@@ -33,8 +43,12 @@
   /** Addresses of VMs that may be there, from settings and store. */
   readonly seedAddresses: () => readonly string[];
   readonly vmRegistry: VmRegistry;
+  readonly relayRole: RelayRole;
 }
 
+/** What a question brought: an answer, or one of a relay in touch with the store. */
+type Asked = "silent" | "answered" | "in_touch";
+
 /** Talks to a few VMs in each round. */
 export class DigestExchanger {
   readonly #deps: Deps;
@@ -73,16 +87,18 @@
   }
 
   async #round(): Promise<void> {
-    const { memberTable, digestKeeper, clock, logger } = this.#deps;
+    const { memberTable, digestKeeper, relayRole, clock, logger } = this.#deps;
     this.#rounds += 1;
+    digestKeeper.expire();
+    relayRole.update();
     // Nothing waits for slow VMs: the next round comes whether or not they answer.
+    if (!relayRole.held) void this.#askRelay();
     for (const member of this.#chosen()) void this.#probe(member);
     const members = memberTable.others();
     if (members.length === 0) void this.#deps.vmRegistry.whileAlone();
     if (members.length === 0 || this.#rounds % SEED_EVERY_ROUNDS === 0) {
       this.#askSeeds(members);
     }
-    digestKeeper.expire();
     this.#deps.repeatBudget.setVms(members.length + 1);
     const nowMs = clock.monotonicMs();
     for (const id of memberTable.expire(nowMs, { keepDead: false })) {
@@ -91,24 +107,52 @@
     await Promise.resolve();
   }
 
+  /** VMs to ask besides the relay that this VM follows. */
   #chosen(): Member[] {
-    const { memberTable, probeOrder } = this.#deps;
-    const members = memberTable.others();
+    const { memberTable, relayRole } = this.#deps;
+    if (!relayRole.held) {
+      const due = this.#rounds % PROBE_EVERY_ROUNDS === 0;
+      return due ? this.#some(memberTable.others(), 1) : [];
+    }
+    const relays = relayRole.others();
+    const count = Math.ceil(relays.length / RELAYS_PER_ASKED);
+    return [...this.#some(relays, count), ...this.#silentFollowers()];
+  }
+
+  /** VMs that should have asked this relay lately, but have not. */
+  #silentFollowers(): Member[] {
+    const { memberTable, digestKeeper, relayRole } = this.#deps;
+    return memberTable.others()
+      .filter((member) => relayRole.isFollower(member))
+      .filter(({ id }) => !digestKeeper.hasHeard(id))
+      .slice(0, MOST_SILENT_ASKED);
+  }
+
+  #some(members: readonly Member[], most: number): Member[] {
     const chosen: Member[] = [];
-    const count = Math.min(ASKED_PER_ROUND, members.length);
+    const count = Math.min(most, members.length);
     while (chosen.length < count) {
-      const next = probeOrder.next(members);
+      const next = this.#deps.probeOrder.next(members);
       if (next === undefined || chosen.includes(next)) break;
       chosen.push(next);
     }
     return chosen;
   }
 
+  async #askRelay(): Promise<void> {
+    const { relayRole } = this.#deps;
+    for (const relay of relayRole.toAsk().slice(0, MOST_RELAYS_TRIED)) {
+      const inTouch = await this.#ask(relay.peers) === "in_touch";
+      relayRole.heard(relay.id, inTouch);
+      if (inTouch) return;
+    }
+  }
+
   async #probe(member: Member): Promise<void> {
-    if (await this.#ask(member.peers)) return;
+    if (await this.#ask(member.peers) !== "silent") return;
     const { memberTable, clock, logger } = this.#deps;
     // A second miss in a row is needed where one packet may have been lost.
-    if (await this.#ask(member.peers)) return;
+    if (await this.#ask(member.peers) !== "silent") return;
     if (memberTable.suspect(member.id, clock.monotonicMs())) {
       logger.warn("VM is suspected", { peer: member.id });
     }
@@ -122,17 +166,19 @@
     for (const seed of new Set(unknown)) void this.#ask(seed);
   }
 
-  async #ask(address: string): Promise<boolean> {
+  async #ask(address: string): Promise<Asked> {
     const { digestKeeper } = this.#deps;
-    const input: VmDigest = digestKeeper.digest();
+    const question = digestKeeper.question();
     const askedMs = this.#deps.clock.monotonicMs();
     const answer = await this.#clients.call(address, {
       timeoutMs: TIMEOUT_MS,
       ask: async (client, signal) =>
-        digestSchema.parse(await client.exchange.mutate(input, { signal })),
+        digestAnswerSchema.parse(
+          await client.exchange.mutate(question, { signal }),
+        ),
     });
-    if (!answer.ok) return false;
-    digestKeeper.hearAnswer(answer.value, askedMs);
-    return true;
+    if (!answer.ok) return "silent";
+    const inTouch = digestKeeper.hearAnswer(answer.value, askedMs);
+    return inTouch ? "in_touch" : "answered";
   }
 }
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -1,23 +1,39 @@
 /** Puts together what this VM tells others, and takes in what they tell. */
 
-import type { EntryId, InstanceId, PromptPartId } from "../core/ids.ts";
+import type { EntryId } from "../core/ids.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
-import type { SessionBook } from "../core/rollout/session_book.ts";
+import type {
+  SessionBook,
+  SessionFilter,
+} from "../core/rollout/session_book.ts";
 import { sessionPoint, TOLD_SHARE } from "../core/rollout/session_point.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
+import {
+  type ServerReport,
+  sumReports,
+} from "../core/servers/server_report.ts";
 import type { UnitHash } from "../core/routing/version_choice.ts";
-import type { VmDigest } from "../protocol/digest_schema.ts";
+import type {
+  DigestAnswer,
+  DigestQuestion,
+  VmDigest,
+} from "../protocol/digest_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { StoreSync } from "../store/store_sync.ts";
 import type { DigestExchange } from "./digest_router.ts";
+import type { RelayRole } from "./relay_role.ts";
+import { ToldDigests } from "./told_digests.ts";
 
-/** Loads that other VMs told longer ago than this no longer count. */
-const LOAD_MAX_AGE_MS = 1_500;
 /** Sessions in one digest, at most. */
-const MOST_SESSIONS = 200;
+const MOST_SESSIONS = 400;
+/** A VM that asks three times a second has heard of sessions before this, in milliseconds. */
+const SESSION_WINDOW_MS = 1_500;
+/** Counts are told with this many steps to one: the rest is noise on the wire. */
+const COUNT_STEPS = 100;
 
 /** Stands for "never", which JSON cannot say. */
 const MAX_AGE_MS = 1_000_000_000;
@@ -29,109 +45,171 @@
   readonly sessionBook: SessionBook;
   readonly releaseGate: ReleaseGate;
   readonly routingFollower: RoutingFollower;
+  readonly storeSync: StoreSync;
+  readonly relayRole: RelayRole;
   readonly unitHash: UnitHash;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
-interface ToldWork {
-  readonly atMs: number;
-  readonly work: VmDigest["work"];
-}
+/** Parts of a digest that depend on who is told. */
+type Told = Pick<VmDigest, "scope" | "servers" | "evidence" | "sessions">;
 
 /** Keeps the newest digest of each VM. */
 export class DigestKeeper implements DigestExchange {
   readonly #deps: Deps;
   readonly #life: number;
-  readonly #work = new Map<EntryId, ToldWork>();
+  readonly #told = new ToldDigests();
 
   constructor(deps: Deps) {
     this.#deps = deps;
     this.#life = deps.clock.wallMs();
   }
 
-  /** Answers a digest with that of this VM. */
-  exchange(told: VmDigest): VmDigest {
-    const { memberTable } = this.#deps;
-    const isNew = memberTable.get(told.self.id) === undefined;
-    this.hear(told);
-    const digest = this.digest();
+  /** What this VM asks others. */
+  question(): DigestQuestion {
+    return {
+      digest: this.#digest(this.#ofGroup()),
+      known: this.#deps.storeSync.known(),
+    };
+  }
+
+  /** Answers the question of another VM. */
+  exchange({ digest: asked, known }: DigestQuestion): DigestAnswer {
+    const { memberTable, storeSync, relayRole } = this.#deps;
+    const { id } = asked.self;
+    const isNew = memberTable.get(id) === undefined || !this.#told.has(id);
+    this.#hear(asked);
+    const follows = relayRole.held && !asked.relay;
+    const digest = this.#digest(
+      follows ? this.#ofFleetBut(id, { isNew }) : this.#ofGroup(),
+    );
     // Who has just come wants to hear of everyone.
-    if (isNew) return { ...digest, news: memberTable.everyone() };
-    const news = memberTable.misjudged(told.self.id);
-    return { ...digest, news: [...digest.news, ...news] };
+    const news = isNew
+      ? memberTable.everyone()
+      : [...digest.news, ...memberTable.misjudged(id)];
+    return { digest: { ...digest, news }, store: storeSync.tell(known) };
+  }
+
+  /**
+   * Takes in the answer to a question that was asked at `askedMs`. Only answers date a
+   * confirmation: a digest that comes unasked may have been on its way for long. Returns
+   * whether the other VM is a relay that is in touch with the store.
+   */
+  hearAnswer({ digest, store }: DigestAnswer, askedMs: number): boolean {
+    this.#hear(digest);
+    const inTouch = this.#deps.storeSync.hear(store);
+    this.#deps.routingFollower.hearConfirmation({
+      version: digest.configurationVersion,
+      atMs: askedMs - digest.confirmedAgeMs,
+    });
+    return inTouch && digest.relay;
   }
 
-  /** What this VM tells now. */
-  digest(): VmDigest {
-    const { memberTable, serverLoads, releaseGate, evidenceBook } = this.#deps;
+  /** Whether a VM has told something lately. */
+  hasHeard(vm: EntryId): boolean {
+    return this.#told.has(vm);
+  }
+
+  /** Forgets what has grown old. */
+  expire(): void {
+    this.#told.expire(this.#deps.clock.monotonicMs());
+    this.#addUp();
+  }
+
+  #digest(told: Told): VmDigest {
+    const { memberTable, releaseGate, relayRole } = this.#deps;
     const { confirmation } = this.#deps.routingFollower;
     const [self, ...news] = memberTable.newsToTell();
     return {
       self: self ?? memberTable.self,
       life: this.#life,
+      relay: relayRole.held,
       news,
       configurationVersion: confirmation.version,
       confirmedAgeMs: Math.min(MAX_AGE_MS, Math.ceil(confirmation.ageMs)),
-      work: [...serverLoads.ownWork()].map(([instance, ms]) => ({
-        instance,
-        ms: Math.round(ms),
-      })),
-      evidence: releaseGate.openOrders().flatMap(({ service }) =>
-        evidenceBook.own(service)
-      ),
-      sessions: this.#sessions(),
       braked: [...releaseGate.brakedReleases()],
+      ...told,
     };
   }
 
+  /** What this VM has seen itself, and what the VMs tell that follow it. */
+  #ofGroup(): Told {
+    const { serverLoads, evidenceBook, clock, relayRole } = this.#deps;
+    const followers = relayRole.held
+      ? this.#told.followers()
+      : new Set<EntryId>();
+    const reports = [
+      ...serverLoads.ownReports(clock.monotonicMs()),
+      ...this.#told.reportsOf(followers),
+    ];
+    return {
+      scope: followers.size > 0 ? "group" : "own",
+      servers: [...sumReports(reports).values()].map(rounded),
+      evidence: this.#openServices().flatMap((service) =>
+        evidenceBook.group(service, followers)
+      ),
+      sessions: this.#sessions(({ here }) => here),
+    };
+  }
+
+  /** What all VMs have seen but one that asks. */
+  #ofFleetBut(vm: EntryId, { isNew }: { isNew: boolean }): Told {
+    const { serverLoads, evidenceBook, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    const reports = [
+      ...serverLoads.ownReports(nowMs),
+      ...this.#told.reportsBut(vm).values(),
+    ];
+    const sinceMs = isNew ? -Infinity : nowMs - SESSION_WINDOW_MS;
+    return {
+      scope: "fleet",
+      servers: [...sumReports(reports).values()].map(rounded),
+      evidence: this.#openServices().flatMap((service) =>
+        evidenceBook.allBut(vm, service)
+      ),
+      sessions: this.#sessions(({ seenMs }) => seenMs >= sinceMs),
+    };
+  }
+
+  #openServices() {
+    return this.#deps.releaseGate.openOrders().map(({ service }) => service);
+  }
+
   /** Takes in what another VM tells. */
-  hear(told: VmDigest): void {
-    const { memberTable, evidenceBook, sessionBook, clock } = this.#deps;
+  #hear(told: VmDigest): void {
+    const { memberTable, evidenceBook, relayRole, clock } = this.#deps;
     const nowMs = clock.monotonicMs();
     this.#noteMembers(memberTable.merge([told.self, ...told.news], nowMs));
-    evidenceBook.hear(told.self.id, told);
-    for (const { session, release, ageMs } of told.sessions) {
-      sessionBook.note({
-        session,
-        release,
-        seenMs: nowMs - ageMs,
-        here: false,
-      });
-    }
+    this.#noteSessions(told, nowMs);
     for (const key of told.braked) this.#brake(key, told.self.id);
-    this.#work.set(told.self.id, { atMs: nowMs, work: told.work });
-    this.#addUpWork(nowMs);
-  }
-
-  /**
-   * Takes in the answer to a question that was asked at `askedMs`. Only answers date a
-   * confirmation: a digest that comes unasked may have been on its way for long.
-   */
-  hearAnswer(told: VmDigest, askedMs: number): void {
-    this.hear(told);
-    this.#deps.routingFollower.hearConfirmation({
-      version: told.configurationVersion,
-      atMs: askedMs - told.confirmedAgeMs,
-    });
+    // Who follows a relay hears of all VMs by it, and must not count them twice.
+    if (!relayRole.held && told.scope !== "fleet") return;
+    evidenceBook.hear(told.self.id, told);
+    this.#told.note(told, nowMs);
+    this.#addUp();
   }
 
-  /** Forgets loads that have grown old. */
-  expire(): void {
-    this.#addUpWork(this.#deps.clock.monotonicMs());
+  #noteSessions({ sessions, relay }: VmDigest, nowMs: number): void {
+    const { sessionBook, relayRole } = this.#deps;
+    const here = relayRole.held && !relay;
+    for (const { session, release, ageMs } of sessions) {
+      sessionBook.note({ session, release, seenMs: nowMs - ageMs, here });
+    }
   }
 
-  #sessions(): VmDigest["sessions"] {
+  #sessions(wanted: SessionFilter["wanted"]): VmDigest["sessions"] {
     const { sessionBook, unitHash, clock } = this.#deps;
     const nowMs = clock.monotonicMs();
-    const wanted = (session: PromptPartId) =>
-      sessionPoint(session, unitHash) < TOLD_SHARE;
-    return sessionBook.recent(nowMs, { wanted, most: MOST_SESSIONS })
-      .map(({ session, release, seenMs }) => ({
-        session,
-        release,
-        ageMs: Math.round(nowMs - seenMs),
-      }));
+    return sessionBook.recent(nowMs, {
+      wanted: (seen) =>
+        wanted(seen) && sessionPoint(seen.session, unitHash) < TOLD_SHARE,
+      most: MOST_SESSIONS,
+    }).map(({ session, release, seenMs }) => ({
+      session,
+      release,
+      ageMs: Math.round(nowMs - seenMs),
+    }));
   }
 
   #noteMembers(changed: ReturnType<MemberTable["merge"]>): void {
@@ -149,17 +227,19 @@
     this.#deps.logger.warn("Release is braked", { ...key, told_by: by });
   }
 
-  #addUpWork(nowMs: number): void {
-    const sums = new Map<InstanceId, number>();
-    for (const [vm, { atMs, work }] of this.#work) {
-      if (nowMs - atMs > LOAD_MAX_AGE_MS) {
-        this.#work.delete(vm);
-        continue;
-      }
-      for (const { instance, ms } of work) {
-        sums.set(instance, (sums.get(instance) ?? 0) + ms);
-      }
-    }
-    this.#deps.serverLoads.setElsewhere(sums);
+  #addUp(): void {
+    this.#deps.serverLoads.setElsewhere(this.#told.reportsBut(undefined));
   }
 }
+
+function rounded(report: ServerReport): ServerReport {
+  const round = (count: number) =>
+    Math.round(count * COUNT_STEPS) / COUNT_STEPS;
+  return {
+    instance: report.instance,
+    workMs: Math.round(report.workMs),
+    answers: round(report.answers),
+    failures: round(report.failures),
+    witnesses: report.witnesses,
+  };
+}
--- a/src/fleet/digest_router.ts
+++ b/src/fleet/digest_router.ts
@@ -1,20 +1,24 @@
 /** What VMs on the users' platform may ask of each other, by tRPC. */
 
 import { initTRPC } from "@trpc/server";
-import { digestSchema, type VmDigest } from "../protocol/digest_schema.ts";
+import {
+  type DigestAnswer,
+  type DigestQuestion,
+  digestQuestionSchema,
+} from "../protocol/digest_schema.ts";
 
 const trpc = initTRPC.create();
 
 /** Takes in what another VM tells, and tells in turn. */
 export interface DigestExchange {
-  exchange(told: VmDigest): VmDigest;
+  exchange(question: DigestQuestion): DigestAnswer;
 }
 
 /** Returns the router of one VM. */
 export function createDigestRouter(digests: DigestExchange) {
   return trpc.router({
-    exchange: trpc.procedure.input(digestSchema).mutation(
-      ({ input }): VmDigest => digests.exchange(input),
+    exchange: trpc.procedure.input(digestQuestionSchema).mutation(
+      ({ input }): DigestAnswer => digests.exchange(input),
     ),
   });
 }
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -24,6 +24,7 @@
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
+import { RelayRole } from "../fleet/relay_role.ts";
 import { DigestServer } from "../fleet/digest_server.ts";
 import { HttpObjectStore } from "../platform/http_object_store.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
@@ -33,6 +34,7 @@
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
 import { ServerFollower } from "../store/server_follower.ts";
+import { StoreSync } from "../store/store_sync.ts";
 import { VmRegistry } from "../store/vm_registry.ts";
 import { TrialFollower } from "../store/trial_follower.ts";
 import { StoreHealthKeeper } from "../store/store_health.ts";
@@ -137,6 +139,7 @@
         incarnation: clock.wallMs(),
         state: "alive",
         revision: NO_REVISION,
+        cores: vmSettings.cores,
       })
     ).singleton(),
   });
@@ -154,6 +157,8 @@
     rollOutFollower: asClass(RollOutFollower).singleton(),
     trialFollower: asClass(TrialFollower).singleton(),
     trialController: asClass(TrialController).singleton(),
+    storeSync: asClass(StoreSync).singleton(),
+    relayRole: asClass(RelayRole).singleton(),
     digestKeeper: asClass(DigestKeeper).singleton(),
     digestServer: asClass(DigestServer).singleton(),
     digestExchanger: asClass(DigestExchanger).singleton(),
--- a/src/gateway/try_observer.ts
+++ b/src/gateway/try_observer.ts
@@ -142,8 +142,9 @@
         return serverLoads.unreachable(instance, nowMs);
       case "broken":
       case "stream_broken":
-      case "not_run":
         return serverLoads.failed(instance, nowMs);
+      case "not_run":
+        return serverLoads.turnedAway(instance, nowMs);
       default:
         return undefined;
     }
--- a/src/platform/vm_settings_wire.ts
+++ b/src/platform/vm_settings_wire.ts
@@ -40,6 +40,8 @@
   /** Where the metrics are served; undefined where nobody asks for them. */
   readonly metricsPort: number | undefined;
   readonly memoryMb: number;
+  /** Processor time that the VM may use, as a share of one core of usual speed. */
+  readonly cores: number;
   readonly store: {
     /** `IP:port`. */
     readonly address: string;
@@ -115,7 +117,12 @@
   }).prefault({}),
   InternalPortRange: z.tuple([z.int(), z.int()]),
   SeedNodes: z.array(z.string()).nullish().transform((seeds) => seeds ?? []),
-  Limits: z.object({ MemoryMb: z.number().min(1).default(256) }).prefault({}),
+  Limits: z.object({
+    MemoryMb: z.number().min(1).default(256),
+    // Share of a core, and how many times as fast as usual that core runs.
+    CpuQuota: z.number().min(0).default(1),
+    CpuCores: z.number().min(0).default(1),
+  }).prefault({}),
   Bounds: boundsSchema.prefault({}),
   Platform: z.object({
     Address: z.string().min(1),
@@ -165,6 +172,7 @@
     },
     metricsPort: METRICS_PORT,
     memoryMb: wire.Limits.MemoryMb,
+    cores: wire.Limits.CpuQuota * wire.Limits.CpuCores,
     store: {
       address: store.Address,
       readsPerSecond: store.ReadsPerS,
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -10,7 +10,9 @@
   ServiceId,
 } from "../core/ids.ts";
 import type { Evidence } from "../core/rollout/evidence.ts";
+import type { ServerReport } from "../core/servers/server_report.ts";
 import { memberSchema } from "./peer_schema.ts";
+import { toldStoreSchema } from "./store_schema.ts";
 
 const id = <T extends string>() => z.string().transform((text) => text as T);
 
@@ -24,6 +26,14 @@
   logMsSum: z.number(),
 });
 
+const serverReportSchema: z.ZodType<ServerReport, unknown> = z.object({
+  instance: id<InstanceId>(),
+  workMs: z.number(),
+  answers: z.number(),
+  failures: z.number(),
+  witnesses: z.number(),
+});
+
 /** A session that was seen lately, and the release that served it. */
 const sessionSchema = z.object({
   session: id<PromptPartId>(),
@@ -36,22 +46,43 @@
   self: memberSchema,
   /** Life of the process that tells; counts start anew with each. */
   life: z.number(),
+  /** Whether the VM acts as a relay, and so hears of the whole fleet by itself. */
+  relay: z.boolean(),
+  /** Whose servers and evidence these are, added up. */
+  scope: z.enum(["own", "group", "fleet"]),
   news: z.array(memberSchema).max(1_000),
   /** Version of the configuration in force; 0 before the first. */
   configurationVersion: z.number(),
   /** Time since a read of the store showed that it is the newest. */
   confirmedAgeMs: z.number(),
-  /** Predicted work under way at each server, in milliseconds. */
-  work: z.array(z.object({ instance: id<InstanceId>(), ms: z.number() })),
+  /** Work under way at each server, and how it answers. */
+  servers: z.array(serverReportSchema),
   /** Answers of services that a roll-out is under way for. */
   evidence: z.array(evidenceSchema),
   sessions: z.array(sessionSchema),
-  /** Releases that this VM has found bad. */
+  /** Releases that were found bad. */
   braked: z.array(z.object({
     service: id<ServiceId>(),
     release: id<ReleaseId>(),
   })),
 });
 
+/** What one VM asks of another. */
+export const digestQuestionSchema = z.object({
+  digest: digestSchema,
+  /** Up to which revision the asker knows each kind of the store. */
+  known: toldStoreSchema.shape.known,
+});
+
+/** What the other VM answers. */
+export const digestAnswerSchema = z.object({
+  digest: digestSchema,
+  store: toldStoreSchema,
+});
+
 /** What one VM tells. */
 export type VmDigest = z.infer<typeof digestSchema>;
+/** What one VM asks of another. */
+export type DigestQuestion = z.infer<typeof digestQuestionSchema>;
+/** What the other VM answers. */
+export type DigestAnswer = z.infer<typeof digestAnswerSchema>;
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -24,6 +24,7 @@
   incarnation: z.number(),
   state: z.enum(["alive", "suspect", "leaving", "dead"]),
   revision: z.number().transform((n) => n as Revision),
+  cores: z.number().optional(),
 });
 
 /** A probe: news for the asked entry VM. */
--- a/src/standins/object_kinds.ts
+++ b/src/standins/object_kinds.ts
@@ -36,6 +36,11 @@
     return this.#revision;
   }
 
+  /** Watches that wait for a change. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
   /** Returns an object. */
   get(kind: string, name: string): KeptObject | undefined {
     return this.#kinds.get(kind)?.get(name);
@@ -88,17 +93,19 @@
   /** Waits for changes after a revision. */
   async waitFor(
     kind: string,
-    { revision, waitMs, stuck }: {
+    { revision, waitMs, stuck, gone }: {
       revision: number;
       waitMs: number;
       stuck: () => boolean;
+      /** Whether nobody waits for the answer any more. */
+      gone: () => boolean;
     },
   ): Promise<KeptEvent[]> {
     const untilMs = Date.now() + waitMs;
     for (;;) {
       const events = stuck() ? [] : this.#since(kind, revision);
       const leftMs = untilMs - Date.now();
-      if (events.length > 0 || leftMs <= 0) return events;
+      if (events.length > 0 || leftMs <= 0 || gone()) return events;
       await this.#nextChange(leftMs);
     }
   }
--- a/src/standins/object_store_standin.ts
+++ b/src/standins/object_store_standin.ts
@@ -132,7 +132,17 @@
   ): Promise<FastifyReply> {
     if (this.kinds.isForgotten(revision)) return reply.code(410).send();
     const stuck = () => this.#faults.watchesStuck === true;
-    const events = await this.kinds.waitFor(kind, { revision, waitMs, stuck });
+    let closed = false;
+    reply.raw.once("close", () => {
+      closed = true;
+      this.kinds.releaseWatches();
+    });
+    const events = await this.kinds.waitFor(kind, {
+      revision,
+      waitMs,
+      stuck,
+      gone: () => closed,
+    });
     return reply.send({
       events: events.map(({ object, deleted }) => ({
         Object: encode(object),
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -1,13 +1,14 @@
-/** Follows all objects of one kind by a list and then by long watches. */
+/**
+ * Follows all objects of one kind: by a list and then by long watches of the store, or by
+ * what other VMs tell, which have followed it themselves.
+ */
 
-import type {
-  ObjectStore,
-  StoredObject,
-  StoreError,
-} from "../platform/object_store.ts";
+import type { ObjectStore, StoreError } from "../platform/object_store.ts";
 import { describeStoreError } from "../platform/object_store.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { pause } from "../runtime/pause.ts";
+import { type CopyNews, type KindChanges, KindCopy } from "./kind_copy.ts";
+import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Longest wait of one watch; the store counts each watch as a call, and takes 30 s. */
@@ -17,6 +18,10 @@
 /** Pause after a failed call; spread, so that a fleet does not return as one. */
 const RETRY_PAUSE_MS = 150;
 const RETRY_SPREAD_MS = 200;
+/** Time between looks whether this VM should ask the store again. */
+const STANDBY_MS = 100;
+/** Longest wait for the store's return before a list is tried all the same. */
+const AWAY_WAIT_MS = 2_000;
 
 /**
  * Pause after changes, so that those that come in quick succession take one call: each
@@ -24,16 +29,6 @@
  */
 const BATCH_PAUSE_MS = 120;
 
-/** Who wants to know of the objects. */
-export interface KindListener {
-  /** The whole list was read. */
-  listed(objects: readonly StoredObject[]): void;
-  /** One object was made or changed. */
-  changed(object: StoredObject): void;
-  /** One object is gone. */
-  deleted(object: StoredObject): void;
-}
-
 /** What a follower works with. */
 export interface KindFollowerDeps {
   readonly objectStore: ObjectStore;
@@ -44,11 +39,13 @@
 
 /** Follows one kind until it is stopped. */
 export class KindFollower {
+  readonly kind: string;
   readonly #deps: KindFollowerDeps;
-  readonly #kind: string;
   readonly #listener: KindListener;
-  #revision: number | undefined;
+  readonly #copy: KindCopy;
   #watch = new AbortController();
+  #direct = true;
+  #mustList = true;
   #stopped = false;
 
   constructor(
@@ -56,12 +53,18 @@
     { kind, listener }: { kind: string; listener: KindListener },
   ) {
     this.#deps = deps;
-    this.#kind = kind;
+    this.kind = kind;
     this.#listener = listener;
+    this.#copy = new KindCopy(kind);
     // A watch that was open while the store was away may wait on a dead connection.
     deps.storeHealth.onBack(() => this.relist());
   }
 
+  /** Revision up to which all changes are known here; undefined before the first list. */
+  get revision(): number | undefined {
+    return this.#copy.revision;
+  }
+
   /** Starts to follow. */
   start(): void {
     void this.#run();
@@ -73,38 +76,62 @@
     this.#watch.abort();
   }
 
+  /** Whether to ask the store, rather than to wait for what other VMs tell. */
+  setDirect(direct: boolean): void {
+    if (this.#direct === direct) return;
+    this.#direct = direct;
+    if (!direct) this.#watch.abort();
+  }
+
   /** Reads the whole list at once instead of waiting for changes. */
   relist(): void {
-    this.#revision = undefined;
+    this.#mustList = true;
     this.#watch.abort();
   }
 
+  /** Changes that a VM does not know which knows all up to a revision. */
+  changesSince(revision: number | undefined): KindChanges | undefined {
+    return this.#copy.changesSince(revision);
+  }
+
+  /** Takes in what another VM has told. */
+  hear(changes: KindChanges): void {
+    this.#tell(() => this.#copy.takeChanges(changes));
+  }
+
   async #run(): Promise<void> {
     while (!this.#stopped) {
-      const err = this.#revision === undefined
+      if (!this.#direct) {
+        await pause(STANDBY_MS);
+        continue;
+      }
+      const { revision } = this.#copy;
+      const err = this.#mustList || revision === undefined
         ? await this.#list()
-        : await this.#follow(this.#revision);
+        : await this.#follow(revision);
       if (err !== undefined && !this.#stopped) await this.#recover(err);
     }
   }
 
   async #list(): Promise<StoreError | undefined> {
     this.#watch = new AbortController();
-    const listing = await this.#deps.objectStore.list(this.#kind, {
+    this.#mustList = false;
+    const { signal } = this.#watch;
+    const listing = await this.#deps.objectStore.list(this.kind, {
       timeoutMs: LIST_TIMEOUT_MS,
-      signal: this.#watch.signal,
+      signal,
     });
+    if (signal.aborted) return undefined;
     if (!listing.ok) return listing.error;
-    this.#revision = listing.value.revision;
     this.#deps.storeHealth.answered();
-    this.#listener.listed(listing.value.objects);
+    this.#tell(() => this.#copy.takeList(listing.value));
     return undefined;
   }
 
   async #follow(revision: number): Promise<StoreError | undefined> {
     this.#watch = new AbortController();
     const { signal } = this.#watch;
-    const changes = await this.#deps.objectStore.watch(this.#kind, {
+    const changes = await this.#deps.objectStore.watch(this.kind, {
       revision,
       waitMs: WATCH_WAIT_MS,
       timeoutMs: WATCH_WAIT_MS,
@@ -112,23 +139,40 @@
     });
     if (signal.aborted) return undefined;
     if (!changes.ok) return changes.error;
-    this.#revision = changes.value.revision;
-    for (const { object, deleted } of changes.value.events) {
-      if (deleted) this.#listener.deleted(object);
-      else this.#listener.changed(object);
-    }
-    if (changes.value.events.length > 0) await pause(BATCH_PAUSE_MS);
+    const { events, revision: until } = changes.value;
+    this.#tell(() => this.#copy.takeEvents(events, until));
+    if (events.length > 0) await pause(BATCH_PAUSE_MS);
     return undefined;
   }
 
+  #tell(take: () => CopyNews): void {
+    const isFirst = this.#copy.revision === undefined;
+    const { changed, removed } = take();
+    if (isFirst && this.#copy.revision !== undefined) {
+      this.#listener.listed(changed);
+      return;
+    }
+    for (const object of changed) this.#listener.changed(object);
+    for (const object of removed) this.#listener.deleted(object);
+  }
+
   async #recover(err: StoreError): Promise<void> {
-    this.#revision = undefined;
+    this.#mustList = true;
     this.#deps.logger.info("List of the store is read again", {
-      kind: this.#kind,
+      kind: this.kind,
       reason: describeStoreError(err),
     });
     // History that is lost says nothing about whether the store answers.
     if (err.tag === "history_lost") return;
     await pause(RETRY_PAUSE_MS + RETRY_SPREAD_MS * this.#deps.chance());
+    await this.#awaitStore();
+  }
+
+  /** One reader finds out when the store is back, so that not every kind has to ask. */
+  async #awaitStore(): Promise<void> {
+    for (let waitedMs = 0; waitedMs < AWAY_WAIT_MS; waitedMs += STANDBY_MS) {
+      if (this.#stopped || this.#deps.storeHealth.health.reachable) return;
+      await pause(STANDBY_MS);
+    }
   }
 }
--- a/src/store/roll_out_follower.ts
+++ b/src/store/roll_out_follower.ts
@@ -18,7 +18,8 @@
   ROLL_OUT_KIND,
 } from "../platform/roll_out_wire.ts";
 import type { Logger } from "../runtime/logger.ts";
-import { KindFollower, type KindListener } from "./kind_follower.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Longest wait for the answer to a write. */
@@ -35,13 +36,14 @@
 /** Keeps the release gate true to the orders. */
 export class RollOutFollower implements KindListener {
   readonly #deps: Deps;
-  readonly #follower: KindFollower;
+  /** Its copy of the kind, to exchange with other VMs. */
+  readonly follower: KindFollower;
   readonly #services = new Map<string, ServiceId>();
   #listedOnce = false;
 
   constructor(deps: Deps) {
     this.#deps = deps;
-    this.#follower = new KindFollower(deps, {
+    this.follower = new KindFollower(deps, {
       kind: ROLL_OUT_KIND,
       listener: this,
     });
@@ -54,12 +56,12 @@
 
   /** Starts to follow. */
   start(): void {
-    this.#follower.start();
+    this.follower.start();
   }
 
   /** Stops to follow. */
   stop(): void {
-    this.#follower.stop();
+    this.follower.stop();
   }
 
   listed(objects: readonly StoredObject[]): void {
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -15,7 +15,8 @@
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
-import { KindFollower, type KindListener } from "./kind_follower.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /**
@@ -25,6 +26,12 @@
 const CONFIRMATIONS_PER_APPLY = 1.3;
 /** Confirmations in the time after which a removed key must open nothing. */
 const CONFIRMATIONS_PER_KEY_REMOVAL = 3;
+/**
+ * Part of the time allowed for the removal of keys after which a VM that learns from
+ * others asks the store itself. Others confirm three times as often; less than the 0.8
+ * after which keys are refused.
+ */
+const OWN_READ_AFTER = 0.45;
 /** Longest wait for a confirmation; the store usually answers in milliseconds. */
 const CONFIRM_TIMEOUT_MS = 1_000;
 /** Pause after a failed confirmation, spread over the fleet. */
@@ -45,17 +52,19 @@
 /** Follows the configuration by a watch, and confirms it by reads that cannot be stale. */
 export class RoutingFollower implements KindListener {
   readonly #deps: Deps;
-  readonly #follower: KindFollower;
+  /** Its copy of the kind, to exchange with other VMs. */
+  readonly follower: KindFollower;
   #table: RouteTable | undefined;
   #confirmedAtMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
   #reading = false;
+  #direct = true;
   readonly #listeners: ((table: RouteTable) => void)[] = [];
 
   constructor(deps: Deps) {
     this.#deps = deps;
-    this.#follower = new KindFollower(deps, {
+    this.follower = new KindFollower(deps, {
       kind: CONFIGURATION_KIND,
       listener: this,
     });
@@ -100,15 +109,25 @@
 
   /** Starts to follow. */
   start(): void {
-    this.#follower.start();
+    this.follower.start();
     void this.#confirm();
   }
 
+  /** Whether to confirm by own reads, rather than by those of other VMs. */
+  setDirect(direct: boolean): void {
+    if (this.#direct === direct) return;
+    this.#direct = direct;
+    this.follower.setDirect(direct);
+    if (!direct || this.#reading || this.#stopped) return;
+    clearTimeout(this.#timer);
+    void this.#confirmIfDue();
+  }
+
   /** Stops to follow. */
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#timer);
-    this.#follower.stop();
+    this.follower.stop();
   }
 
   listed(objects: readonly StoredObject[]): void {
@@ -164,6 +183,7 @@
 
   #intervalMs(): number {
     const { bounds, chance } = this.#deps;
+    if (!this.#direct) return OWN_READ_AFTER * bounds.keyRemovalMs;
     const shortest = Math.min(
       bounds.configurationApplyMs / CONFIRMATIONS_PER_APPLY,
       bounds.keyRemovalMs / CONFIRMATIONS_PER_KEY_REMOVAL,
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -11,7 +11,8 @@
 import { decodeServer, SERVER_KIND } from "../platform/server_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
-import { KindFollower, type KindListener } from "./kind_follower.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Time between looks for servers that were not listed again. */
@@ -32,13 +33,14 @@
 /** Keeps the directory of servers true to the list. */
 export class ServerFollower implements KindListener {
   readonly #deps: Deps;
-  readonly #follower: KindFollower;
+  /** Its copy of the kind, to exchange with other VMs. */
+  readonly follower: KindFollower;
   readonly #listeners: RemovalListener[] = [];
   #timer: NodeJS.Timeout | undefined;
 
   constructor(deps: Deps) {
     this.#deps = deps;
-    this.#follower = new KindFollower(deps, {
+    this.follower = new KindFollower(deps, {
       kind: SERVER_KIND,
       listener: this,
     });
@@ -46,7 +48,7 @@
 
   /** Starts to follow. */
   start(): void {
-    this.#follower.start();
+    this.follower.start();
     const { serverDirectory } = this.#deps;
     this.#timer = setInterval(
       () => this.#note(serverDirectory.expire(this.#at())),
@@ -57,7 +59,7 @@
   /** Stops to follow. */
   stop(): void {
     clearInterval(this.#timer);
-    this.#follower.stop();
+    this.follower.stop();
   }
 
   /** Registers a listener for servers that get no new work any more. */
--- a/src/store/store_health.ts
+++ b/src/store/store_health.ts
@@ -43,6 +43,17 @@
     for (const listener of this.#listeners) listener();
   }
 
+  /**
+   * Takes in what a VM has told that the store answers; `backAgeMs` is how long ago it
+   * came back there, if it was away.
+   */
+  heard(backAgeMs: number | undefined): void {
+    this.answered();
+    if (backAgeMs === undefined) return;
+    const backSinceMs = this.#clock.monotonicMs() - backAgeMs;
+    this.#backSinceMs = Math.max(this.#backSinceMs ?? 0, backSinceMs);
+  }
+
   /** Notes that a call was not answered, or was turned away. */
   failed(reason: string): void {
     if (!this.#reachable) return;
--- /dev/null
+++ b/src/store/store_sync.ts
@@ -0,0 +1,86 @@
+/** What VMs tell each other of the store, so that few of them have to ask it. */
+
+import type { ToldChanges, ToldStore } from "../protocol/store_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { KindFollower } from "./kind_follower.ts";
+import type { RollOutFollower } from "./roll_out_follower.ts";
+import type { RoutingFollower } from "./routing_follower.ts";
+import type { ServerFollower } from "./server_follower.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+import type { TrialFollower } from "./trial_follower.ts";
+
+interface Deps {
+  readonly routingFollower: RoutingFollower;
+  readonly serverFollower: ServerFollower;
+  readonly rollOutFollower: RollOutFollower;
+  readonly trialFollower: TrialFollower;
+  readonly storeHealth: StoreHealthKeeper;
+  readonly clock: Clock;
+}
+
+/** All kinds that a gateway follows, as one. */
+export class StoreSync {
+  readonly #deps: Deps;
+  readonly #followers: readonly KindFollower[];
+  #direct = true;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#followers = [
+      deps.routingFollower.follower,
+      deps.serverFollower.follower,
+      deps.rollOutFollower.follower,
+      deps.trialFollower.follower,
+    ];
+  }
+
+  /** Whether this VM asks the store itself. */
+  get direct(): boolean {
+    return this.#direct;
+  }
+
+  /** Begins or ends to ask the store itself. */
+  setDirect(direct: boolean): void {
+    this.#direct = direct;
+    this.#deps.routingFollower.setDirect(direct);
+    for (const follower of this.#followers) follower.setDirect(direct);
+  }
+
+  /** Up to which revision each kind is known here. */
+  known(): ToldStore["known"] {
+    return this.#followers.flatMap(({ kind, revision }) =>
+      revision === undefined ? [] : [{ kind, revision }]
+    );
+  }
+
+  /** What a VM should hear that knows so much; `undefined` tells no changes. */
+  tell(known: ToldStore["known"] | undefined): ToldStore {
+    const { storeHealth, clock } = this.#deps;
+    const { reachable, backSinceMs } = storeHealth.health;
+    const nowMs = clock.monotonicMs();
+    return {
+      watched: this.#direct && reachable,
+      backAgeMs: backSinceMs === undefined ? undefined : nowMs - backSinceMs,
+      known: this.known(),
+      changes: known === undefined ? [] : this.#changesSince(known),
+    };
+  }
+
+  /** Takes in what a VM has told; returns whether it is in touch with the store. */
+  hear({ watched, backAgeMs, changes }: ToldStore): boolean {
+    // Why entries are missing is learnt before which are.
+    if (watched && !this.#direct) this.#deps.storeHealth.heard(backAgeMs);
+    for (const change of changes) {
+      this.#followers.find(({ kind }) => kind === change.kind)?.hear(change);
+    }
+    return watched;
+  }
+
+  #changesSince(known: ToldStore["known"]): ToldChanges[] {
+    return this.#followers.flatMap((follower) => {
+      const at = known.find(({ kind }) => kind === follower.kind);
+      const changes = follower.changesSince(at?.revision);
+      return changes === undefined ? [] : [changes];
+    });
+  }
+}
--- a/src/store/trial_follower.ts
+++ b/src/store/trial_follower.ts
@@ -10,7 +10,8 @@
   type StoredObject,
 } from "../platform/object_store.ts";
 import type { Logger } from "../runtime/logger.ts";
-import { KindFollower, type KindListener } from "./kind_follower.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Kind of the objects. */
@@ -35,12 +36,13 @@
 /** Keeps the release gate true to the trials. */
 export class TrialFollower implements KindListener {
   readonly #deps: Deps;
-  readonly #follower: KindFollower;
+  /** Its copy of the kind, to exchange with other VMs. */
+  readonly follower: KindFollower;
   readonly #revisions = new Map<string, number>();
 
   constructor(deps: Deps) {
     this.#deps = deps;
-    this.#follower = new KindFollower(deps, {
+    this.follower = new KindFollower(deps, {
       kind: TRIAL_KIND,
       listener: this,
     });
@@ -48,12 +50,12 @@
 
   /** Starts to follow. */
   start(): void {
-    this.#follower.start();
+    this.follower.start();
   }
 
   /** Stops to follow. */
   stop(): void {
-    this.#follower.stop();
+    this.follower.stop();
   }
 
   listed(objects: readonly StoredObject[]): void {
--- /dev/null
+++ b/tests/gateway_fleet_test.ts
@@ -0,0 +1,59 @@
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { fleetRelays } from "../src/core/membership/fleet_relays.ts";
+import type { Member } from "../src/core/membership/member.ts";
+import { unitHash } from "../src/runtime/hashing.ts";
+import { GatewayFleet } from "./fixtures/gateway_fleet.ts";
+import { until } from "./fixtures/test_fleet.ts";
+
+/** More than a fleet in which each VM is a relay. */
+const VMS = 15;
+/** Relays of a data centre of this size. */
+const RELAYS = 2;
+/** Kinds that a gateway watches. */
+const KINDS = 4;
+
+let fleet: GatewayFleet;
+
+beforeEach(async () => {
+  fleet = new GatewayFleet();
+  await fleet.start(VMS);
+});
+
+afterEach(() => fleet.stop());
+
+/** Changes the configuration, and waits until so many VMs have it. */
+async function untilInForce(path: string, vms: number): Promise<void> {
+  fleet.configure(path);
+  await until(async () => (await fleet.serving(path)).length === vms);
+}
+
+/** Waits until the store is watched by two relays only. */
+async function untilRelayed(): Promise<void> {
+  await until(() =>
+    Promise.resolve(fleet.store.kinds.waiting === RELAYS * KINDS)
+  );
+}
+
+function relayNames(): string[] {
+  const members = Array.from({ length: VMS }, (_, at) => ({
+    id: `edge-${at}`,
+    data_centre: "north",
+    state: "alive",
+  })) as unknown as Member[];
+  return fleetRelays(members, { dataCentre: "north", unitHash })
+    .map(({ id }) => id);
+}
+
+describe("fleet of gateways", () => {
+  it("should watch the store by its relays only, and learn of changes by them", async () => {
+    await untilRelayed();
+    await untilInForce("/relayed/", VMS);
+  });
+
+  it("should choose new relays when those that there are have been killed", async () => {
+    await untilRelayed();
+    const relays = relayNames();
+    await Promise.all(relays.map((vm) => fleet.kill(vm)));
+    await untilInForce("/after/", VMS - relays.length);
+  });
+});
