--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -78,6 +78,7 @@
 
   /** Takes in what another VM has counted. */
   hear(vm: EntryId, told: ToldEvidence): void {
+    if (told.evidence.length === 0 && this.#told.size === 0) return;
     for (const [key, known] of this.#told) {
       if (replaces({ vm, told }, known)) this.#told.delete(key);
     }
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -187,7 +187,8 @@
     if (!relayRole.held && told.scope !== "fleet") return;
     evidenceBook.hear(told.self.id, told);
     this.#told.note(told, nowMs);
-    this.#addUp();
+    // What a relay told of the whole fleet needs no adding up; a relay adds up in rounds.
+    if (told.scope === "fleet") this.#addUp();
   }
 
   #noteSessions({ sessions, relay }: VmDigest, nowMs: number): void {
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -80,7 +80,6 @@
 
   /** Starts to listen; returns the address in use. */
   listen(address: string): Promise<string> {
-    this.#looks.start();
     return listenHttp(this.#http, address);
   }
 
@@ -146,10 +145,12 @@
       body: body.value,
     });
     this.#runs.add(run);
+    this.#looks.start();
     try {
       await run.run();
     } finally {
       this.#runs.delete(run);
+      if (this.#runs.size === 0) this.#looks.stop();
     }
     requestLog.ended(exchange, run.summary());
   }
--- a/src/runtime/repeated_task.ts
+++ b/src/runtime/repeated_task.ts
@@ -13,6 +13,7 @@
   readonly #options: RepeatedTaskOptions;
   #timer: NodeJS.Timeout | undefined;
   #stopped = true;
+  #starts = 0;
 
   constructor(options: RepeatedTaskOptions) {
     this.#options = options;
@@ -22,7 +23,8 @@
   start(): void {
     if (!this.#stopped) return;
     this.#stopped = false;
-    void this.#loop();
+    this.#starts += 1;
+    void this.#loop(this.#starts);
   }
 
   /** Stops; a run that has begun goes on to its end. */
@@ -31,12 +33,13 @@
     clearTimeout(this.#timer);
   }
 
-  async #loop(): Promise<void> {
+  async #loop(start: number): Promise<void> {
     const startedMs = performance.now();
     await this.#options.run();
-    if (this.#stopped) return;
+    // A loop that was stopped and started again during a run has a successor.
+    if (this.#stopped || start !== this.#starts) return;
     const tookMs = performance.now() - startedMs;
     const waitMs = Math.max(0, this.#options.intervalMs - tookMs);
-    this.#timer = setTimeout(() => void this.#loop(), waitMs);
+    this.#timer = setTimeout(() => void this.#loop(start), waitMs);
   }
 }
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -18,7 +18,7 @@
 /** Pause after a failed call; spread, so that a fleet does not return as one. */
 const RETRY_PAUSE_MS = 150;
 const RETRY_SPREAD_MS = 200;
-/** Time between looks whether this VM should ask the store again. */
+/** Time between looks whether the store is back. */
 const STANDBY_MS = 100;
 /** Longest wait for the store's return before a list is tried all the same. */
 const AWAY_WAIT_MS = 2_000;
@@ -46,6 +46,8 @@
   #watch = new AbortController();
   #direct = true;
   #mustList = true;
+  /** Ends the wait of a VM that does not ask the store. */
+  #wake: () => void = () => {};
   #stopped = false;
 
   constructor(
@@ -74,13 +76,15 @@
   stop(): void {
     this.#stopped = true;
     this.#watch.abort();
+    this.#wake();
   }
 
   /** Whether to ask the store, rather than to wait for what other VMs tell. */
   setDirect(direct: boolean): void {
     if (this.#direct === direct) return;
     this.#direct = direct;
-    if (!direct) this.#watch.abort();
+    if (direct) this.#wake();
+    else this.#watch.abort();
   }
 
   /** Reads the whole list at once instead of waiting for changes. */
@@ -102,7 +106,7 @@
   async #run(): Promise<void> {
     while (!this.#stopped) {
       if (!this.#direct) {
-        await pause(STANDBY_MS);
+        await new Promise<void>((resolve) => this.#wake = resolve);
         continue;
       }
       const { revision } = this.#copy;
