Count each VM's evidence once after it has changed its relay; ask relays elsewhere when those here fail

And where the store turns both relays of a data centre away, their followers asked the store, though relays of other data centres are in touch with it.

--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -108,6 +108,13 @@
     return sumByKind(all.filter((row) => row.release === release));
   }
 
+  /** Forgets what one VM has told. */
+  forgetVm(vm: EntryId): void {
+    for (const [key, row] of this.#told) {
+      if (row.vm === vm) this.#told.delete(key);
+    }
+  }
+
   /** Forgets what was counted of a service, once its roll-out is over. */
   forget(service: ServiceId): void {
     for (const [key, row] of this.#own) {
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -113,7 +113,11 @@
 
   /** Forgets what has grown old. */
   expire(): void {
-    this.#told.expire(this.#deps.clock.monotonicMs());
+    const { clock, evidenceBook } = this.#deps;
+    for (const { self, relay } of this.#told.expire(clock.monotonicMs())) {
+      // Who has gone to another relay is counted there, and must not be counted twice.
+      if (!relay) evidenceBook.forgetVm(self.id);
+    }
     this.#addUp();
   }
 
--- /dev/null
+++ b/src/fleet/digest_keeper_test.ts
@@ -0,0 +1,170 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type {
+  DataCentreId,
+  EntryId,
+  InstanceId,
+  PromptPartId,
+  ReleaseId,
+  RouteId,
+  ServiceId,
+} from "../core/ids.ts";
+import { NO_REVISION } from "../core/ids.ts";
+import { MemberTable } from "../core/membership/member_table.ts";
+import { EvidenceBook } from "../core/rollout/evidence.ts";
+import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import { SessionBook } from "../core/rollout/session_book.ts";
+import { sessionPoint, TOLD_SHARE } from "../core/rollout/session_point.ts";
+import { ServerLoads } from "../core/servers/server_loads.ts";
+import { unitHash } from "../runtime/hashing.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { StoreSync } from "../store/store_sync.ts";
+import { DigestKeeper } from "./digest_keeper.ts";
+import type { RelayRole } from "./relay_role.ts";
+
+const SERVER = "i-1" as InstanceId;
+const SERVICE = "model" as ServiceId;
+const NEW = "v2" as ReleaseId;
+const ROUTE = "r-1" as RouteId;
+const GAP_MS = 5_000;
+
+/** Time of all VMs. */
+let nowMs = 0;
+
+/** The parts of one VM that a digest is made from. */
+class Vm {
+  readonly loads = new ServerLoads();
+  readonly evidence = new EvidenceBook();
+  readonly sessions = new SessionBook(GAP_MS);
+  readonly #keeper: DigestKeeper;
+
+  constructor(id: string, { relay }: { relay: boolean }) {
+    const releaseGate = new ReleaseGate();
+    releaseGate.setOrder({
+      service: SERVICE,
+      release: NEW,
+      limitMs: 10_000,
+      state: undefined,
+      stateRelease: undefined,
+    });
+    this.#keeper = new DigestKeeper({
+      memberTable: new MemberTable({
+        id: id as EntryId,
+        data_centre: "north" as DataCentreId,
+        callers: "",
+        peers: "",
+        incarnation: 1,
+        state: "alive",
+        revision: NO_REVISION,
+      }),
+      serverLoads: this.loads,
+      evidenceBook: this.evidence,
+      sessionBook: this.sessions,
+      releaseGate,
+      routingFollower: {
+        confirmation: { version: 1, ageMs: 0 },
+        hearConfirmation: () => {},
+      } as unknown as RoutingFollower,
+      storeSync: {
+        known: () => [],
+        tell: () => ({ watched: relay, known: [], changes: [] }),
+        hear: () => relay,
+      } as unknown as StoreSync,
+      relayRole: { held: relay } as RelayRole,
+      unitHash,
+      clock: { monotonicMs: () => nowMs, wallMs: () => 1 },
+      logger: new SilentLogger(),
+    });
+  }
+
+  /** Asks another VM, as in one round, and both add up what they know. */
+  ask(other: Vm): void {
+    const answer = other.#keeper.exchange(this.#keeper.question());
+    this.#keeper.hearAnswer(answer, nowMs);
+    this.#keeper.expire();
+    other.#keeper.expire();
+  }
+
+  /** Counts a failed answer of the release on trial. */
+  fail(): void {
+    this.evidence.observe({
+      service: SERVICE,
+      release: NEW,
+      route: ROUTE,
+      failed: true,
+      firstByteMs: 100,
+    });
+  }
+
+  /** Failures of the release on trial, as seen from here. */
+  get failures(): number {
+    const rows = [...this.evidence.total(SERVICE, NEW).values()];
+    return rows.reduce((sum, { failures }) => sum + failures, 0);
+  }
+}
+
+/** A session of those that VMs tell each other of. */
+function toldSession(): PromptPartId {
+  for (let n = 0;; n++) {
+    const session = `part-${n}` as PromptPartId;
+    if (sessionPoint(session, unitHash) < TOLD_SHARE) return session;
+  }
+}
+
+let relays: Vm[];
+let followers: Vm[];
+
+/** Each follower asks its relay, and the relays ask each other. */
+function round(): void {
+  followers.forEach((vm, at) => vm.ask(relays[at % 2] as Vm));
+  relays[0]?.ask(relays[1] as Vm);
+  followers.forEach((vm, at) => vm.ask(relays[at % 2] as Vm));
+}
+
+beforeEach(() => {
+  nowMs = 0;
+  relays = [1, 2].map((n) => new Vm(`relay-${n}`, { relay: true }));
+  followers = [1, 2, 3].map((n) => new Vm(`vm-${n}`, { relay: false }));
+});
+
+describe("digests between followers and relays", () => {
+  it("should count the work of each VM once, however often it is told", () => {
+    const all = [...relays, ...followers];
+    for (const vm of all) vm.loads.begin(SERVER, 100);
+    for (let n = 0; n < 3; n++) round();
+    assert.deepEqual(
+      all.map(({ loads }) => loads.work(SERVER)),
+      all.map(() => 100 * all.length),
+    );
+  });
+
+  it("should count evidence once, also after a follower has changed its relay", () => {
+    for (const vm of followers) vm.fail();
+    for (let n = 0; n < 3; n++) round();
+    assert.deepEqual(followers.map(({ failures }) => failures), [3, 3, 3]);
+    nowMs += 2_000;
+    // Each of the others now asks the relay that it did not ask before.
+    followers.unshift(new Vm("vm-4", { relay: false }));
+    for (let n = 0; n < 3; n++) round();
+    assert.deepEqual(followers.map(({ failures }) => failures), [3, 3, 3, 3]);
+  });
+
+  it("should forget the work of a VM that tells no more", () => {
+    followers[0]?.loads.begin(SERVER, 100);
+    round();
+    assert.equal(followers[1]?.loads.work(SERVER), 100);
+    followers.shift();
+    nowMs += 2_000;
+    for (let n = 0; n < 2; n++) round();
+    assert.equal(followers[0]?.loads.work(SERVER), 0);
+  });
+
+  it("should tell followers of sessions at other relays", () => {
+    const session = toldSession();
+    const seen = { session, release: NEW, seenMs: nowMs, here: true };
+    followers[0]?.sessions.note(seen);
+    round();
+    assert.equal(followers[1]?.sessions.releaseOf(session, nowMs), NEW);
+  });
+});
--- a/src/fleet/relay_role.ts
+++ b/src/fleet/relay_role.ts
@@ -53,19 +53,19 @@
   }
 
   /**
-   * Relays of this data centre in the order in which to ask them, those that failed
-   * lately last. The order is this VM's own, so that askers spread.
+   * Relays in the order in which to ask them: those of this data centre first, and those
+   * that failed lately last. Among equals the order is this VM's own, so that askers spread.
    */
   toAsk(): Member[] {
     this.#refresh();
     const { memberTable, unitHash, clock } = this.#deps;
-    const { id: self } = memberTable.self;
+    const { self } = memberTable;
     const nowMs = clock.monotonicMs();
-    const rank = ({ id }: Member) =>
-      unitHash(`${self}/${id}`) + (this.#failedLately(id, nowMs) ? 1 : 0);
-    return this.#here
-      .filter(({ id }) => id !== self)
-      .sort((a, b) => rank(a) - rank(b));
+    const rank = (relay: Member) =>
+      unitHash(`${self.id}/${relay.id}`) +
+      (relay.data_centre === self.data_centre ? 0 : 1) +
+      (this.#failedLately(relay.id, nowMs) ? 2 : 0);
+    return this.others().sort((a, b) => rank(a) - rank(b));
   }
 
   /** Whether a VM of this data centre asks this relay before all others. */
--- a/src/fleet/told_digests.ts
+++ b/src/fleet/told_digests.ts
@@ -24,11 +24,13 @@
     this.#told.set(digest.self.id, { atMs: nowMs, digest });
   }
 
-  /** Forgets digests that are too old. */
-  expire(nowMs: number): void {
-    for (const [vm, { atMs }] of this.#told) {
-      if (nowMs - atMs > MAX_AGE_MS) this.#told.delete(vm);
-    }
+  /** Forgets digests that are too old, and returns them. */
+  expire(nowMs: number): VmDigest[] {
+    const old = [...this.#told.values()].filter(({ atMs }) =>
+      nowMs - atMs > MAX_AGE_MS
+    );
+    for (const { digest } of old) this.#told.delete(digest.self.id);
+    return old.map(({ digest }) => digest);
   }
 
   /** Whether a VM has told something lately. */
