Look at few servers for each request, and count requests and digests into the compiled code

Cause: with the sums of the whole fleet in hand all VMs turned to the server that was least busy half a second ago.

Now a request looks at the two holders of its prompt on a hash ring and at four servers drawn by chance. Rendezvous hashing gave way to the ring: one hash for each request, not one for each server.

The choice itself is not measured on a grown site yet.

--- a/scripts/gateway_bundle.mjs
+++ b/scripts/gateway_bundle.mjs
@@ -18,13 +18,9 @@
 });
 copyFileSync("scripts/gateway_loader.cjs", `${folder}/gateway.cjs`);
 
-// Flags that the program runs with: V8 refuses code that was compiled with others.
 const { status } = spawnSync(
-  process.execPath,
-  ["--max-old-space-size=120", `${folder}/gateway.cjs`, "--write-code"],
-  {
-    stdio: ["ignore", "ignore", "inherit"],
-    env: { ...process.env, FIELDRACK_SETTINGS: "scripts/gateway_warm_up.yaml" },
-  },
+  "node_modules/.bin/tsx",
+  ["scripts/gateway_warm_up.ts", folder],
+  { stdio: ["ignore", "inherit", "inherit"] },
 );
 process.exit(status ?? 1);
--- a/scripts/gateway_loader.cjs
+++ b/scripts/gateway_loader.cjs
@@ -1,13 +1,11 @@
 // Runs gateway_program.cjs with the code that V8 compiled when the program was built.
-// With --write-code it runs the program for a moment and writes that code down.
+// With --write-code it runs the program until its standard input ends, and writes that
+// code down.
 const fs = require("node:fs");
 const { createRequire } = require("node:module");
 const path = require("node:path");
 const vm = require("node:vm");
 
-/** Long enough for a start, so that what a start calls is among the compiled code. */
-const WARM_UP_MS = 1_000;
-
 const file = path.join(__dirname, "gateway_program.cjs");
 const codeFile = path.join(__dirname, "gateway_program.code");
 const writes = process.argv.includes("--write-code");
@@ -34,7 +32,7 @@
   file,
   __dirname,
 );
-if (writes) setTimeout(writeCode, WARM_UP_MS);
+if (writes) process.stdin.resume().on("end", writeCode);
 
 function readCode() {
   try {
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -3,6 +3,7 @@
 import type { DataCentreId, InstanceId } from "../ids.ts";
 import type { ServerLoads } from "../servers/server_loads.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
+import { HashRing } from "./hash_ring.ts";
 import type { UnitHash } from "./version_choice.ts";
 
 /**
@@ -15,6 +16,13 @@
  * that runs on the server. Of 1, 3 and 8 tried on calm days, 8 served best.
  */
 const MISSING_FACTOR = 8;
+/**
+ * Servers that are looked at besides those that hold the prompt. All VMs hear of the least
+ * busy server at the same time; if each looked at all servers, all would turn to that one.
+ */
+const DRAWN_SERVERS = 4;
+/** Servers that prompts with the same shared parts go to first. */
+const HOLDERS = 2;
 /** Work by which a server in another data centre must be less busy to be taken. */
 const OTHER_DATA_CENTRE_MS = 15;
 /** Work that a failure rate of 1 counts as, in milliseconds. */
@@ -36,7 +44,7 @@
 /** Chooses among the servers of a service. */
 export class AffinityChoice {
   readonly #loads: ServerLoads;
-  readonly #unitHash: UnitHash;
+  readonly #ring: HashRing;
   readonly #chance: () => number;
 
   constructor(
@@ -47,7 +55,7 @@
     },
   ) {
     this.#loads = serverLoads;
-    this.#unitHash = unitHash;
+    this.#ring = new HashRing(unitHash);
     this.#chance = chance;
   }
 
@@ -68,9 +76,12 @@
     input: ChoiceInput,
   ): ServerRecord | undefined {
     const holders = this.#holders(servers, input.affinity);
+    const drawn = holders.length === 0
+      ? servers
+      : [...holders, ...this.#draw(servers, DRAWN_SERVERS)];
     let best: ServerRecord | undefined;
     let bestCost = Infinity;
-    for (const server of servers) {
+    for (const server of drawn) {
       const away = server.dataCentre === input.dataCentre
         ? 0
         : OTHER_DATA_CENTRE_MS;
@@ -93,14 +104,19 @@
     affinity: string | undefined,
   ): ServerRecord[] {
     if (affinity === undefined) return [];
-    return servers
-      .map((server) => ({
-        server,
-        rank: this.#unitHash(`${affinity}/${server.instance}`),
-      }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, 2)
-      .map(({ server }) => server);
+    return this.#ring.order(servers, {
+      key: affinity,
+      idOf: ({ instance }) => instance,
+    }).slice(0, HOLDERS);
+  }
+
+  #draw(servers: readonly ServerRecord[], count: number): ServerRecord[] {
+    const drawn: ServerRecord[] = [];
+    for (let n = 0; n < count; n++) {
+      const server = servers[Math.floor(this.#chance() * servers.length)];
+      if (server !== undefined) drawn.push(server);
+    }
+    return drawn;
   }
 
   #work({ instance }: ServerRecord, nowMs: number): number {
