--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -10,7 +10,6 @@
 import type { ServiceId } from "../core/ids.ts";
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
-import { mayRunAgain } from "../core/routes/route.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
@@ -18,6 +17,7 @@
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted, RequestAdmission } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
+import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { TrySender, type TrySenderDeps } from "./try_sender.ts";
@@ -26,8 +26,6 @@
 const DEFAULT_WAIT_MS = 30_000;
 /** Shortest time with which a request is still sent to a server, in milliseconds. */
 const MIN_WAIT_MS = 20;
-/** Servers asked for one request while each says that it did not run it. */
-const MAX_REFUSALS = 3;
 
 /** What all runs share. */
 export interface RequestRunDeps extends TrySenderDeps {
@@ -51,10 +49,7 @@
   readonly #sender: TrySender;
   readonly #limitMs: number;
   #admitted: Admitted;
-  #runs = 0;
-  #refusals = 0;
-  #unsent = 0;
-  #mayHaveRun = false;
+  readonly #tally = new RunTally();
   #expired = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -131,7 +126,7 @@
 
   #choose(): ServerRecord | undefined {
     return this.#sender.choose(this.#admitted, {
-      mayComeBack: this.#runs > 0,
+      mayComeBack: this.#tally.runs > 0,
     });
   }
 
@@ -153,6 +148,7 @@
 
   /** Called again and again while the request runs, to leave silent servers. */
   look(nowMs: number): void {
+    // The run under way counts as well.
     if (!this.#mayRepeat(1)) return;
     const reason = this.#sender.silence(this.#admitted.route, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
@@ -181,7 +177,7 @@
       confidence,
       usedMs: this.#exchange.ageMs(),
       limitMs: this.#limitMs,
-      runsLeft: route.maxRuns - this.#runs - 1,
+      runsLeft: route.maxRuns - this.#tally.runs - 1,
     });
   }
 
@@ -194,15 +190,12 @@
   #after(outcome: TryOutcome, server: ServerRecord): Next {
     switch (outcome.tag) {
       case "given_up":
-        this.#runs += 1;
-        this.#mayHaveRun = true;
+        this.#tally.ran();
         return "again";
       case "not_sent":
-        this.#unsent += 1;
-        return this.#unsent > MAX_REFUSALS ? this.#noServer() : "again";
+        return this.#tally.notSent() ? "again" : this.#noServer();
       case "not_run":
-        this.#refusals += 1;
-        return this.#refusals >= MAX_REFUSALS ? this.#noServer() : "again";
+        return this.#tally.notRun() ? "again" : this.#noServer();
       case "misdirected":
         this.#deps.serverFollower.misdirected(server.instance);
         return "again";
@@ -220,8 +213,7 @@
   }
 
   #escalate(): Next {
-    this.#runs += 1;
-    this.#mayHaveRun = true;
+    this.#tally.ran();
     this.#models.moveOn();
     this.#sender.forgetTried();
     return "again";
@@ -231,8 +223,7 @@
     if (this.#exchange.state === "begun") {
       return this.#resume(`status ${head.status}`);
     }
-    this.#runs += 1;
-    this.#mayHaveRun = true;
+    this.#tally.ran();
     if (head.status >= 500 && this.#mayRepeat() && this.#hasOther()) {
       return "again";
     }
@@ -246,27 +237,25 @@
   }
 
   #brokenOff(reason: string): Next {
-    this.#runs += 1;
-    this.#mayHaveRun = true;
+    this.#tally.ran();
     if (this.#mayRepeat()) return "again";
     return this.#finish({ tag: "answer_lost", reason });
   }
 
   /** Goes on with a stream on another server, inside the same answer. */
   #resume(reason: string): Next {
-    this.#runs += 1;
+    this.#tally.resumed();
     this.#stream.restart();
     const { route } = this.#admitted;
-    if (route.resumable && this.#runs < route.maxRuns) return "again";
-    this.#deps.logger.info("Stream is cut", { reason, runs: this.#runs });
+    if (route.resumable && this.#tally.runs < route.maxRuns) return "again";
+    this.#deps.logger.info("Stream is cut", { reason, runs: this.#tally.runs });
     this.#exchange.cut();
     return "done";
   }
 
   /** Whether a request that may have run may be sent again. */
   #mayRepeat(underWay = 0): boolean {
-    const { route } = this.#admitted;
-    return mayRunAgain(route) && this.#runs + underWay < route.maxRuns;
+    return this.#tally.mayRepeat(this.#admitted.route, underWay);
   }
 
   #hasOther(): boolean {
@@ -274,22 +263,11 @@
   }
 
   #noServer(): Next {
-    if (this.#mayHaveRun) {
-      return this.#finish({
-        tag: "answer_lost",
-        reason: "no further server takes it",
-      });
-    }
-    const asked = this.#refusals + this.#unsent;
-    return this.#finish(
-      asked > 0 ? { tag: "servers_full", asked } : { tag: "no_server" },
-    );
+    return this.#finish(this.#tally.noServerRefusal());
   }
 
   #timeUp(): Next {
-    return this.#finish(
-      this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" },
-    );
+    return this.#finish(this.#tally.timeUpRefusal());
   }
 
   /** Gives the final answer, or cuts a stream that has begun. */
@@ -302,7 +280,7 @@
 
   #expire(): void {
     this.#expired = true;
-    if (this.#sender.isSent) this.#mayHaveRun = true;
+    if (this.#sender.isSent) this.#tally.leftUnderWay();
     this.#timeUp();
     this.#sender.giveUp();
   }
--- /dev/null
+++ b/src/gateway/run_tally_test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Route } from "../core/routes/route.ts";
+import { RunTally } from "./run_tally.ts";
+
+const REPEATABLE = { kind: "repeatable", maxRuns: 2 } as Route;
+const ONCE = { kind: "once", maxRuns: 3 } as Route;
+
+describe("tally of runs", () => {
+  it("should say that nothing has run only while nothing may have", () => {
+    const tally = new RunTally();
+    assert.equal(tally.noServerRefusal().tag, "no_server");
+    tally.notRun();
+    assert.equal(tally.noServerRefusal().tag, "servers_full");
+    assert.equal(tally.timeUpRefusal().tag, "expired_unsent");
+    tally.leftUnderWay();
+    assert.equal(tally.noServerRefusal().tag, "answer_lost");
+    assert.equal(tally.timeUpRefusal().tag, "expired");
+  });
+
+  it("should count the run under way against those that the route allows", () => {
+    const tally = new RunTally();
+    assert.equal(tally.mayRepeat(REPEATABLE, 1), true);
+    tally.ran();
+    assert.equal(tally.mayRepeat(REPEATABLE), true);
+    assert.equal(tally.mayRepeat(REPEATABLE, 1), false);
+    tally.ran();
+    assert.equal(tally.mayRepeat(REPEATABLE), false);
+  });
+
+  it("should never repeat what may run only once", () => {
+    assert.equal(new RunTally().mayRepeat(ONCE), false);
+  });
+
+  it("should stop asking servers after a few that did not run it", () => {
+    const tally = new RunTally();
+    const asked = [1, 2, 3, 4, 5].filter(() => tally.notRun()).length + 1;
+    assert.equal(asked, 3);
+  });
+});
