Soak the gateway: processes, faults by a seed, and checks of what must always hold

Real gateways as processes before stand-ins of the store and of servers in the soak's own process; proxies between each gateway and the store; kills, stops, freezes and reloads that overlap with faults of the store and of servers and with changes of the configuration.

--- /dev/null
+++ b/soak/fault_injector.ts
@@ -0,0 +1,226 @@
+/** Injects the planned faults, and notes whom they trouble. */
+
+import { performance } from "node:perf_hooks";
+import { pause } from "../src/runtime/pause.ts";
+import { EVERYONE } from "../tests/fixtures/cuttable_proxy.ts";
+import type { Fault, PlannedFault } from "./fault_plan.ts";
+import type { History, Trouble, Victim } from "./history.ts";
+import type { SoakGateway } from "./soak_gateway.ts";
+import { SoakServer } from "./soak_server.ts";
+import { BOUNDS } from "./soak_settings.ts";
+import type { SoakStore } from "./soak_store.ts";
+
+/** Time in which a process that was started serves again. */
+const START_MS = 2_500;
+/** Time after which servers have written themselves down again. */
+const RELIST_MS = 1_500;
+const SLOW_MS = 250;
+
+/** The parts of a run that faults touch. */
+export interface Fleet {
+  readonly history: History;
+  readonly store: SoakStore;
+  readonly gateways: readonly SoakGateway[];
+  /** Changes as servers crash and new ones come. */
+  readonly servers: SoakServer[];
+}
+
+/** Carries out one plan. */
+export class FaultInjector {
+  readonly #fleet: Fleet;
+  #serverNumber = 0;
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  /** Starts a server and writes it down; it takes the place of one that ended. */
+  async startServer(at: number): Promise<void> {
+    const { history, store, servers } = this.#fleet;
+    this.#serverNumber += 1;
+    const server = new SoakServer(`s-${this.#serverNumber}`, history);
+    servers[at] = server;
+    store.list(server, await server.listen());
+  }
+
+  /** Injects all faults; resolves when the last has ended. */
+  async run(plan: readonly PlannedFault[]): Promise<void> {
+    const startMs = performance.now();
+    const ends: Promise<void>[] = [];
+    for (const { atMs, forMs, fault } of plan) {
+      await pause(Math.max(0, startMs + atMs - performance.now()));
+      ends.push(this.#inject(fault, forMs));
+    }
+    await Promise.all(ends);
+  }
+
+  async #inject(fault: Fault, forMs: number): Promise<void> {
+    const { store } = this.#fleet;
+    switch (fault.tag) {
+      case "kill":
+        return await this.#kill(fault.gateways);
+      case "planned_stop":
+        return await this.#stop(fault.gateway);
+      case "freeze":
+        return await this.#freeze(fault.gateway, forMs);
+      case "reload":
+        return this.#gateway(fault.gateway).signal("SIGHUP");
+      case "store_cut":
+        return await this.#cut(fault.gateway, forMs);
+      case "store_reset":
+        return await this.#reset(fault.gateway);
+      case "store_down":
+        return await this.#storeFault(fault.tag, forMs, { down: true });
+      case "store_slow":
+        return await this.#storeFault(fault.tag, forMs, { delayMs: SLOW_MS });
+      case "store_loses_answers":
+        return await this.#storeFault(fault.tag, forMs, {
+          loseWriteAnswers: true,
+        });
+      case "watches_stuck":
+        return await this.#storeFault(fault.tag, forMs, { watchesStuck: true });
+      case "history_forgotten":
+        return store.forgetHistory();
+      case "servers_lapse":
+        return await this.#lapse(forMs);
+      case "server":
+        return await this.#serverMode(fault, forMs);
+      case "server_crash":
+        return await this.#crash(fault.server);
+      case "server_leaves":
+        return await this.#leave(fault.server);
+      case "configuration":
+        return store.configure();
+      case "key_removed":
+        return store.removeKey();
+    }
+  }
+
+  async #kill(gateways: readonly number[]): Promise<void> {
+    await Promise.all(gateways.map(async (at) => {
+      const gateway = this.#gateway(at);
+      await this.#during("kill", gateway.name, async () => {
+        gateway.signal("SIGKILL");
+        await pause(START_MS);
+      });
+    }));
+  }
+
+  async #stop(at: number): Promise<void> {
+    const gateway = this.#gateway(at);
+    this.#fleet.history.plannedStops.push({
+      gateway: gateway.name,
+      atMs: performance.now(),
+    });
+    gateway.signal("SIGTERM");
+    await gateway.ended(BOUNDS.stopGraceMs);
+  }
+
+  async #freeze(at: number, forMs: number): Promise<void> {
+    const gateway = this.#gateway(at);
+    await this.#during("freeze", gateway.name, async () => {
+      gateway.signal("SIGSTOP");
+      await pause(forMs);
+      gateway.signal("SIGCONT");
+    });
+  }
+
+  async #cut(at: number, forMs: number): Promise<void> {
+    const { name, proxy } = this.#gateway(at);
+    await this.#during("store_cut", name, async () => {
+      proxy.cut(EVERYONE);
+      await pause(forMs);
+      proxy.heal();
+    });
+  }
+
+  async #reset(at: number): Promise<void> {
+    const { name, proxy } = this.#gateway(at);
+    await this.#during("store_reset", name, () => {
+      proxy.reset();
+      return Promise.resolve();
+    });
+  }
+
+  async #storeFault(
+    name: string,
+    forMs: number,
+    faults: Parameters<SoakStore["begin"]>[1],
+  ): Promise<void> {
+    const { store } = this.#fleet;
+    const own = `${name}-${performance.now()}`;
+    await this.#during(name, "all", async () => {
+      store.begin(own, faults);
+      await pause(forMs);
+      store.end(own);
+    });
+  }
+
+  async #lapse(forMs: number): Promise<void> {
+    const { store } = this.#fleet;
+    const own = `lapse-${performance.now()}`;
+    await this.#during("servers_lapse", "all", async () => {
+      store.begin(own, { down: true });
+      await pause(forMs);
+      store.lapse();
+      store.end(own);
+      await pause(RELIST_MS);
+      store.relist();
+    });
+  }
+
+  async #serverMode(
+    { server, mode }: Extract<Fault, { tag: "server" }>,
+    forMs: number,
+  ): Promise<void> {
+    const found = this.#server(server);
+    found.mode = mode;
+    await pause(forMs);
+    found.mode = "sound";
+  }
+
+  async #crash(at: number): Promise<void> {
+    const { store } = this.#fleet;
+    const server = this.#server(at);
+    server.close();
+    await pause(RELIST_MS);
+    store.unlist(server);
+    if (this.#server(at) === server) await this.startServer(at);
+  }
+
+  async #leave(at: number): Promise<void> {
+    const { store } = this.#fleet;
+    const server = this.#server(at);
+    store.leave(server);
+    await this.startServer(at);
+    await pause(2 * BOUNDS.drainMs);
+    store.unlist(server);
+    // It goes on for a while, so that late work is seen.
+    await pause(BOUNDS.drainMs);
+    server.close();
+  }
+
+  async #during(
+    name: string,
+    victim: Victim,
+    work: () => Promise<void>,
+  ): Promise<void> {
+    const fromMs = performance.now();
+    const trouble: Trouble = { name, victim, fromMs, untilMs: Infinity };
+    this.#fleet.history.troubles.push(trouble);
+    await work();
+    trouble.untilMs = performance.now();
+  }
+
+  #gateway(at: number): SoakGateway {
+    const gateway = this.#fleet.gateways[at];
+    if (gateway === undefined) throw new Error(`There is no gateway ${at}`);
+    return gateway;
+  }
+
+  #server(at: number): SoakServer {
+    const server = this.#fleet.servers[at];
+    if (server === undefined) throw new Error(`There is no server ${at}`);
+    return server;
+  }
+}
--- /dev/null
+++ b/soak/fault_plan.ts
@@ -0,0 +1,122 @@
+/** Which faults are injected, and when: a list that a seed repeats. */
+
+import type { Draw } from "./draw.ts";
+import type { ServerMode } from "./soak_server.ts";
+
+/** One fault. Gateways and servers are told by their number. */
+export type Fault =
+  | { readonly tag: "kill"; readonly gateways: readonly number[] }
+  | { readonly tag: "planned_stop"; readonly gateway: number }
+  | { readonly tag: "freeze"; readonly gateway: number }
+  | { readonly tag: "reload"; readonly gateway: number }
+  | { readonly tag: "store_cut"; readonly gateway: number }
+  | { readonly tag: "store_reset"; readonly gateway: number }
+  | { readonly tag: "store_down" }
+  | { readonly tag: "store_slow" }
+  | { readonly tag: "store_loses_answers" }
+  | { readonly tag: "watches_stuck" }
+  | { readonly tag: "history_forgotten" }
+  | { readonly tag: "servers_lapse" }
+  | {
+    readonly tag: "server";
+    readonly server: number;
+    readonly mode: ServerMode;
+  }
+  | { readonly tag: "server_crash"; readonly server: number }
+  | { readonly tag: "server_leaves"; readonly server: number }
+  | { readonly tag: "configuration" }
+  | { readonly tag: "key_removed" };
+
+/** A fault in its place and time. */
+export interface PlannedFault {
+  readonly atMs: number;
+  /** How long it lasts, where it lasts. */
+  readonly forMs: number;
+  readonly fault: Fault;
+}
+
+/** Names of all faults. */
+const FAULTS: readonly Fault["tag"][] = [
+  "kill",
+  "planned_stop",
+  "freeze",
+  "reload",
+  "store_cut",
+  "store_reset",
+  "store_down",
+  "store_slow",
+  "store_loses_answers",
+  "watches_stuck",
+  "history_forgotten",
+  "servers_lapse",
+  "server",
+  "server_crash",
+  "server_leaves",
+  "configuration",
+  "key_removed",
+];
+const MODES: readonly ServerMode[] = [
+  "resets",
+  "silent",
+  "full",
+  "crossed",
+  "cuts",
+];
+/** Pauses between faults; shorter than most faults last, so that they overlap. */
+const LEAST_PAUSE_MS = 150;
+const MOST_PAUSE_MS = 900;
+const LEAST_TIME_MS = 400;
+const MOST_TIME_MS = 3_500;
+
+/** Draws the faults of a run. */
+export function planFaults(
+  draw: Draw,
+  { runMs, gateways, servers }: {
+    runMs: number;
+    gateways: number;
+    servers: number;
+  },
+): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = draw.whole(LEAST_PAUSE_MS, MOST_PAUSE_MS);
+  while (atMs < runMs) {
+    const forMs = draw.whole(LEAST_TIME_MS, MOST_TIME_MS);
+    plan.push({ atMs, forMs, fault: drawFault(draw, { gateways, servers }) });
+    atMs += draw.whole(LEAST_PAUSE_MS, MOST_PAUSE_MS);
+  }
+  return plan;
+}
+
+function drawFault(
+  draw: Draw,
+  { gateways, servers }: { gateways: number; servers: number },
+): Fault {
+  const tag = draw.one(FAULTS);
+  const gateway = draw.whole(0, gateways - 1);
+  const server = draw.whole(0, servers - 1);
+  switch (tag) {
+    case "kill":
+      return { tag, gateways: drawSome(draw, gateways) };
+    case "planned_stop":
+    case "freeze":
+    case "reload":
+    case "store_cut":
+    case "store_reset":
+      return { tag, gateway };
+    case "server":
+      return { tag, server, mode: draw.one(MODES) };
+    case "server_crash":
+    case "server_leaves":
+      return { tag, server };
+    default:
+      return { tag };
+  }
+}
+
+/** One gateway, some, or at times all. */
+function drawSome(draw: Draw, gateways: number): number[] {
+  const share = draw.one([0, 0, 0.5, 1]);
+  const all = Array.from({ length: gateways }, (_, at) => at);
+  const some = all.filter(() => draw.unit() < share);
+  return some.length > 0 ? some : [draw.whole(0, gateways - 1)];
+}
--- /dev/null
+++ b/soak/history.ts
@@ -0,0 +1,91 @@
+/** What callers and backend servers have seen, and what was done to the fleet. */
+
+import type { GatewayName } from "./ids.ts";
+
+/** Kinds of requests. */
+export type RequestKind = "once" | "repeatable" | "stream";
+
+/** How a request ended for its caller. */
+export type Ending =
+  | { readonly tag: "answered"; readonly status: number; readonly body: string }
+  /** No connection came up. */
+  | { readonly tag: "not_connected" }
+  /** The connection ended without a whole answer. */
+  | { readonly tag: "cut" };
+
+/** One request as its caller saw it; all times are of one monotonic clock. */
+export interface CallerRecord {
+  readonly attempt: string;
+  readonly kind: RequestKind;
+  readonly gateway: GatewayName;
+  readonly key: string;
+  readonly sentMs: number;
+  readonly endMs: number;
+  readonly ending: Ending;
+}
+
+/** One run of a request at a backend server. */
+export interface RunRecord {
+  readonly attempt: string;
+  readonly server: string;
+  readonly atMs: number;
+  /** Account that the gateway named; undefined where it named none. */
+  readonly account: string | undefined;
+  /** Whether the caller's key was passed on. */
+  readonly keyShown: boolean;
+  /** The server left the request without a whole answer. */
+  broken: boolean;
+}
+
+/** Whom trouble hit: one gateway, or all. */
+export type Victim = GatewayName | "all";
+
+/** A span of time in which something was wrong by intent. */
+export interface Trouble {
+  readonly name: string;
+  readonly victim: Victim;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+/** A planned stop of a gateway. */
+export interface PlannedStop {
+  readonly gateway: GatewayName;
+  readonly atMs: number;
+}
+
+/** A configuration as the store took it. */
+export interface ConfigurationRecord {
+  readonly version: number;
+  readonly takenMs: number;
+  readonly keys: readonly string[];
+}
+
+/** A server that was said to leave. */
+export interface LeavingRecord {
+  readonly server: string;
+  readonly saidMs: number;
+}
+
+/** The version that a gateway showed, by a route that only it has. */
+export interface ShownVersion {
+  readonly gateway: GatewayName;
+  /** Start of the gateway's process, which may begin anew with an older version. */
+  readonly life: number;
+  readonly version: number;
+  readonly askedMs: number;
+  readonly shown: boolean;
+}
+
+/** All that happened in one run. */
+export class History {
+  readonly callers: CallerRecord[] = [];
+  readonly runs: RunRecord[] = [];
+  readonly troubles: Trouble[] = [];
+  readonly plannedStops: PlannedStop[] = [];
+  readonly configurations: ConfigurationRecord[] = [];
+  readonly leavings: LeavingRecord[] = [];
+  readonly shownVersions: ShownVersion[] = [];
+  /** Gateways that served when all faults were over. */
+  recovered: readonly GatewayName[] = [];
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,103 @@
+/** `npm run soak`: plays seeds, and says what broke. */
+
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { parse } from "yaml";
+import type { SoakResult } from "./soak_run.ts";
+import { runSeed } from "./soak_run.ts";
+
+/** Seeds that broke something once, with the cause. */
+const REGRESSIONS = "soak/regressions.yaml";
+const MS_PER_SECOND = 1_000;
+const SECONDS_PER_MINUTE = 60;
+const VIOLATIONS_SHOWN = 10;
+/** Fresh seeds are drawn below this, so that they are easy to type. */
+const MOST_SEED = 1_000_000;
+
+const options = await yargs(hideBin(process.argv))
+  .scriptName("npm run soak --")
+  .option("seed", { type: "number", describe: "Play this seed only" })
+  .option("first", { type: "number", default: 1, describe: "First seed" })
+  .option("seeds", { type: "number", describe: "Play so many seeds in turn" })
+  .option("minutes", {
+    type: "number",
+    describe: "Play fresh seeds for so many minutes",
+  })
+  .option("regressions", {
+    type: "boolean",
+    default: false,
+    describe: `Play the seeds of ${REGRESSIONS} as well`,
+  })
+  .option("seconds", { default: 15, describe: "Time with faults of one seed" })
+  .option("gateways", { default: 5, describe: "Processes" })
+  .option("servers", { default: 4, describe: "Backend servers" })
+  .option("callers", { default: 12, describe: "Callers at once" })
+  .option("folder", {
+    default: "target/soak",
+    describe: "Where settings and logs of the processes go",
+  })
+  .strict()
+  .parse();
+
+const size = {
+  gateways: options.gateways,
+  servers: options.servers,
+  callers: options.callers,
+  runMs: options.seconds * MS_PER_SECOND,
+};
+
+async function main(): Promise<void> {
+  let failed = 0;
+  let played = 0;
+  for (const seed of seedsToPlay()) {
+    played += 1;
+    if (!report(await play(seed))) failed += 1;
+  }
+  console.log(`${played - failed} passed, ${failed} failed`);
+  process.exit(failed === 0 ? 0 : 1);
+}
+
+function* seedsToPlay(): Generator<number> {
+  if (options.regressions) {
+    const known = parse(readFileSync(REGRESSIONS, "utf8")) as {
+      seed: number;
+    }[];
+    for (const { seed } of known ?? []) yield seed;
+  }
+  if (options.seed !== undefined) yield options.seed;
+  for (let n = 0; n < (options.seeds ?? 0); n++) yield options.first + n;
+  const minutes = options.minutes ?? 0;
+  const untilMs = Date.now() + minutes * SECONDS_PER_MINUTE * MS_PER_SECOND;
+  while (Date.now() < untilMs) yield Math.floor(Math.random() * MOST_SEED);
+}
+
+function play(seed: number): Promise<SoakResult> {
+  return runSeed(seed, { size, folder: `${options.folder}/${seed}` });
+}
+
+function report(result: SoakResult): boolean {
+  const { seed, requests, answered, faults, violations } = result;
+  const verdict = violations.length === 0
+    ? "holds"
+    : `BROKEN (${violations.length})`;
+  console.log(
+    `seed ${seed} | ${requests} requests, ${answered} answered | ` +
+      `${faults.length} faults: ${countsOf(result)} | ${verdict}`,
+  );
+  for (const { promise, what } of violations.slice(0, VIOLATIONS_SHOWN)) {
+    console.log(`  ${promise}: ${what}`);
+  }
+  return violations.length === 0;
+}
+
+function countsOf({ faults }: SoakResult): string {
+  const counts = new Map<string, number>();
+  for (const { fault } of faults) {
+    counts.set(fault.tag, (counts.get(fault.tag) ?? 0) + 1);
+  }
+  return [...counts].map(([tag, count]) => `${tag} ${count}`).join(", ");
+}
+
+await main();
--- /dev/null
+++ b/soak/soak_run.ts
@@ -0,0 +1,118 @@
+/** One run of the soak: a fleet of processes, callers, faults by a seed, and checks. */
+
+import process from "node:process";
+import { pause } from "../src/runtime/pause.ts";
+import { Draw } from "./draw.ts";
+import { FaultInjector, type Fleet } from "./fault_injector.ts";
+import { planFaults, type PlannedFault } from "./fault_plan.ts";
+import { History } from "./history.ts";
+import { checkPromises, type Violation } from "./promise_checker.ts";
+import { SoakCaller } from "./soak_caller.ts";
+import { SoakGateway } from "./soak_gateway.ts";
+import type { SoakSize } from "./soak_settings.ts";
+import { SoakStore } from "./soak_store.ts";
+import { shows, VersionWatch } from "./version_watch.ts";
+
+/** Longest wait for all gateways to serve, at the start and after the last fault. */
+const SERVE_LIMIT_MS = 20_000;
+const POLL_MS = 100;
+/** Time in which callers' last requests end. */
+const LAST_REQUESTS_MS = 7_000;
+/** Loopback networks among which a process draws one. */
+const NETWORKS = 250;
+
+/** What came of a run. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly faults: readonly PlannedFault[];
+  readonly violations: readonly Violation[];
+}
+
+/** Runs one seed. */
+export async function runSeed(
+  seed: number,
+  { size, folder }: { size: SoakSize; folder: string },
+): Promise<SoakResult> {
+  const history = new History();
+  const store = new SoakStore(history);
+  const network = 1 + (process.pid + seed) % NETWORKS;
+  const options = { folder, network, store: await store.listen() };
+  const gateways = Array.from(
+    { length: size.gateways },
+    (_, at) => new SoakGateway(at, options),
+  );
+  const fleet: Fleet = { history, store, gateways, servers: [] };
+  try {
+    const faults = await play(fleet, { seed, size });
+    const violations = [...checkPromises(history), ...unrecovered(fleet)];
+    const answered = history.callers.filter(({ ending }) =>
+      ending.tag === "answered" && ending.status === 200
+    ).length;
+    const requests = history.callers.length;
+    return { seed, requests, answered, faults, violations };
+  } finally {
+    await Promise.all(gateways.map((gateway) => gateway.stop()));
+    for (const server of fleet.servers) server.close();
+    await store.close();
+  }
+}
+
+async function play(
+  fleet: Fleet,
+  { seed, size }: { seed: number; size: SoakSize },
+): Promise<PlannedFault[]> {
+  const { history, store, gateways } = fleet;
+  const draw = new Draw(seed);
+  const plan = planFaults(draw, size);
+  const injector = new FaultInjector(fleet);
+  store.configure();
+  for (let at = 0; at < size.servers; at++) await injector.startServer(at);
+  for (const gateway of gateways) await gateway.prepare();
+  const seeds = gateways.slice(0, 2).map(({ peers }) => peers);
+  for (const gateway of gateways) await gateway.start(seeds);
+  await untilAllServe(fleet);
+  let stopped = false;
+  const callers = Array.from(
+    { length: size.callers },
+    (_, at) =>
+      new SoakCaller(`c${at}`, {
+        history,
+        gateways,
+        draw: new Draw(seed + at + 1),
+        keys: () => [...store.keys, "key-0"],
+      }),
+  );
+  const watch = new VersionWatch({ history, store, gateways });
+  const working = [...callers, watch].map((one) => one.run(() => stopped));
+  await injector.run(plan);
+  history.recovered = await untilAllServe(fleet);
+  stopped = true;
+  await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
+  await Promise.all(callers.map((caller) => caller.close()));
+  return plan;
+}
+
+/** Waits until all gateways have the newest configuration; returns those that have. */
+async function untilAllServe({ gateways, store }: Fleet) {
+  const untilMs = Date.now() + SERVE_LIMIT_MS;
+  for (;;) {
+    const shown = await Promise.all(
+      gateways.map((gateway) => shows(gateway, store.version)),
+    );
+    const serving = gateways.filter((_, at) => shown[at] === true);
+    const all = serving.length === gateways.length;
+    if (all || Date.now() > untilMs) return serving.map(({ name }) => name);
+    await pause(POLL_MS);
+  }
+}
+
+function unrecovered({ gateways, history }: Fleet): Violation[] {
+  return gateways
+    .filter(({ name }) => !history.recovered.includes(name))
+    .map(({ name }) => ({
+      promise: "recovery",
+      what: `${name} did not serve ${SERVE_LIMIT_MS} ms after the last fault`,
+    }));
+}
--- /dev/null
+++ b/soak/soak_server.ts
@@ -0,0 +1,154 @@
+/** A backend server that keeps what it has run, and misbehaves when it is told to. */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { performance } from "node:perf_hooks";
+import { pause } from "../src/runtime/pause.ts";
+import { eventOf, EVENTS, wholeBody } from "./answer_bodies.ts";
+import type { History, RunRecord } from "./history.ts";
+
+/** How a server behaves. */
+export type ServerMode =
+  | "sound"
+  /** Runs requests and resets their connections in the middle of the answer. */
+  | "resets"
+  /** Runs requests and says nothing for long. */
+  | "silent"
+  /** Takes no requests, and says so. */
+  | "full"
+  /** Answers with the answer to another request. */
+  | "crossed"
+  /** Ends answers before their end, without a reset. */
+  | "cuts";
+
+/** Time that a request takes, in milliseconds. */
+const WORK_MS = 15;
+/** Pause between events, in milliseconds. */
+const EVENT_MS = 8;
+/** Longer than a gateway waits for a silent server. */
+const SILENCE_MS = 4_000;
+/** Part of an answer after which it is broken off. */
+const BROKEN_AFTER = 1_000;
+
+/** One life of a backend server. */
+export class SoakServer {
+  readonly name: string;
+  readonly #history: History;
+  readonly #server: Server;
+  mode: ServerMode = "sound";
+
+  constructor(name: string, history: History) {
+    this.name = name;
+    this.#history = history;
+    this.#server = createServer((req, res) => void this.#answer(req, res));
+  }
+
+  /** Starts to listen on loopback; returns the address. */
+  async listen(): Promise<string> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends at once, as by a crash. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    res.on("error", () => res.destroy());
+    const attempt = headerOf(req, "fieldrack-attempt-id") ?? "";
+    res.setHeader("fieldrack-attempt-id", attempt);
+    const expected = headerOf(req, "fieldrack-expect-instance");
+    if (expected !== undefined && expected !== this.name) {
+      res.writeHead(421).end();
+      return;
+    }
+    if (this.mode === "full") {
+      res.writeHead(503, { "fieldrack-not-processed": "1" }).end();
+      return;
+    }
+    const run = this.#note(req, attempt);
+    res.setHeader("fieldrack-server-seal", this.name);
+    await pause(WORK_MS);
+    if (await this.#misbehaves(run, res)) return;
+    if (req.url?.startsWith("/stream/")) await this.#stream(req, res, run);
+    else res.end(wholeBody(attempt));
+  }
+
+  #note(req: IncomingMessage, attempt: string): RunRecord {
+    const run: RunRecord = {
+      attempt,
+      server: this.name,
+      atMs: performance.now(),
+      account: headerOf(req, "fieldrack-tenant"),
+      keyShown: req.headers.authorization !== undefined,
+      broken: false,
+    };
+    this.#history.runs.push(run);
+    return run;
+  }
+
+  /** Does what the mode asks for; returns whether there is nothing more to answer. */
+  async #misbehaves(run: RunRecord, res: ServerResponse): Promise<boolean> {
+    const body = wholeBody(run.attempt);
+    switch (this.mode) {
+      case "resets":
+        run.broken = true;
+        res.writeHead(200, { "content-length": body.length });
+        res.write(body.slice(0, BROKEN_AFTER));
+        setTimeout(() => res.socket?.resetAndDestroy(), WORK_MS);
+        return true;
+      case "cuts":
+        run.broken = true;
+        res.writeHead(200, { "content-length": body.length });
+        res.write(body.slice(0, BROKEN_AFTER));
+        setTimeout(() => res.destroy(), WORK_MS);
+        return true;
+      case "crossed":
+        run.broken = true;
+        res.setHeader("fieldrack-attempt-id", "another");
+        res.end(wholeBody("another"));
+        return true;
+      case "silent":
+        run.broken = true;
+        await pause(SILENCE_MS);
+        res.destroy();
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  async #stream(
+    req: IncomingMessage,
+    res: ServerResponse,
+    run: RunRecord,
+  ): Promise<void> {
+    res.setHeader("content-type", "text/event-stream");
+    const after = Number(headerOf(req, "last-event-id") ?? 0);
+    for (let event = after + 1; event <= EVENTS; event++) {
+      if (this.mode !== "sound") {
+        run.broken = true;
+        res.write(eventOf(run.attempt, event).slice(0, -4));
+        res.socket?.resetAndDestroy();
+        return;
+      }
+      res.write(eventOf(run.attempt, event));
+      await pause(EVENT_MS);
+    }
+    res.end();
+  }
+}
+
+function headerOf(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/soak/soak_settings.ts
@@ -0,0 +1,31 @@
+/** Time limits of the soak's deployment, and how large it is. */
+
+/** Bounds that the gateways are told and the checks hold them to, in milliseconds. */
+export const BOUNDS = {
+  configurationApplyMs: 2_000,
+  keyRemovalMs: 5_000,
+  drainMs: 2_000,
+  stopGraceMs: 4_000,
+} as const;
+
+/**
+ * Time after trouble during which a gateway is not held to limits of time: as long as the
+ * users allow it to be out of touch.
+ */
+export const CONTACT_MS = 3_000;
+
+/** What one run consists of. */
+export interface SoakSize {
+  readonly gateways: number;
+  readonly servers: number;
+  readonly callers: number;
+  /** Time with faults, in milliseconds. */
+  readonly runMs: number;
+}
+
+/** Host of all routes. */
+export const HOST = "soak.example";
+/** Name of the one client account. */
+export const ACCOUNT = "garden";
+/** The one service. */
+export const SERVICE = "model";
--- /dev/null
+++ b/soak/soak_store.ts
@@ -0,0 +1,180 @@
+/** What operators and servers write to the store, and how the store misbehaves. */
+
+import { performance } from "node:perf_hooks";
+import {
+  ObjectStoreStandin,
+  type StoreFaults,
+} from "../src/standins/object_store_standin.ts";
+import type { History } from "./history.ts";
+import type { SoakServer } from "./soak_server.ts";
+import { ACCOUNT, HOST, SERVICE } from "./soak_settings.ts";
+
+/** Path of the route that only one version has. */
+export function versionPath(version: number): string {
+  return `/version-${version}/`;
+}
+
+/** The store and what stands in it. */
+export class SoakStore {
+  readonly #store = new ObjectStoreStandin();
+  readonly #history: History;
+  readonly #faults = new Map<string, StoreFaults>();
+  readonly #servers = new Map<string, object>();
+  #version = 0;
+  #keyNumber = 1;
+  #keys: readonly string[] = ["key-0", "key-1"];
+
+  constructor(history: History) {
+    this.#history = history;
+  }
+
+  /** Version that was written last. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Keys that are valid now. */
+  get keys(): readonly string[] {
+    return this.#keys;
+  }
+
+  /** Starts to listen; returns the address. */
+  listen(): Promise<string> {
+    return this.#store.listen();
+  }
+
+  /** Ends all connections. */
+  close(): Promise<void> {
+    return this.#store.close();
+  }
+
+  /** Writes the next version, with a route that no other has. */
+  configure(): void {
+    this.#version += 1;
+    const route = {
+      Hostname: HOST,
+      Service: SERVICE,
+      MaxAttempts: 3,
+      TimeoutMs: 3_000,
+    };
+    this.#store.kinds.put("config", {
+      name: "main",
+      spec: {
+        Version: this.#version,
+        Routes: [
+          ...this.#versionRoutes(route),
+          {
+            ...route,
+            Name: "o",
+            PathPrefix: "/once/",
+            RouteType: "non_idempotent",
+            MaxAttempts: 1,
+          },
+          {
+            ...route,
+            Name: "r",
+            PathPrefix: "/repeatable/",
+            RouteType: "idempotent",
+          },
+          {
+            ...route,
+            Name: "s",
+            PathPrefix: "/stream/",
+            RouteType: "streaming",
+            StreamResumption: true,
+          },
+        ],
+        Services: [{ Name: SERVICE }],
+        Tenants: [{ Name: ACCOUNT, ApiKeys: this.#keys }],
+      },
+    });
+    this.#history.configurations.push({
+      version: this.#version,
+      takenMs: performance.now(),
+      keys: this.#keys,
+    });
+  }
+
+  /** Takes the oldest key away and adds a new one. */
+  removeKey(): void {
+    this.#keyNumber += 1;
+    this.#keys = [...this.#keys.slice(1), `key-${this.#keyNumber}`];
+    this.configure();
+  }
+
+  /** Writes a server down, as it does itself. */
+  list(server: SoakServer, address: string): void {
+    const spec = {
+      Service: SERVICE,
+      Address: address,
+      Zone: "north",
+      Version: "v1",
+      Slots: 16,
+      State: "ready",
+    };
+    this.#servers.set(server.name, spec);
+    this.#store.kinds.put("servers", { name: server.name, spec });
+  }
+
+  /** Writes down that a server leaves. */
+  leave({ name }: SoakServer): void {
+    const spec = { ...this.#servers.get(name), State: "draining" };
+    this.#store.kinds.put("servers", { name, spec });
+    const saidMs = performance.now();
+    this.#history.leavings.push({ server: name, saidMs });
+  }
+
+  /** Removes the entry of a server that has gone. */
+  unlist({ name }: SoakServer): void {
+    this.#servers.delete(name);
+    this.#store.kinds.remove("servers", name);
+  }
+
+  /** Lets all entries of servers lapse, as while the store is away. */
+  lapse(): void {
+    for (const name of this.#servers.keys()) {
+      this.#store.kinds.remove("servers", name);
+    }
+  }
+
+  /** Servers that live write themselves down again. */
+  relist(): void {
+    for (const [name, spec] of this.#servers) {
+      this.#store.kinds.put("servers", { name, spec });
+    }
+  }
+
+  /** Forgets its history, and ends all watches. */
+  forgetHistory(): void {
+    this.#store.kinds.forgetHistory();
+    this.#store.kinds.releaseWatches();
+  }
+
+  /** Begins a fault; it may overlap with others. */
+  begin(name: string, faults: StoreFaults): void {
+    this.#faults.set(name, faults);
+    this.#setFaults();
+  }
+
+  /** Ends a fault. */
+  end(name: string): void {
+    this.#faults.delete(name);
+    this.#setFaults();
+  }
+
+  #setFaults(): void {
+    this.#store.setFaults(Object.assign({}, ...this.#faults.values()));
+  }
+
+  /** The newest version and the one before, so that requests may cross a change. */
+  #versionRoutes(route: object): object[] {
+    return [this.#version - 1, this.#version].map((version) => ({
+      ...route,
+      Name: `v-${version}`,
+      PathPrefix: versionPath(version),
+      RouteType: "idempotent",
+      Anonymous: true,
+      Service: "nowhere",
+    }));
+  }
+}
