--- a/scripts/gateway_bundle.mjs
+++ b/scripts/gateway_bundle.mjs
@@ -23,4 +23,9 @@
   ["scripts/gateway_warm_up.ts", folder],
   { stdio: ["ignore", "inherit", "inherit"] },
 );
-process.exit(status ?? 1);
+if (status !== 0) {
+  // As when another process took a port of the warm-up; the program is whole without it.
+  console.warn(
+    `No code was compiled (exit ${status}); the gateway starts slower`,
+  );
+}
--- a/scripts/gateway_warm_up.ts
+++ b/scripts/gateway_warm_up.ts
@@ -23,8 +23,8 @@
 const SETTLE_MS = 2_500;
 const HOST = "warm.example";
 const KEY = "warm-key";
-const FIRST_PORT = 20_000;
-const PORTS = 20_000;
+/** Addresses of one gateway: for callers, readiness, other VMs, and lists of addresses. */
+const LISTENERS = 4;
 
 const folder = process.argv[2] ?? "target";
 // Flags that the program runs with: V8 refuses code that was compiled with others.
@@ -35,8 +35,9 @@
   const storeAddress = await store.listen();
   const backend = await startBackend();
   fillStore(store, addressOf(backend));
-  const peerPorts = portsOf(4);
-  const ports = portsOf(4);
+  const all = await portsOf(2 * LISTENERS);
+  const ports = all.slice(0, LISTENERS);
+  const peerPorts = all.slice(LISTENERS);
   const peer = await startPeer(storeAddress, {
     ports: peerPorts,
     seeds: ports,
@@ -53,10 +54,19 @@
   process.exit(code as number ?? 1);
 }
 
-/** Ports that are likely to be free: several builds may run at once. */
-function portsOf(count: number): number[] {
-  const first = FIRST_PORT + Math.floor(Math.random() * PORTS);
-  return Array.from({ length: count }, (_, at) => first + at);
+/** Ports from the operating system; several builds may run at once. */
+async function portsOf(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      server.listen(0, "127.0.0.1");
+      await once(server, "listening");
+      return server;
+    }),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  for (const server of servers) server.close();
+  return ports;
 }
 
 function settingsOf(
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -3,7 +3,7 @@
 import { readdirSync } from "node:fs";
 import process from "node:process";
 
-const ROOTS = ["src", "tests", "prove"];
+const ROOTS = ["src", "tests", "prove", "soak"];
 const wanted = process.argv.slice(2);
 
 const files = ROOTS
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -87,6 +87,26 @@
   return plan;
 }
 
+/** Planned work without any fault beside it, after which nothing excuses a breach. */
+export function planCalmChanges(
+  draw: Draw,
+  { gateways, servers }: { gateways: number; servers: number },
+): PlannedFault[] {
+  const gateway = draw.whole(0, gateways - 1);
+  const server = draw.whole(0, servers - 1);
+  const faults: Fault[] = [
+    { tag: "server_leaves", server },
+    { tag: "key_removed" },
+    { tag: "planned_stop", gateway },
+    { tag: "configuration" },
+  ];
+  return faults.map((fault, at) => ({
+    atMs: at * MOST_PAUSE_MS,
+    forMs: LEAST_TIME_MS,
+    fault,
+  }));
+}
+
 function drawFault(
   draw: Draw,
   { gateways, servers }: { gateways: number; servers: number },
--- a/soak/soak_gateway.ts
+++ b/soak/soak_gateway.ts
@@ -27,8 +27,8 @@
   /** Folder for settings and logs. */
   readonly folder: string;
   readonly store: string;
-  /** Number of the loopback network, so that runs beside each other do not meet. */
-  readonly network: number;
+  /** First three numbers of the gateways' addresses. */
+  readonly network: string;
 }
 
 /** A gateway that is started again whenever it has ended. */
@@ -44,7 +44,7 @@
 
   constructor(at: number, options: GatewayOptions) {
     this.name = `vm-${at}` as GatewayName;
-    this.ip = `127.77.${options.network}.${at + 1}`;
+    this.ip = `${options.network}.${at + 1}`;
     this.#options = options;
   }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -4,12 +4,16 @@
 import { pause } from "../src/runtime/pause.ts";
 import { Draw } from "./draw.ts";
 import { FaultInjector, type Fleet } from "./fault_injector.ts";
-import { planFaults, type PlannedFault } from "./fault_plan.ts";
+import {
+  planCalmChanges,
+  planFaults,
+  type PlannedFault,
+} from "./fault_plan.ts";
 import { History } from "./history.ts";
 import { checkPromises, type Violation } from "./promise_checker.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakGateway } from "./soak_gateway.ts";
-import type { SoakSize } from "./soak_settings.ts";
+import { CONTACT_MS, type SoakSize } from "./soak_settings.ts";
 import { SoakStore } from "./soak_store.ts";
 import { shows, VersionWatch } from "./version_watch.ts";
 
@@ -18,7 +22,7 @@
 const POLL_MS = 100;
 /** Time in which callers' last requests end. */
 const LAST_REQUESTS_MS = 7_000;
-/** Loopback networks among which a process draws one. */
+/** Numbers of loopback networks that follow each other. */
 const NETWORKS = 250;
 
 /** What came of a run. */
@@ -37,7 +41,7 @@
 ): Promise<SoakResult> {
   const history = new History();
   const store = new SoakStore(history);
-  const network = 1 + (process.pid + seed) % NETWORKS;
+  const network = ownNetwork();
   const options = { folder, network, store: await store.listen() };
   const gateways = Array.from(
     { length: size.gateways },
@@ -59,6 +63,13 @@
   }
 }
 
+/** Loopback network of this process: gateways of two runs must not meet. */
+function ownNetwork(): string {
+  const { pid } = process;
+  const high = 1 + Math.floor(pid / NETWORKS) % NETWORKS;
+  return `127.${high}.${1 + pid % NETWORKS}`;
+}
+
 async function play(
   fleet: Fleet,
   { seed, size }: { seed: number; size: SoakSize },
@@ -88,6 +99,9 @@
   const working = [...callers, watch].map((one) => one.run(() => stopped));
   await injector.run(plan);
   history.recovered = await untilAllServe(fleet);
+  // Limits of time hold only for gateways in touch, which they hardly are before this.
+  await pause(CONTACT_MS);
+  await injector.run(planCalmChanges(draw, size));
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
   await Promise.all(callers.map((caller) => caller.close()));
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -3,7 +3,7 @@
 /** Bounds that the gateways are told and the checks hold them to, in milliseconds. */
 export const BOUNDS = {
   configurationApplyMs: 2_000,
-  keyRemovalMs: 5_000,
+  keyRemovalMs: 3_000,
   drainMs: 2_000,
   stopGraceMs: 4_000,
 } as const;
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -32,6 +32,11 @@
 const TIMEOUT_MS = 700;
 /** Rounds after which a VM knows the others, and so whether it is a relay. */
 const SETTLED_ROUNDS = 4;
+/**
+ * A VM that follows a relay asks it in every so many rounds: changes take up to that much
+ * longer to come to it, of the two or three seconds that they may take.
+ */
+const FOLLOW_EVERY_ROUNDS = 2;
 /** Every so many rounds a seed is asked, so that fleets that were apart join again. */
 const SEED_EVERY_ROUNDS = 12;
 
@@ -95,7 +100,7 @@
     relayRole.update();
     // Nothing waits for slow VMs: the next round comes whether or not they answer.
     // Whoever comes later and finds no seed alive looks for relays in the store.
-    if (!relayRole.held) void this.#askRelay();
+    if (!relayRole.held) this.#follow();
     else if (this.#rounds > SETTLED_ROUNDS) void this.#deps.vmRegistry.write();
     for (const member of this.#chosen()) void this.#probe(member);
     const members = memberTable.others();
@@ -143,6 +148,12 @@
     return chosen;
   }
 
+  /** Asks a relay now and then, and in each round while none is followed. */
+  #follow(): void {
+    const due = this.#rounds % FOLLOW_EVERY_ROUNDS === 0;
+    if (due || this.#deps.relayRole.unheard) void this.#askRelay();
+  }
+
   async #askRelay(): Promise<void> {
     const { relayRole } = this.#deps;
     for (const relay of relayRole.toAsk().slice(0, MOST_RELAYS_TRIED)) {
--- a/src/fleet/relay_role.ts
+++ b/src/fleet/relay_role.ts
@@ -11,9 +11,9 @@
 
 /**
  * A VM that has heard no relay in touch with the store for this long asks the store
- * itself: three rounds, and well within the seconds in which changes must be in force.
+ * itself: two questions, and within the seconds in which changes must be in force.
  */
-const RELAY_PATIENCE_MS = 1_200;
+const RELAY_PATIENCE_MS = 1_800;
 /** A relay that failed is asked last for this long. */
 const RELAY_AVOIDED_MS = 3_000;
 
@@ -90,6 +90,11 @@
     this.#heardAtMs = nowMs;
   }
 
+  /** Whether this VM asks the store because no relay was heard lately. */
+  get unheard(): boolean {
+    return this.#deps.storeSync.direct;
+  }
+
   /** Brings up to date whether this VM asks the store itself. */
   update(): void {
     const { storeSync, clock, logger } = this.#deps;
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -32,6 +32,7 @@
   readonly #closing: () => boolean;
   #state: AnswerState = "none";
   #status: number | undefined;
+  #gathering = false;
   #onGone: () => void = () => {};
 
   constructor(
@@ -136,13 +137,16 @@
   /** Begins an answer whose body is passed on as it comes. */
   beginStream({ status, headers }: AnswerHead): void {
     if (this.#state !== "none") return;
+    this.#gather();
     this.#begin(status, answerHeadersFor(headers));
     this.#res.flushHeaders();
   }
 
   /** Passes on bytes; returns false while the caller does not keep up. */
   write(chunk: Buffer): boolean {
-    return this.#state === "begun" ? this.#res.write(chunk) : true;
+    if (this.#state !== "begun") return true;
+    this.#gather();
+    return this.#res.write(chunk);
   }
 
   /** Calls back once the caller has caught up. */
@@ -162,6 +166,21 @@
     this.#res.destroy();
   }
 
+  /**
+   * Sends what is written in this turn of the loop at once: a head often comes with its
+   * first event and an end with the last, and each packet costs both sides a wake-up.
+   */
+  #gather(): void {
+    if (this.#gathering) return;
+    this.#gathering = true;
+    this.#res.cork();
+    setImmediate(() => {
+      this.#gathering = false;
+      // An end has sent everything already.
+      if (this.#state === "begun") this.#res.uncork();
+    });
+  }
+
   #begin(status: number, headers: Record<string, string | string[]>): void {
     this.#state = "begun";
     this.#status = status;
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -5,6 +5,7 @@
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
+import type { Logger } from "../runtime/logger.ts";
 import {
   ADDRESSES_PATH,
   callerDataCentre,
@@ -28,6 +29,7 @@
   readonly routingFollower: RoutingFollower;
   readonly serverDirectory: ServerDirectory;
   readonly memberTable: MemberTable;
+  readonly logger: Logger;
 }
 
 /** Serves all that is not a caller's request. */
@@ -47,7 +49,16 @@
     if (ready !== undefined) await this.#serveReadiness(ready);
     if (addresses !== undefined) await this.#serveAddresses(addresses);
     if (metricsPort === undefined) return;
-    await this.#serveMetrics(formatAddress({ host: ip, port: metricsPort }));
+    const metrics = formatAddress({ host: ip, port: metricsPort });
+    try {
+      await this.#serveMetrics(metrics);
+    } catch (err) {
+      // Callers come first: a VM without figures is better than none.
+      this.#deps.logger.warn("Metrics are not served", {
+        address: metrics,
+        reason: (err as Error).message,
+      });
+    }
   }
 
   /** Ends all connections. */
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -18,6 +18,9 @@
 /** Time between looks for servers that were not listed again. */
 const EXPIRY_INTERVAL_MS = 250;
 
+/** Changes at once that get a line each; more get one together. */
+const MOST_LINES = 8;
+
 /** Called when servers get no new work any more. */
 export type RemovalListener = (server: ServerRecord) => void;
 
@@ -104,17 +107,36 @@
   }
 
   #note(changes: readonly DirectoryChange[]): void {
+    // A first list is one change of what this VM believes, however long it is.
+    if (changes.length > MOST_LINES) this.#logMany(changes);
+    else for (const change of changes) this.#logOne(change);
     for (const change of changes) {
-      this.#deps.logger.info("Server list changed", {
-        change: change.tag,
-        reason: change.tag === "removed" ? change.reason : undefined,
-        server: change.server.instance,
-        service: change.server.service,
-        release: change.server.release,
-        state: change.server.state,
-      });
       if (change.tag !== "removed") continue;
       for (const listener of this.#listeners) listener(change.server);
     }
   }
+
+  #logOne(change: DirectoryChange): void {
+    this.#deps.logger.info("Server list changed", {
+      change: change.tag,
+      reason: change.tag === "removed" ? change.reason : undefined,
+      server: change.server.instance,
+      service: change.server.service,
+      release: change.server.release,
+      state: change.server.state,
+    });
+  }
+
+  #logMany(changes: readonly DirectoryChange[]): void {
+    const namesOf = (tag: DirectoryChange["tag"]) =>
+      changes.filter((change) => change.tag === tag)
+        .map(({ server }) => `${server.instance} ${server.release}`)
+        .join(",");
+    this.#deps.logger.info("Many servers changed", {
+      changes: changes.length,
+      added: namesOf("added"),
+      lapsed: namesOf("lapsed"),
+      removed: namesOf("removed"),
+    });
+  }
 }
