Let each check of the soak be seen to fail; measure quiet fleets of gateways

A request that ran twice in a broken copy was one of another soak that was just ending: names hold the process id now (docs/incidents/soak-metrics-port.md).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { hideBin } from "yargs/helpers";
 import { benchCore } from "./core_slopes.ts";
 import { benchFleet } from "./fleet_slopes.ts";
+import { benchGateways } from "./gateway_slopes.ts";
 import { benchOverhead } from "./overhead_bench.ts";
 import { benchReports } from "./report_slopes.ts";
 import { benchRequests } from "./request_slopes.ts";
@@ -23,7 +24,7 @@
     "What entries, changes, requests and tokens cost; the figures of docs/CAPACITY.md",
     (args) =>
       args.positional("part", {
-        choices: ["core", "fleet", "reports", "requests"] as const,
+        choices: ["core", "fleet", "gateways", "reports", "requests"] as const,
       })
         .option("sizes", {
           type: "number",
@@ -34,6 +35,7 @@
       if (part === undefined || part === "core") benchCore();
       if (part === undefined || part === "requests") await benchRequests();
       if (part === undefined || part === "reports") await benchReports();
+      if (part === undefined || part === "gateways") await benchGateways();
       if (part === undefined || part === "fleet") await benchFleet(sizes);
     },
   )
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -1,7 +1,9 @@
 /** Injects the planned faults, and notes whom they trouble. */
 
 import { performance } from "node:perf_hooks";
+import process from "node:process";
 import { pause } from "../src/runtime/pause.ts";
+import type { StoreFaults } from "../src/standins/object_store_standin.ts";
 import { EVERYONE } from "../tests/fixtures/cuttable_proxy.ts";
 import type { Fault, PlannedFault } from "./fault_plan.ts";
 import type { History, Trouble, Victim } from "./history.ts";
@@ -15,6 +17,8 @@
 /** Time after which servers have written themselves down again. */
 const RELIST_MS = 1_500;
 const SLOW_MS = 250;
+/** A store that is away does not answer watches that wait either. */
+const AWAY: StoreFaults = { down: true, watchesStuck: true };
 
 /** The parts of a run that faults touch. */
 export interface Fleet {
@@ -38,7 +42,9 @@
   async startServer(at: number): Promise<void> {
     const { history, store, servers } = this.#fleet;
     this.#serverNumber += 1;
-    const server = new SoakServer(`s-${this.#serverNumber}`, history);
+    // Runs beside each other may get each other's ports, but never each other's names.
+    const name = `s-${process.pid}-${this.#serverNumber}`;
+    const server = new SoakServer(name, history);
     servers[at] = server;
     store.list(server, await server.listen());
   }
@@ -70,7 +76,7 @@
       case "store_reset":
         return await this.#reset(fault.gateway);
       case "store_down":
-        return await this.#storeFault(fault.tag, forMs, { down: true });
+        return await this.#storeFault(fault.tag, forMs, AWAY);
       case "store_slow":
         return await this.#storeFault(fault.tag, forMs, { delayMs: SLOW_MS });
       case "store_loses_answers":
@@ -145,7 +151,7 @@
   async #storeFault(
     name: string,
     forMs: number,
-    faults: Parameters<SoakStore["begin"]>[1],
+    faults: StoreFaults,
   ): Promise<void> {
     const { store } = this.#fleet;
     const own = `${name}-${performance.now()}`;
@@ -160,7 +166,7 @@
     const { store } = this.#fleet;
     const own = `lapse-${performance.now()}`;
     await this.#during("servers_lapse", "all", async () => {
-      store.begin(own, { down: true });
+      store.begin(own, AWAY);
       await pause(forMs);
       store.lapse();
       store.end(own);
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -2,6 +2,7 @@
 
 import type { Draw } from "./draw.ts";
 import type { ServerMode } from "./soak_server.ts";
+import { BOUNDS } from "./soak_settings.ts";
 
 /** One fault. Gateways and servers are told by their number. */
 export type Fault =
@@ -35,8 +36,10 @@
   readonly fault: Fault;
 }
 
-/** Names of all faults. */
+/** Names of all faults; misbehaving servers come in several modes, and so more often. */
 const FAULTS: readonly Fault["tag"][] = [
+  "server",
+  "server",
   "kill",
   "planned_stop",
   "freeze",
@@ -107,6 +110,21 @@
   }));
 }
 
+/**
+ * A key is removed while the store answers no gateway, for longer than a removed key may
+ * still open anything.
+ */
+export function planUnseenRemoval(): PlannedFault[] {
+  return [
+    { atMs: 0, forMs: 2 * BOUNDS.keyRemovalMs, fault: { tag: "store_down" } },
+    {
+      atMs: LEAST_PAUSE_MS,
+      forMs: LEAST_TIME_MS,
+      fault: { tag: "key_removed" },
+    },
+  ];
+}
+
 function drawFault(
   draw: Draw,
   { gateways, servers }: { gateways: number; servers: number },
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -8,6 +8,7 @@
   planCalmChanges,
   planFaults,
   type PlannedFault,
+  planUnseenRemoval,
 } from "./fault_plan.ts";
 import { History } from "./history.ts";
 import { checkPromises, type Violation } from "./promise_checker.ts";
@@ -88,11 +89,11 @@
   const callers = Array.from(
     { length: size.callers },
     (_, at) =>
-      new SoakCaller(`c${at}`, {
+      new SoakCaller(`c${process.pid}-${seed}-${at}`, {
         history,
         gateways,
         draw: new Draw(seed + at + 1),
-        keys: () => [...store.keys, "key-0"],
+        keys: () => store.usedKeys,
       }),
   );
   const watch = new VersionWatch({ history, store, gateways });
@@ -102,6 +103,7 @@
   // Limits of time hold only for gateways in touch, which they hardly are before this.
   await pause(CONTACT_MS);
   await injector.run(planCalmChanges(draw, size));
+  await injector.run(planUnseenRemoval());
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
   await Promise.all(callers.map((caller) => caller.close()));
--- a/soak/soak_store.ts
+++ b/soak/soak_store.ts
@@ -9,6 +9,9 @@
 import type { SoakServer } from "./soak_server.ts";
 import { ACCOUNT, HOST, SERVICE } from "./soak_settings.ts";
 
+/** Removed keys that callers still try. */
+const REMOVED_KEYS_USED = 1;
+
 /** Path of the route that only one version has. */
 export function versionPath(version: number): string {
   return `/version-${version}/`;
@@ -23,6 +26,7 @@
   #version = 0;
   #keyNumber = 1;
   #keys: readonly string[] = ["key-0", "key-1"];
+  readonly #removedKeys: string[] = [];
 
   constructor(history: History) {
     this.#history = history;
@@ -33,9 +37,9 @@
     return this.#version;
   }
 
-  /** Keys that are valid now. */
-  get keys(): readonly string[] {
-    return this.#keys;
+  /** Keys that callers use: those that are valid, and those removed last. */
+  get usedKeys(): readonly string[] {
+    return [...this.#keys, ...this.#removedKeys.slice(-REMOVED_KEYS_USED)];
   }
 
   /** Starts to listen; returns the address. */
@@ -98,6 +102,7 @@
   /** Takes the oldest key away and adds a new one. */
   removeKey(): void {
     this.#keyNumber += 1;
+    this.#removedKeys.push(...this.#keys.slice(0, 1));
     this.#keys = [...this.#keys.slice(1), `key-${this.#keyNumber}`];
     this.configure();
   }
