--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -13,7 +13,7 @@
 import type { VmRegistry } from "../store/vm_registry.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
 import type { DigestRouter } from "./digest_router.ts";
-import type { RelayRole } from "./relay_role.ts";
+import type { FleetRelayRole } from "./fleet_relay_role.ts";
 
 /** Time between rounds. Load and sessions that others tell are about as old as this. */
 const ROUND_MS = 400;
@@ -50,7 +50,7 @@
   /** Addresses of VMs that may be there, from settings and store. */
   readonly seedAddresses: () => readonly string[];
   readonly vmRegistry: VmRegistry;
-  readonly relayRole: RelayRole;
+  readonly relayRole: FleetRelayRole;
 }
 
 /** What a question brought: an answer, or one of a relay in touch with the store. */
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -25,7 +25,7 @@
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import type { DigestExchange } from "./digest_router.ts";
-import type { RelayRole } from "./relay_role.ts";
+import type { FleetRelayRole } from "./fleet_relay_role.ts";
 import { ToldDigests } from "./told_digests.ts";
 
 /** Sessions in one digest, at most. */
@@ -46,7 +46,7 @@
   readonly releaseGate: ReleaseGate;
   readonly routingFollower: RoutingFollower;
   readonly storeSync: StoreSync;
-  readonly relayRole: RelayRole;
+  readonly relayRole: FleetRelayRole;
   readonly unitHash: UnitHash;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -21,7 +21,7 @@
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import { DigestKeeper } from "./digest_keeper.ts";
-import type { RelayRole } from "./relay_role.ts";
+import type { FleetRelayRole } from "./fleet_relay_role.ts";
 
 const SERVER = "i-1" as InstanceId;
 const SERVICE = "model" as ServiceId;
@@ -71,7 +71,7 @@
         tell: () => ({ watched: relay, known: [], changes: [] }),
         hear: () => relay,
       } as unknown as StoreSync,
-      relayRole: { held: relay } as RelayRole,
+      relayRole: { held: relay } as FleetRelayRole,
       unitHash,
       clock: { monotonicMs: () => nowMs, wallMs: () => 1 },
       logger: new SilentLogger(),
--- a/src/fleet/relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -26,7 +26,7 @@
 }
 
 /** The role is taken and left as VMs come and go; nothing is elected. */
-export class RelayRole {
+export class FleetRelayRole {
   readonly #deps: Deps;
   readonly #failedAtMs = new Map<EntryId, number>();
   #seenChanges = -1;
--- a/src/fleet/relay_role_test.ts
+++ b/src/fleet/fleet_relay_role_test.ts
@@ -6,13 +6,13 @@
 import { unitHash } from "../runtime/hashing.ts";
 import { SilentLogger } from "../runtime/logger.ts";
 import type { StoreSync } from "../store/store_sync.ts";
-import { RelayRole } from "./relay_role.ts";
+import { FleetRelayRole } from "./fleet_relay_role.ts";
 
 const VMS = 40;
 
 let nowMs: number;
 let direct: boolean;
-let role: RelayRole;
+let role: FleetRelayRole;
 let table: MemberTable;
 
 function member(at: number, cores = 1): Member {
@@ -33,7 +33,7 @@
   nowMs = 10_000;
   direct = true;
   table = new MemberTable(member(0, 0.1));
-  role = new RelayRole({
+  role = new FleetRelayRole({
     memberTable: table,
     storeSync: {
       get direct() {
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -24,7 +24,7 @@
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
-import { RelayRole } from "../fleet/relay_role.ts";
+import { FleetRelayRole } from "../fleet/fleet_relay_role.ts";
 import { DigestServer } from "../fleet/digest_server.ts";
 import { HttpObjectStore } from "../platform/http_object_store.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
@@ -158,7 +158,7 @@
     trialFollower: asClass(TrialFollower).singleton(),
     trialController: asClass(TrialController).singleton(),
     storeSync: asClass(StoreSync).singleton(),
-    relayRole: asClass(RelayRole).singleton(),
+    relayRole: asClass(FleetRelayRole).singleton(),
     digestKeeper: asClass(DigestKeeper).singleton(),
     digestServer: asClass(DigestServer).singleton(),
     digestExchanger: asClass(DigestExchanger).singleton(),
