Give no work to a rolled-back release when the next one is ordered

All servers that are not of the ordered release were taken as stable, so the bad v2 got sessions of v1 (PINNED, 6 and 7 requests). Ruled out: the trial of v3 (began later), late digests of sessions, repeats at other servers (no request has tries at two releases).

--- a/src/core/rollout/release_gate.ts
+++ b/src/core/rollout/release_gate.ts
@@ -30,6 +30,11 @@
 
   /** Takes in an order or its state. */
   setOrder(order: RollOutOrder): void {
+    // Also the state of an earlier order, which a new one carries until it is begun.
+    const { service, stateRelease } = order;
+    if (order.state === "rolled_back" && stateRelease !== undefined) {
+      this.brake({ service, release: stateRelease });
+    }
     this.#orders.set(order.service, order);
   }
 
@@ -92,7 +97,10 @@
       return { stable: this.#known(service, { servers, nowMs }), trial: [] };
     }
     const ordered = servers.filter(({ release }) => release === order.release);
-    const others = servers.filter(({ release }) => release !== order.release);
+    // Servers of a release that was found bad stay for some seconds, into the next order.
+    const others = servers.filter(({ release }) =>
+      release !== order.release && !this.isBraked({ service, release })
+    );
     const decided = order.stateRelease === order.release;
     if (decided && order.state === "completed") {
       return { stable: ordered, trial: [] };
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -81,6 +81,27 @@
     );
   });
 
+  it("should give nothing to a rolled-back release when the next one is ordered", () => {
+    const next = "v3" as ReleaseId;
+    const later = SERVERS.map((server, at) =>
+      at === 0 ? { ...server, release: next } : server
+    );
+    const braked = new ReleaseGate();
+    braked.setOrder(ORDER);
+    braked.brake(ORDER);
+    const reported = new ReleaseGate();
+    reported.setOrder({ ...ORDER, state: "rolled_back" });
+    for (const gate of [braked, reported]) {
+      gate.setOrder({ ...ORDER, release: next, stateRelease: NEW });
+      const { stable, trial } = gate.split(SERVICE, {
+        servers: later,
+        nowMs: 0,
+      });
+      assert.deepEqual(stable.map(({ release }) => release), [OLD]);
+      assert.deepEqual(trial.map(({ release }) => release), [next]);
+    }
+  });
+
   it("should never shrink the share of a trial", () => {
     const gate = new ReleaseGate();
     gate.setOrder(ORDER);
