Let a trial grow by evidence of its step, and only as far as its bound allows

All sessions move only when the requests left until the time is up fit what a bad release may still get; until then the trial stays small. A release is completed by a dozen answers given since then.

--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -134,6 +134,32 @@
     (known.told.scope === "group" || told.scope === "group");
 }
 
+/** What was counted after `before`; counts that have shrunk since are taken as none. */
+export function evidenceSince(
+  before: EvidenceByKind,
+  now: EvidenceByKind,
+): EvidenceByKind {
+  const since = new Map<string, Evidence>();
+  for (const [kind, row] of now) {
+    const known = before.get(kind);
+    const answers = row.answers - (known?.answers ?? 0);
+    if (answers <= 0) continue;
+    const failures = row.failures - (known?.failures ?? 0);
+    since.set(kind, {
+      ...row,
+      answers,
+      failures: Math.min(answers, Math.max(0, failures)),
+      logMsSum: row.logMsSum - (known?.logMsSum ?? 0),
+    });
+  }
+  return since;
+}
+
+/** Adds up the answers of all kinds. */
+export function countAnswers(evidence: EvidenceByKind): number {
+  return [...evidence.values()].reduce((sum, { answers }) => sum + answers, 0);
+}
+
 function rowsOf(told: readonly Told[], service: ServiceId): Evidence[] {
   return told.flatMap((row) => row.told.evidence)
     .filter((row) => row.service === service);
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -11,11 +11,10 @@
 } from "../ids.ts";
 import type { RollOutOrder } from "../servers/roll_out_order.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
-import { EvidenceBook } from "./evidence.ts";
+import { EvidenceBook, type EvidenceByKind } from "./evidence.ts";
 import { ReleaseChoice } from "./release_choice.ts";
 import { ReleaseGate } from "./release_gate.ts";
 import { SessionBook } from "./session_book.ts";
-import { planStep } from "./trial_plan.ts";
 import { judgeTrial } from "./trial_verdict.ts";
 
 const SERVICE = "inspect" as ServiceId;
@@ -154,6 +153,10 @@
 
 describe("verdict on a trial", () => {
   const route = "r-1" as RouteId;
+  function failing(answers: number, failures: number): EvidenceByKind {
+    const row = { service: SERVICE, release: NEW, route };
+    return new Map([["r-1/", { ...row, answers, failures, logMsSum: 0 }]]);
+  }
   function judge(
     { answers, failures, firstByteMs }: {
       answers: number;
@@ -191,6 +194,17 @@
     );
   });
 
+  it("should find a release bad though the stable one fails as well", () => {
+    const stable = failing(120, 10);
+    assert.equal(judgeTrial({ stable, trial: failing(50, 16) }).tag, "bad");
+    assert.notEqual(judgeTrial({ stable, trial: failing(50, 5) }).tag, "bad");
+  });
+
+  it("should not call a release sound that fails three times in a dozen", () => {
+    const stable = failing(100, 2);
+    assert.equal(judgeTrial({ stable, trial: failing(12, 3) }).tag, "unsure");
+  });
+
   it("should wait for more answers before a release is sound", () => {
     assert.equal(
       judge({ answers: 5, failures: 0, firstByteMs: 100 }),
@@ -214,45 +228,3 @@
     assert.equal(book.total(SERVICE, NEW).get(`${route}/`)?.answers, 10);
   });
 });
-
-describe("plan of a trial", () => {
-  const input = {
-    share: 0.07,
-    elapsedMs: 10_000,
-    limitMs: 24_000,
-    verdict: { tag: "sound", answers: 60 } as const,
-    trialShare: 0.15,
-    hasServers: true,
-    oldWorkMs: 0,
-  };
-
-  it("should begin with well under the share that a bad release may get", () => {
-    const step = planStep({ ...input, share: 0, elapsedMs: 3_000 });
-    assert.ok(step.tag === "share" && step.share <= 0.075);
-  });
-
-  it("should not grow before half of the time, nor without enough answers", () => {
-    assert.equal(planStep(input).tag, "stay");
-    const verdict = { tag: "unsure", answers: 3 } as const;
-    const late = { ...input, elapsedMs: 20_000 };
-    assert.equal(planStep({ ...late, verdict }).tag, "stay");
-    assert.equal(planStep(late).tag, "share");
-  });
-
-  it("should complete only once nothing runs on the old release", () => {
-    const moved = { ...input, share: 1, elapsedMs: 19_000 };
-    assert.equal(planStep(moved).tag, "complete");
-    assert.equal(planStep({ ...moved, oldWorkMs: 5 }).tag, "stay");
-  });
-
-  it("should roll back a bad release at any time", () => {
-    const verdict = {
-      tag: "bad",
-      kind: undefined,
-      reason: "failures",
-      answers: 8,
-      failures: 4,
-    } as const;
-    assert.equal(planStep({ ...input, share: 1, verdict }).tag, "roll_back");
-  });
-});
--- a/src/core/rollout/trial_plan.ts
+++ b/src/core/rollout/trial_plan.ts
@@ -2,24 +2,31 @@
 
 import type { Verdict } from "./trial_verdict.ts";
 
-/** Share of sessions with which a trial begins; the rest of the bound is for the steps. */
-const FIRST_SHARE = 0.07;
-/** Part of the bound on a bad release's share that the beginning may use. */
-const FIRST_PART_OF_BOUND = 0.5;
+/** Part of the bound on a bad release's share of requests with which a trial begins. */
+const FIRST_PART_OF_BOUND = 0.6;
 /** Part of the time for which servers of the new release get ready. */
 const BEGIN_AT = 0.08;
 /** Part of the time during which sessions keep the release that they had. */
 const SESSIONS_KEPT_UNTIL = 0.5;
-/** Shares after the first, and for which part of the time each is kept. */
-const STEPS: readonly { readonly share: number; readonly at: number }[] = [
-  { share: 0.25, at: SESSIONS_KEPT_UNTIL + 0.03 },
-  { share: 0.55, at: SESSIONS_KEPT_UNTIL + 0.1 },
-  { share: 1, at: SESSIONS_KEPT_UNTIL + 0.17 },
-];
+/**
+ * Part of the bound on a bad release's requests that is planned with. The rest covers
+ * requests under way, and traffic that grows until the time is up.
+ */
+const USED_EXPOSURE = 0.85;
 /** Part of the time from which a moved service is completed as soon as it is idle. */
-const COMPLETE_FROM = 0.74;
+const COMPLETE_FROM = 0.93;
 /** Part of the time by which it is completed whatever still runs on the old release. */
-const COMPLETE_BY = 0.86;
+const COMPLETE_BY = 0.965;
+
+/** Requests that a trial was given, and how many it may be given at most. */
+export interface Exposure {
+  readonly trialAnswers: number;
+  readonly allAnswers: number;
+  /** Bound on a bad release's share of requests. */
+  readonly share: number;
+  /** Requests that it may get beyond that share. */
+  readonly allowance: number;
+}
 
 /** What a step depends on. */
 export interface PlanInput {
@@ -27,9 +34,11 @@
   readonly share: number;
   readonly elapsedMs: number;
   readonly limitMs: number;
+  /** By all answers of the trial. */
   readonly verdict: Verdict;
-  /** Bound on a bad release's share of requests. */
-  readonly trialShare: number;
+  /** By the answers since the share last grew. */
+  readonly stepVerdict: Verdict;
+  readonly exposure: Exposure;
   /** Whether servers of the release on trial are there. */
   readonly hasServers: boolean;
   /** Work of the whole fleet under way on the old release, in milliseconds. */
@@ -43,34 +52,57 @@
   | { readonly tag: "complete" }
   | { readonly tag: "roll_back" };
 
+const STAY: PlanStep = { tag: "stay" };
+
 /** Returns the next step of a trial. */
 export function planStep(input: PlanInput): PlanStep {
-  const { share, verdict, hasServers } = input;
-  if (verdict.tag === "bad") return { tag: "roll_back" };
-  if (!hasServers) return { tag: "stay" };
-  const at = input.elapsedMs / input.limitMs;
-  if (share === 0) return begin(at, input.trialShare);
-  if (verdict.tag === "unsure") return { tag: "stay" };
-  const next = STEPS.find((step) => step.share > share);
-  if (next !== undefined) {
-    return at >= next.at
-      ? { tag: "share", share: next.share }
-      : { tag: "stay" };
+  const { share, verdict, stepVerdict, hasServers, exposure } = input;
+  if (verdict.tag === "bad" || stepVerdict.tag === "bad") {
+    return { tag: "roll_back" };
   }
-  const idle = input.oldWorkMs <= 0;
-  const done = (idle && at >= COMPLETE_FROM) || at >= COMPLETE_BY;
-  return done ? { tag: "complete" } : { tag: "stay" };
+  if (!hasServers) return STAY;
+  const at = input.elapsedMs / input.limitMs;
+  if (share === 0) return begin(at, exposure.share);
+  if (share === 1) return complete(input, at);
+  const moves = verdict.tag === "sound" && at >= SESSIONS_KEPT_UNTIL &&
+    staysWithinBound(exposure, at);
+  return moves ? { tag: "share", share: 1 } : STAY;
 }
 
 /** Part of the time at which a share of sessions is reached, as planned. */
 export function timeOfShare(share: number): number {
   if (share <= 0) return 0;
-  const step = STEPS.find((candidate) => candidate.share === share);
-  return step?.at ?? BEGIN_AT;
+  return share < 1 ? BEGIN_AT : SESSIONS_KEPT_UNTIL;
+}
+
+function begin(at: number, bound: number): PlanStep {
+  if (at < BEGIN_AT) return STAY;
+  const share = FIRST_PART_OF_BOUND * bound;
+  return share > 0 ? { tag: "share", share } : STAY;
 }
 
-function begin(at: number, trialShare: number): PlanStep {
-  if (at < BEGIN_AT) return { tag: "stay" };
-  const share = Math.min(FIRST_SHARE, FIRST_PART_OF_BOUND * trialShare);
-  return share > 0 ? { tag: "share", share } : { tag: "stay" };
+/**
+ * Whether a release that is found bad only later, as one that fails once half of its
+ * servers' slots are taken, would still have got no more than it may if all requests went
+ * to it from now on. A load that the traffic does not bring cannot be tried at a small
+ * share: in one trial of a new release all requests of a fleet came to 12 of 64 slots of
+ * each server, and its failures began at 32.
+ */
+function staysWithinBound(exposure: Exposure, at: number): boolean {
+  const { trialAnswers, allAnswers, share, allowance } = exposure;
+  const leftPart = Math.max(0, 1 - at);
+  const expected = allAnswers / at;
+  const bound = USED_EXPOSURE * (share * expected + allowance);
+  return trialAnswers + leftPart * expected <= bound;
+}
+
+/** A release is completed by answers that it gave at full load, not by the clock. */
+function complete(
+  { oldWorkMs, stepVerdict }: PlanInput,
+  at: number,
+): PlanStep {
+  if (stepVerdict.tag !== "sound") return STAY;
+  const idle = oldWorkMs <= 0;
+  const done = (idle && at >= COMPLETE_FROM) || at >= COMPLETE_BY;
+  return done ? { tag: "complete" } : STAY;
 }
--- a/src/core/rollout/trial_verdict.ts
+++ b/src/core/rollout/trial_verdict.ts
@@ -1,6 +1,7 @@
 /** Judges a release on trial against the one that it should replace. */
 
 import type { Evidence, EvidenceByKind } from "./evidence.ts";
+import { logFailureRatio } from "./failure_ratio.ts";
 
 /** `bad` ends the trial; `sound` lets it go on; `unsure` needs more answers. */
 export type Verdict =
@@ -18,11 +19,12 @@
 /** Failures on trial, at least, before a release is found bad. */
 const MIN_FAILURES = 4;
 /**
- * A release is found bad when it fails this many times as often as the stable one, plus
- * a share that chance and single bad servers explain.
+ * How much likelier "bad" must be. Some ten kinds of answers are tested again and again,
+ * so that a ratio of 20, as for a single test, would come by chance in many trials.
  */
-const FAILURE_FACTOR = 3;
-const FAILURE_SLACK = 0.1;
+const BAD_LOG_RATIO = Math.log(300);
+/** How much likelier "sound" must be before a trial may grow. */
+const SOUND_LOG_RATIO = -Math.log(4);
 /** Answers on a route, at least, before its latency is judged. */
 const MIN_LATENCY_ANSWERS = 10;
 /**
@@ -32,9 +34,9 @@
  */
 const SLOW_FACTOR = 4.2;
 /** Answers on trial, at least, before a release is found sound. */
-const MIN_SOUND_ANSWERS = 25;
+const MIN_SOUND_ANSWERS = 12;
 
-/** Judges by all evidence of the fleet. */
+/** Judges by evidence of the fleet. */
 export function judgeTrial(
   { stable, trial }: {
     stable: EvidenceByKind;
@@ -43,30 +45,38 @@
 ): Verdict {
   const allTrial = sum([...trial.values()]);
   const allStable = sum([...stable.values()]);
-  const bad = badOn(undefined, { trial: allTrial, stable: allStable });
+  const all = { trial: allTrial, stable: allStable, overall: allStable };
+  const bad = badOn(undefined, all);
   if (bad !== undefined) return bad;
   for (const [kind, evidence] of trial) {
-    const before = stable.get(kind) ?? allStable;
-    const found = badOn(kind, { trial: evidence, stable: before }) ??
-      slowOn(kind, { trial: evidence, stable: stable.get(kind) });
+    const same = stable.get(kind);
+    const found = badOn(kind, {
+      trial: evidence,
+      stable: same ?? allStable,
+      overall: allStable,
+    }) ?? slowOn(kind, { trial: evidence, stable: same });
     if (found !== undefined) return found;
   }
   const { answers } = allTrial;
-  return { tag: answers >= MIN_SOUND_ANSWERS ? "sound" : "unsure", answers };
+  const sound = answers >= MIN_SOUND_ANSWERS &&
+    logFailureRatio(allTrial, all) <= SOUND_LOG_RATIO;
+  return { tag: sound ? "sound" : "unsure", answers };
 }
 
 type Counts = Pick<Evidence, "answers" | "failures" | "logMsSum">;
 
 function badOn(
   kind: string | undefined,
-  { trial, stable }: { trial: Counts; stable: Counts },
+  { trial, stable, overall }: {
+    trial: Counts;
+    stable: Counts;
+    overall: Counts;
+  },
 ): Verdict | undefined {
   const { answers, failures } = trial;
   if (failures < MIN_FAILURES) return undefined;
-  const before = stable.answers === 0 ? 0 : stable.failures / stable.answers;
-  if (failures / answers <= FAILURE_FACTOR * before + FAILURE_SLACK) {
-    return undefined;
-  }
+  const ratio = logFailureRatio(trial, { stable, overall });
+  if (ratio < BAD_LOG_RATIO) return undefined;
   return { tag: "bad", kind, reason: "failures", answers, failures };
 }
 
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -16,6 +16,7 @@
 import { EvidenceBook } from "../core/rollout/evidence.ts";
 import { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import { TrialJudge } from "../core/rollout/trial_judge.ts";
 import { SessionBook } from "../core/rollout/session_book.ts";
 import { ProbeOrder } from "../core/membership/probe_order.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
@@ -154,6 +155,7 @@
     silenceWatch: one(SilenceWatch),
     releaseChoice: one(ReleaseChoice),
     evidenceBook: one(EvidenceBook),
+    trialJudge: one(TrialJudge),
     sessionBook: asValue(
       new SessionBook(bounds.sessionGapMs + SESSION_MARGIN_MS),
     ),
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -11,7 +11,8 @@
   planStep,
   timeOfShare,
 } from "../core/rollout/trial_plan.ts";
-import { judgeTrial, type Verdict } from "../core/rollout/trial_verdict.ts";
+import type { Judgement, TrialJudge } from "../core/rollout/trial_judge.ts";
+import type { Verdict } from "../core/rollout/trial_verdict.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
@@ -31,6 +32,7 @@
 interface Deps {
   readonly releaseGate: ReleaseGate;
   readonly evidenceBook: EvidenceBook;
+  readonly trialJudge: TrialJudge;
   readonly memberTable: MemberTable;
   readonly serverDirectory: ServerDirectory;
   readonly serverLoads: ServerLoads;
@@ -77,9 +79,11 @@
   async #tick(): Promise<void> {
     for (const order of this.#deps.releaseGate.openOrders()) {
       const watch = this.#watch(order);
-      const verdict = this.#judge(order);
-      if (verdict.tag === "bad") this.#brake(order, verdict);
-      const step = this.#plan(order, { watch, verdict });
+      const judgement = this.#judge(order);
+      for (const verdict of [judgement.verdict, judgement.stepVerdict]) {
+        if (verdict.tag === "bad") this.#brake(order, verdict);
+      }
+      const step = this.#plan(order, { watch, judgement });
       await this.#act(order, { watch, step });
     }
   }
@@ -94,45 +98,43 @@
     return watch;
   }
 
-  #judge({ service, release }: RollOutOrder): Verdict {
-    const { evidenceBook, releaseGate, serverDirectory, clock } = this.#deps;
+  #judge({ service, release }: RollOutOrder): Judgement {
+    const { releaseGate, serverDirectory, trialJudge, clock } = this.#deps;
     const servers = serverDirectory.usable(service);
     const nowMs = clock.monotonicMs();
     const { stable } = releaseGate.split(service, { servers, nowMs });
-    const before = stable[0]?.release;
-    const trial = evidenceBook.total(service, release);
-    return judgeTrial({
-      trial,
-      stable: before === undefined
-        ? new Map()
-        : evidenceBook.total(service, before),
+    return trialJudge.judge({
+      service,
+      release,
+      stableRelease: stable[0]?.release,
+      share: releaseGate.trialShare(service),
     });
   }
 
-  #brake(order: RollOutOrder, verdict: Verdict): void {
+  #brake(
+    order: RollOutOrder,
+    { kind, reason, answers, failures }: Extract<Verdict, { tag: "bad" }>,
+  ): void {
     const { service, release } = order;
     if (!this.#deps.releaseGate.brake({ service, release })) return;
     this.#deps.logger.warn("Release is braked", {
       service,
       release,
       told_by: "own evidence",
-      ...(verdict.tag === "bad"
-        ? {
-          kind: verdict.kind,
-          reason: verdict.reason,
-          answers: verdict.answers,
-          failures: verdict.failures,
-        }
-        : {}),
+      kind,
+      reason,
+      answers,
+      failures,
     });
   }
 
   #plan(
     order: RollOutOrder,
-    { watch, verdict }: { watch: Watch; verdict: Verdict },
+    { watch, judgement }: { watch: Watch; judgement: Judgement },
   ): PlanStep | { readonly tag: "begin" } {
     const { releaseGate, serverDirectory, clock, bounds } = this.#deps;
     const { service, release, limitMs } = order;
+    const { verdict, stepVerdict, trialAnswers, allAnswers } = judgement;
     if (releaseGate.isBraked({ service, release })) return { tag: "roll_back" };
     if (order.stateRelease !== release) return { tag: "begin" };
     const share = releaseGate.trialShare(service);
@@ -147,7 +149,13 @@
       elapsedMs,
       limitMs,
       verdict,
-      trialShare: bounds.trialShare,
+      stepVerdict,
+      exposure: {
+        trialAnswers,
+        allAnswers,
+        share: bounds.trialShare,
+        allowance: bounds.trialAllowance,
+      },
       hasServers: servers.some((server) => server.release === release),
       oldWorkMs: this.#workOffRelease(order),
     });
