Learn how fast servers read, and wait for first bytes by the work that they were sent

The work of a request was worked out from 50 tokens a millisecond for the largest model, where this engine reads 12.6.

The pace of reading is learnt by service and model (a low quantile of time a token to the first byte). Patience grows with the work that the server had under way when the request was sent. The weight of reading shared parts anew is 2 in place of 8: the time it weighs is now the real one.

--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -13,9 +13,9 @@
 const SECOND_SERVER_PART = 0.5;
 /**
  * What reading shared parts again counts for, beyond its own time: it also holds up all
- * that runs on the server. Of 1, 3 and 8 tried on calm days, 8 served best.
+ * that runs on the server.
  */
-const MISSING_FACTOR = 8;
+const MISSING_FACTOR = 2;
 /**
  * Servers that are looked at besides those that hold the prompt. All VMs hear of the least
  * busy server at the same time; if each looked at all servers, all would turn to that one.
--- a/src/core/servers/silence.ts
+++ b/src/core/servers/silence.ts
@@ -2,7 +2,10 @@
 
 import type { InstanceId, RouteId } from "../ids.ts";
 
-/** A server that sends nothing at all for this long may have fallen silent. */
+/**
+ * A server that sends nothing at all for this long, beyond the time in which it is
+ * expected to read prompts, may have fallen silent.
+ */
 const SERVER_SILENT_MS = 900;
 /** Part of the patience with a first byte after which a silent server is given up. */
 const SILENT_PATIENCE = 0.6;
@@ -12,6 +15,8 @@
 const TARGET_PART = 0.75;
 /** Shortest wait for a first byte: that of a queue, or of one packet lost. */
 const FIRST_BYTE_MIN_MS = 300;
+/** How many times longer than worked out a first byte may take: paces are learnt. */
+const EXPECTED_FACTOR = 3;
 /** Wait for a first byte before any was seen on the route. */
 const FIRST_BYTE_UNKNOWN_MS = 1_500;
 /** Longest pause within a stream while its server talks to others. */
@@ -27,6 +32,8 @@
   readonly sentMs: number;
   /** Latency objective of its route; undefined where there is none. */
   readonly targetMs: number | undefined;
+  /** When its first byte was expected as it was sent, in milliseconds from then. */
+  readonly expectedMs: number;
   /** When its last byte came; undefined before the first. */
   readonly byteMs: number | undefined;
 }
@@ -63,27 +70,30 @@
 
   /** Says why a try should be given up now, if it should. */
   judge(waiting: WaitingTry, nowMs: number): SilenceReason | undefined {
-    const { instance, sentMs, byteMs } = waiting;
+    const { instance, sentMs, expectedMs, byteMs } = waiting;
     const spoke = Math.max(this.#spokeMs.get(instance) ?? 0, byteMs ?? sentMs);
-    const silent = nowMs - spoke >= SERVER_SILENT_MS;
+    const silentMs = nowMs - spoke;
     if (byteMs !== undefined) {
-      if (silent) return "server_silent";
+      if (silentMs >= SERVER_SILENT_MS) return "server_silent";
       return nowMs - byteMs >= STREAM_PAUSE_MS ? "stream_paused" : undefined;
     }
     const waited = nowMs - sentMs;
     const patienceMs = this.#patienceMs(waiting);
     if (waited >= patienceMs) return "no_first_byte";
+    const silent = silentMs >= SERVER_SILENT_MS + expectedMs;
     const long = waited >= SILENT_PATIENCE * patienceMs;
     return silent && long ? "server_silent" : undefined;
   }
 
-  #patienceMs({ kind, targetMs = 0 }: WaitingTry): number {
+  #patienceMs({ kind, targetMs = 0, expectedMs }: WaitingTry): number {
     const usual = this.#firstByteMs.get(kind);
-    if (usual === undefined) return FIRST_BYTE_UNKNOWN_MS;
+    const byWork = EXPECTED_FACTOR * expectedMs;
+    if (usual === undefined) return Math.max(FIRST_BYTE_UNKNOWN_MS, byWork);
     return Math.max(
       FIRST_BYTE_MIN_MS,
       FIRST_BYTE_FACTOR * usual,
       TARGET_PART * targetMs,
+      byWork,
     );
   }
 }
--- a/src/core/servers/silence_test.ts
+++ b/src/core/servers/silence_test.ts
@@ -9,6 +9,7 @@
   kind: "r/m",
   sentMs: 1_000,
   targetMs: 200,
+  expectedMs: 0,
   byteMs: undefined,
 };
 
@@ -44,6 +45,14 @@
     assert.equal(watch.judge(patient, 2_500), "no_first_byte");
   });
 
+  it("should leave a server the time that it takes to read what it was sent", () => {
+    const watch = new SilenceWatch();
+    watch.firstByte("r/m", 100);
+    const busy = { ...TRY, expectedMs: 1_500 };
+    assert.equal(watch.judge(busy, 3_690), undefined);
+    assert.equal(watch.judge(busy, 3_700), "server_silent");
+  });
+
   it("should give up a stream that pauses for long", () => {
     const watch = new SilenceWatch();
     const streaming = { ...TRY, byteMs: 1_200 };
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -22,6 +22,7 @@
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { SilenceWatch } from "../core/servers/silence.ts";
+import { ReadPace } from "../core/servers/read_pace.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
@@ -51,6 +52,7 @@
 import { StopState } from "./stop_state.ts";
 import { TryObserver } from "./try_observer.ts";
 import { TrialController } from "./trial_controller.ts";
+import { WorkPredictor } from "./work_predictor.ts";
 
 /** What other VMs tell of sessions is up to this old. */
 const SESSION_MARGIN_MS = 1_000;
@@ -153,6 +155,8 @@
     releaseGate: one(ReleaseGate),
     modelPace: one(ModelPace),
     silenceWatch: one(SilenceWatch),
+    readPace: one(ReadPace),
+    workPredictor: one(WorkPredictor),
     releaseChoice: one(ReleaseChoice),
     evidenceBook: one(EvidenceBook),
     trialJudge: one(TrialJudge),
--- a/src/gateway/try_observer.ts
+++ b/src/gateway/try_observer.ts
@@ -5,15 +5,16 @@
 import type { InstanceId, RouteId, ServiceId } from "../core/ids.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { SessionBook } from "../core/rollout/session_book.ts";
+import type { ReadPace } from "../core/servers/read_pace.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import { kindOf, type SilenceWatch } from "../core/servers/silence.ts";
 import type { CallerHead } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
-import type { PredictedWork } from "./predicted_work.ts";
 import { sessionOf } from "./server_selector.ts";
 import type { TryRecord } from "./try_record.ts";
+import { ownTokens, type PredictedWork } from "./work_predictor.ts";
 
 interface Deps {
   readonly serverLoads: ServerLoads;
@@ -21,6 +22,7 @@
   readonly sessionBook: SessionBook;
   readonly modelPace: ModelPace;
   readonly silenceWatch: SilenceWatch;
+  readonly readPace: ReadPace;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -54,7 +56,7 @@
   }
 
   /** A byte of the answer has come. */
-  byteCame({ server, route, record, work }: ObservedTry): void {
+  byteCame({ server, service, route, head, record, work }: ObservedTry): void {
     const { silenceWatch, serverLoads, clock } = this.#deps;
     const nowMs = clock.monotonicMs();
     silenceWatch.spoke(server.instance, nowMs);
@@ -64,6 +66,13 @@
     // With the first byte, the prompt has been read.
     serverLoads.lighten(server.instance, work.readMs);
     silenceWatch.firstByte(kindOf(route, record.model), record.firstByteMs);
+    if (record.model === undefined) return;
+    this.#deps.readPace.observe({
+      service,
+      model: record.model,
+      tokens: ownTokens(head),
+      elapsedMs: record.firstByteMs,
+    });
   }
 
   /** A try has ended; `expired` tells that the time of its request is up. */
--- a/src/gateway/try_record.ts
+++ b/src/gateway/try_record.ts
@@ -11,6 +11,8 @@
   readonly model: ModelId | undefined;
   /** By the monotonic clock, like all times here. */
   readonly startedMs: number;
+  /** Time to the first byte, as worked out when it was sent. */
+  readonly expectedMs: number;
   /** Time to the first byte of the answer. */
   firstByteMs: number | undefined;
   /** When the last byte came. */
@@ -25,13 +27,18 @@
 /** Begins the record of a try. */
 export function newTryRecord(
   { instance, release }: ServerRecord,
-  { model, startedMs }: { model: ModelId | undefined; startedMs: number },
+  { model, startedMs, expectedMs }: {
+    model: ModelId | undefined;
+    startedMs: number;
+    expectedMs: number;
+  },
 ): TryRecord {
   return {
     server: instance,
     release,
     model,
     startedMs,
+    expectedMs,
     firstByteMs: undefined,
     byteMs: undefined,
     outcome: "under_way",
@@ -46,7 +53,7 @@
   record.reason = reasonOf(outcome);
 }
 
-/** "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte, confidence)". */
+/** "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte, expected, confidence)". */
 export function describeTry(record: TryRecord, arrivedMs: number): string {
   const model = record.model === undefined ? "" : ` ${record.model}`;
   const details = [
@@ -54,6 +61,7 @@
     record.firstByteMs === undefined
       ? "no first byte"
       : `first byte after ${Math.round(record.firstByteMs)} ms`,
+    `expected after ${Math.round(record.expectedMs)} ms`,
     record.confidence === undefined
       ? undefined
       : `confidence ${record.confidence}`,
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -11,6 +11,7 @@
 } from "../backends/backend_try.ts";
 import type { InstanceId, ServiceId } from "../core/ids.ts";
 import { mayRunAgain, type Route } from "../core/routes/route.ts";
+import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
   kindOf,
@@ -21,12 +22,12 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ModelChoice } from "./model_choice.ts";
-import { type PredictedWork, predictWork } from "./predicted_work.ts";
 import type { Admitted } from "./request_admission.ts";
 import type { ServerSelector } from "./server_selector.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import type { ObservedTry, TryObserver } from "./try_observer.ts";
 import { endTryRecord, newTryRecord, type TryRecord } from "./try_record.ts";
+import type { PredictedWork, WorkPredictor } from "./work_predictor.ts";
 
 /** Least urgent class that servers know. */
 const LEAST_URGENT = 9;
@@ -38,6 +39,8 @@
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
+  readonly serverLoads: ServerLoads;
+  readonly workPredictor: WorkPredictor;
   readonly clock: Clock;
 }
 
@@ -149,6 +152,7 @@
       kind: kindOf(id, record.model),
       sentMs: record.startedMs,
       targetMs,
+      expectedMs: record.expectedMs,
       byteMs: record.byteMs,
     }, nowMs);
   }
@@ -170,20 +174,28 @@
   #observe(server: ServerRecord, admitted: Admitted): ObservedTry {
     const { exchange, service, models } = this.#request;
     const { model } = models;
-    const startedMs = this.#deps.clock.monotonicMs();
+    const { clock, serverLoads } = this.#deps;
+    const work = this.#predictWork(admitted);
+    // Its own shared parts included: whether the server holds them is not known for sure.
+    const expectedMs = serverLoads.work(server.instance) + work.readMs +
+      work.sharedMs;
     return {
       server,
       service,
       route: admitted.route.id,
       head: exchange.head,
-      record: newTryRecord(server, { model, startedMs }),
-      work: this.#predictWork(admitted),
+      record: newTryRecord(server, {
+        model,
+        startedMs: clock.monotonicMs(),
+        expectedMs,
+      }),
+      work,
     };
   }
 
   #predictWork({ table }: Admitted): PredictedWork {
     const { exchange, service, models } = this.#request;
-    return predictWork(exchange.head, {
+    return this.#deps.workPredictor.predict(exchange.head, {
       service: table.service(service),
       model: models.model,
     });
