Ask a quiet model server whether it still answers; complete a release a little earlier

A model server that has sent nothing for 400 ms is asked for its report, which needs no slot; any answer is a sign of life. Nothing for 900 ms, answers included, means silent, whatever the patience with first bytes is. A server that is gone is so found in 0.9 s in place of 0.9 to 1.8 s.

--- a/src/core/rollout/trial_plan.ts
+++ b/src/core/rollout/trial_plan.ts
@@ -3,7 +3,7 @@
 import type { Verdict } from "./trial_verdict.ts";
 
 /** Part of the bound on a bad release's share of requests with which a trial begins. */
-const FIRST_PART_OF_BOUND = 0.6;
+const FIRST_PART_OF_BOUND = 0.45;
 /** Part of the time for which servers of the new release get ready. */
 const BEGIN_AT = 0.08;
 /** Part of the time during which sessions keep the release that they had. */
@@ -12,11 +12,11 @@
  * Part of the bound on a bad release's requests that is planned with. The rest covers
  * requests under way, and traffic that grows until the time is up.
  */
-const USED_EXPOSURE = 0.85;
+const USED_EXPOSURE = 0.93;
 /** Part of the time from which a moved service is completed as soon as it is idle. */
-const COMPLETE_FROM = 0.93;
+const COMPLETE_FROM = 0.9;
 /** Part of the time by which it is completed whatever still runs on the old release. */
-const COMPLETE_BY = 0.965;
+const COMPLETE_BY = 0.935;
 
 /** Requests that a trial was given, and how many it may be given at most. */
 export interface Exposure {
--- a/src/core/rollout/trial_plan_test.ts
+++ b/src/core/rollout/trial_plan_test.ts
@@ -47,8 +47,8 @@
   });
 
   it("should complete only once nothing runs on the old release", () => {
-    assert.equal(planStep(at(0.94, { share: 1 })).tag, "complete");
-    assert.equal(planStep(at(0.94, { share: 1, oldWorkMs: 5 })).tag, "stay");
+    assert.equal(planStep(at(0.92, { share: 1 })).tag, "complete");
+    assert.equal(planStep(at(0.92, { share: 1, oldWorkMs: 5 })).tag, "stay");
     assert.equal(
       planStep(at(0.97, { share: 1, oldWorkMs: 5 })).tag,
       "complete",
--- a/src/core/servers/silence.ts
+++ b/src/core/servers/silence.ts
@@ -2,13 +2,13 @@
 
 import type { InstanceId, RouteId } from "../ids.ts";
 
+/** A server that sends nothing for this long is asked whether it still answers. */
+const QUIET_MS = 400;
 /**
- * A server that sends nothing at all for this long, beyond the time in which it is
- * expected to read prompts, may have fallen silent.
+ * A server that sends nothing at all for this long, answers to probes included, has
+ * fallen silent; two probes may have been lost by then.
  */
 const SERVER_SILENT_MS = 900;
-/** Part of the patience with a first byte after which a silent server is given up. */
-const SILENT_PATIENCE = 0.6;
 /** How many times longer than usual a first byte may take before it is given up. */
 const FIRST_BYTE_FACTOR = 6;
 /** Part of the latency objective that a first byte may take in any case. */
@@ -70,19 +70,25 @@
 
   /** Says why a try should be given up now, if it should. */
   judge(waiting: WaitingTry, nowMs: number): SilenceReason | undefined {
-    const { instance, sentMs, expectedMs, byteMs } = waiting;
-    const spoke = Math.max(this.#spokeMs.get(instance) ?? 0, byteMs ?? sentMs);
-    const silentMs = nowMs - spoke;
+    const { sentMs, byteMs } = waiting;
+    if (this.#quietMs(waiting, nowMs) >= SERVER_SILENT_MS) {
+      return "server_silent";
+    }
     if (byteMs !== undefined) {
-      if (silentMs >= SERVER_SILENT_MS) return "server_silent";
       return nowMs - byteMs >= STREAM_PAUSE_MS ? "stream_paused" : undefined;
     }
-    const waited = nowMs - sentMs;
-    const patienceMs = this.#patienceMs(waiting);
-    if (waited >= patienceMs) return "no_first_byte";
-    const silent = silentMs >= SERVER_SILENT_MS + expectedMs;
-    const long = waited >= SILENT_PATIENCE * patienceMs;
-    return silent && long ? "server_silent" : undefined;
+    const waitedMs = nowMs - sentMs;
+    return waitedMs >= this.#patienceMs(waiting) ? "no_first_byte" : undefined;
+  }
+
+  /** Whether the server of a try should be asked if it still answers. */
+  isQuiet(waiting: WaitingTry, nowMs: number): boolean {
+    return this.#quietMs(waiting, nowMs) >= QUIET_MS;
+  }
+
+  #quietMs({ instance, sentMs, byteMs }: WaitingTry, nowMs: number): number {
+    const spokeMs = this.#spokeMs.get(instance) ?? 0;
+    return nowMs - Math.max(spokeMs, byteMs ?? sentMs);
   }
 
   #patienceMs({ kind, targetMs = 0, expectedMs }: WaitingTry): number {
--- a/src/core/servers/silence_test.ts
+++ b/src/core/servers/silence_test.ts
@@ -14,10 +14,12 @@
 };
 
 describe("silence watch", () => {
-  it("should give up a server that says nothing to anybody", () => {
+  it("should give up a server that says nothing to anybody, nor to a probe", () => {
     const watch = new SilenceWatch();
-    assert.equal(watch.judge(TRY, 1_500), undefined);
-    assert.equal(watch.judge(TRY, 2_000), "server_silent");
+    assert.equal(watch.isQuiet(TRY, 1_300), false);
+    assert.equal(watch.isQuiet(TRY, 1_400), true);
+    assert.equal(watch.judge(TRY, 1_890), undefined);
+    assert.equal(watch.judge(TRY, 1_900), "server_silent");
   });
 
   it("should wait on while the server talks to others, but not without end", () => {
@@ -45,12 +47,17 @@
     assert.equal(watch.judge(patient, 2_500), "no_first_byte");
   });
 
-  it("should leave a server the time that it takes to read what it was sent", () => {
+  it("should wait for a server that answers probes while it reads what it was sent", () => {
     const watch = new SilenceWatch();
     watch.firstByte("r/m", 100);
     const busy = { ...TRY, expectedMs: 1_500 };
-    assert.equal(watch.judge(busy, 3_690), undefined);
-    assert.equal(watch.judge(busy, 3_700), "server_silent");
+    watch.spoke(instance, 5_300);
+    assert.equal(watch.judge(busy, 5_490), undefined);
+    assert.equal(watch.judge(busy, 5_500), "no_first_byte");
+    assert.equal(
+      watch.judge({ ...busy, sentMs: 2_000 }, 6_200),
+      "server_silent",
+    );
   });
 
   it("should give up a stream that pauses for long", () => {
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -9,6 +9,7 @@
   type Resolver,
 } from "awilix";
 import { BackendConnections } from "../backends/backend_connections.ts";
+import { ServerProbe } from "../backends/server_probe.ts";
 import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { RepeatBudget } from "../core/limits/repeat_budget.ts";
@@ -74,6 +75,7 @@
   readonly backendConnections: BackendConnections;
   readonly serverLoads: ServerLoads;
   readonly silenceWatch: SilenceWatch;
+  readonly serverProbe: ServerProbe;
   readonly trialFollower: TrialFollower;
   readonly trialController: TrialController;
   readonly digestServer: DigestServer;
@@ -212,6 +214,7 @@
     ) =>
     () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
     backendConnections: one(BackendConnections),
+    serverProbe: one(ServerProbe),
     stopState: one(StopState),
     readiness: one(Readiness),
     addressList: one(AddressList),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -40,6 +40,7 @@
       parts.backendConnections.drop(instance);
       parts.serverLoads.forget(instance);
       parts.silenceWatch.forget(instance);
+      parts.serverProbe.forget(instance);
     });
     parts.routingFollower.onChange(({ configuration, version }) => {
       parts.requestServer.setLimits(configuration.limits);
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -150,7 +150,7 @@
   look(nowMs: number): void {
     // The run under way counts as well.
     if (!this.#mayRepeat(1)) return;
-    const reason = this.#sender.silence(this.#admitted.route, nowMs);
+    const reason = this.#sender.silence(this.#admitted, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
     const streaming = this.#exchange.state === "begun";
     this.#sender.giveUp({
--- a/src/gateway/try_record.ts
+++ b/src/gateway/try_record.ts
@@ -7,6 +7,8 @@
 /** One try. */
 export interface TryRecord {
   readonly server: InstanceId;
+  /** `IP:port` of the server. */
+  readonly address: string;
   readonly release: string;
   readonly model: ModelId | undefined;
   /** By the monotonic clock, like all times here. */
@@ -26,7 +28,7 @@
 
 /** Begins the record of a try. */
 export function newTryRecord(
-  { instance, release }: ServerRecord,
+  { instance, address, release }: ServerRecord,
   { model, startedMs, expectedMs }: {
     model: ModelId | undefined;
     startedMs: number;
@@ -35,6 +37,7 @@
 ): TryRecord {
   return {
     server: instance,
+    address,
     release,
     model,
     startedMs,
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -9,8 +9,9 @@
   type HeadVerdict,
   type TryOutcome,
 } from "../backends/backend_try.ts";
+import type { ServerProbe } from "../backends/server_probe.ts";
 import type { InstanceId, ServiceId } from "../core/ids.ts";
-import { mayRunAgain, type Route } from "../core/routes/route.ts";
+import { mayRunAgain } from "../core/routes/route.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
@@ -39,6 +40,7 @@
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
+  readonly serverProbe: ServerProbe;
   readonly serverLoads: ServerLoads;
   readonly workPredictor: WorkPredictor;
   readonly clock: Clock;
@@ -140,21 +142,30 @@
     this.#current?.giveUp(outcome);
   }
 
-  /** Says why the try under way should be given up as silent, if it should. */
+  /**
+   * Says why the try under way should be given up as silent, if it should, and has a model
+   * server that is quiet asked whether it still answers.
+   */
   silence(
-    { id, targetMs }: Route,
+    { table, route }: Admitted,
     nowMs: number,
   ): SilenceReason | undefined {
     const record = this.#tries.at(-1);
     if (record === undefined || !this.isSent) return undefined;
-    return this.#deps.silenceWatch.judge({
+    const { silenceWatch, serverProbe } = this.#deps;
+    const waiting = {
       instance: record.server,
-      kind: kindOf(id, record.model),
+      kind: kindOf(route.id, record.model),
       sentMs: record.startedMs,
-      targetMs,
+      targetMs: route.targetMs,
       expectedMs: record.expectedMs,
       byteMs: record.byteMs,
-    }, nowMs);
+    };
+    const asked = table.service(this.#request.service)?.engine !== undefined;
+    if (asked && silenceWatch.isQuiet(waiting, nowMs)) {
+      serverProbe.ask(record.server, record.address);
+    }
+    return silenceWatch.judge(waiting, nowMs);
   }
 
   #select(
