Ask the larger model for the less, the later it would begin

The beginning is worked out from the work under way at the server that would be chosen. The confidence that is wanted falls from 65 to 20 as that beginning moves from 0.6 of the objective to all of it.

--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -5,16 +5,18 @@
 import type { PredictedRun } from "./model_pace.ts";
 
 /**
- * Confidence from which an answer is passed on where a larger model would still answer
- * in time. A sketch did alike at 50 and 70 and worse at 85; 65 lies between, and was not
- * measured against its neighbours.
+ * Confidence from which an answer is passed on where a larger model would begin well in
+ * time. Of the largest model's answers, nearly all of them right, one in five says less;
+ * so about half of the small one's answers at this confidence are right.
  */
 const CONFIDENT = 65;
 /**
  * The same where the larger model's answer would come late: a late answer is worth a
- * third to a half, so the small one's must be likely wrong.
+ * third to a half, and to make it holds up others who could still be in time.
  */
-const CONFIDENT_IF_LATE = 35;
+const CONFIDENT_IF_LATE = 20;
+/** Part of the latency objective up to which a predicted beginning is well in time. */
+const SURE_PART = 0.6;
 /** Part of the predicted time that must be left at least; predictions are means. */
 const NEEDED_PART = 0.85;
 
@@ -33,6 +35,8 @@
   readonly limitMs: number;
   /** What the largest model takes lately; undefined before it was used. */
   readonly largest: PredictedRun | undefined;
+  /** Time until the largest model would begin, by the work under way; in milliseconds. */
+  readonly startMs: number;
   /** Further runs that the route allows. */
   readonly runsLeft: number;
 }
@@ -50,8 +54,7 @@
   const { models, model, confidence, runsLeft } = input;
   if (confidence === undefined || runsLeft < 1) return undefined;
   if (!hasTime(input)) return undefined;
-  const enough = beginsInTime(input) ? CONFIDENT : CONFIDENT_IF_LATE;
-  if (confidence >= enough) return undefined;
+  if (confidence >= confidenceNeeded(input)) return undefined;
   const largest = models.at(-1);
   return largest === model ? undefined : largest;
 }
@@ -61,6 +64,9 @@
   return usedMs + needed < limitMs;
 }
 
-function beginsInTime({ usedMs, targetMs, largest }: LadderInput): boolean {
-  return usedMs + (largest?.firstMs ?? 0) < targetMs;
+/** Less, the later the larger model would begin: none is asked for what comes too late. */
+function confidenceNeeded({ usedMs, targetMs, startMs }: LadderInput): number {
+  const part = (usedMs + startMs) / targetMs;
+  const late = Math.min(1, Math.max(0, (part - SURE_PART) / (1 - SURE_PART)));
+  return CONFIDENT + late * (CONFIDENT_IF_LATE - CONFIDENT);
 }
--- a/src/core/cascade/model_ladder_test.ts
+++ b/src/core/cascade/model_ladder_test.ts
@@ -15,6 +15,7 @@
   targetMs: 2_000,
   limitMs: 8_000,
   largest: { firstMs: 500, totalMs: 1_500 },
+  startMs: 500,
   runsLeft: 2,
 };
 
@@ -31,11 +32,17 @@
   });
 
   it("should pass on doubtful answers where the larger model would be late", () => {
-    const late = { ...INPUT, largest: { firstMs: 2_500, totalMs: 4_000 } };
+    const late = { ...INPUT, startMs: 2_500 };
     assert.equal(escalateTo(late), undefined);
     assert.equal(escalateTo({ ...late, confidence: 10 }), LARGE);
   });
 
+  it("should want less confidence, the later the larger model would begin", () => {
+    const tight = { ...INPUT, startMs: 1_500 };
+    assert.equal(escalateTo({ ...tight, confidence: 50 }), undefined);
+    assert.equal(escalateTo({ ...tight, confidence: 40 }), LARGE);
+  });
+
   it("should pass on any answer where the larger model would come too late", () => {
     const hopeless = { ...INPUT, largest: { firstMs: 5_000, totalMs: 12_000 } };
     assert.equal(escalateTo({ ...hopeless, confidence: 0 }), undefined);
--- a/src/gateway/model_choice.ts
+++ b/src/gateway/model_choice.ts
@@ -15,6 +15,8 @@
   readonly usedMs: number;
   /** Time that the request has, in milliseconds. */
   readonly limitMs: number;
+  /** Predicts the time to the first token of a model, in milliseconds. */
+  readonly startMsOf: (model: ModelId) => number;
   /** Further runs that the route allows. */
   readonly runsLeft: number;
 }
@@ -43,7 +45,9 @@
   /** Whether a larger model should be asked instead; `moveOn` then does so. */
   wantsLarger(judged: JudgedHead): boolean {
     const { route, confidence, usedMs, limitMs, runsLeft } = judged;
-    if (this.#model === undefined || !mayRunAgain(route)) return false;
+    const largest = route.models.at(-1);
+    if (this.#model === undefined || largest === undefined) return false;
+    if (!mayRunAgain(route)) return false;
     this.#larger = escalateTo({
       models: route.models,
       model: this.#model,
@@ -51,7 +55,8 @@
       usedMs,
       targetMs: route.targetMs ?? limitMs,
       limitMs,
-      largest: this.#predictLargest(route),
+      largest: this.#predict(largest, route),
+      startMs: judged.startMsOf(largest),
       runsLeft,
     });
     return this.#larger !== undefined;
@@ -63,9 +68,7 @@
     this.#larger = undefined;
   }
 
-  #predictLargest(route: Route) {
-    const model = route.models.at(-1);
-    if (model === undefined) return undefined;
+  #predict(model: ModelId, route: Route) {
     const { promptTokens, outputTokens } = this.#head;
     return this.#modelPace.predict(route.id, {
       model,
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -177,6 +177,7 @@
       confidence,
       usedMs: this.#exchange.ageMs(),
       limitMs: this.#limitMs,
+      startMsOf: (model) => this.#sender.predictStartMs(this.#admitted, model),
       runsLeft: route.maxRuns - this.#tally.runs - 1,
     });
   }
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -10,7 +10,7 @@
   type TryOutcome,
 } from "../backends/backend_try.ts";
 import type { ServerProbe } from "../backends/server_probe.ts";
-import type { InstanceId, ServiceId } from "../core/ids.ts";
+import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import { mayRunAgain } from "../core/routes/route.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
@@ -97,9 +97,18 @@
     admitted: Admitted,
     { mayComeBack }: { mayComeBack: boolean },
   ): ServerRecord | undefined {
-    const untried = this.#select(admitted, this.#tried);
+    const { model } = this.#request.models;
+    const untried = this.#select(admitted, { tried: this.#tried, model });
     if (untried !== undefined || !mayComeBack) return untried;
-    return this.#select(admitted, NONE);
+    return this.#select(admitted, { tried: NONE, model });
+  }
+
+  /** Time until a model would begin to answer on the server that would be chosen. */
+  predictStartMs(admitted: Admitted, model: ModelId): number {
+    const work = this.#predictWork(admitted, model);
+    const server = this.#select(admitted, { tried: NONE, model });
+    if (server === undefined) return Infinity;
+    return this.#deps.serverLoads.work(server.instance) + work.readMs;
   }
 
   /** Lets servers be used again that were tried, as with another model. */
@@ -170,15 +179,18 @@
 
   #select(
     admitted: Admitted,
-    tried: ReadonlySet<InstanceId>,
+    { tried, model }: {
+      tried: ReadonlySet<InstanceId>;
+      model: ModelId | undefined;
+    },
   ): ServerRecord | undefined {
-    const { exchange, service, models } = this.#request;
+    const { exchange, service } = this.#request;
     return this.#deps.serverSelector.choose({
       service,
       head: exchange.head,
-      model: models.model,
+      model,
       tried,
-      sharedMs: this.#predictWork(admitted).sharedMs,
+      sharedMs: this.#predictWork(admitted, model).sharedMs,
     });
   }
 
@@ -186,7 +198,7 @@
     const { exchange, service, models } = this.#request;
     const { model } = models;
     const { clock, serverLoads } = this.#deps;
-    const work = this.#predictWork(admitted);
+    const work = this.#predictWork(admitted, model);
     // Its own shared parts included: whether the server holds them is not known for sure.
     const expectedMs = serverLoads.work(server.instance) + work.readMs +
       work.sharedMs;
@@ -204,11 +216,14 @@
     };
   }
 
-  #predictWork({ table }: Admitted): PredictedWork {
-    const { exchange, service, models } = this.#request;
+  #predictWork(
+    { table }: Admitted,
+    model: ModelId | undefined,
+  ): PredictedWork {
+    const { exchange, service } = this.#request;
     return this.#deps.workPredictor.predict(exchange.head, {
       service: table.service(service),
-      model: models.model,
+      model,
     });
   }
 
