Tell other VMs which server has begun to read a prompt

VMs keep which servers they sent a prompt's shared part to, and tell new ones in digests (fleets of up to 12 VMs; with relays a VM knows its own only, and the ring stands in). A part that somebody holds goes there or pays for reading; a part that nobody holds goes where there is time, with a small lead for the ring's first two, so that VMs agree in the second until they have told each other.

--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -26,7 +26,7 @@
 ): Member[] {
   const alive = members.filter(({ state }) => state === "alive");
   const here = alive.filter(({ data_centre }) => data_centre === dataCentre);
-  if (alive.length <= MESH_VMS) return here;
+  if (isMesh(members)) return here;
   const count = Math.ceil(here.length / VMS_PER_RELAY);
   return here
     .map((member) => ({ member, rank: unitHash(`relay/${member.id}`) }))
@@ -35,6 +35,12 @@
     .map(({ member }) => member);
 }
 
+/** Whether all VMs talk to each other, without relays between them. */
+export function isMesh(members: readonly Member[]): boolean {
+  const alive = members.filter(({ state }) => state === "alive");
+  return alive.length <= MESH_VMS;
+}
+
 function coresOf({ cores = UNKNOWN_CORES }: Member): number {
   return cores;
 }
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -4,13 +4,17 @@
 import type { ServerLoads } from "../servers/server_loads.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
 import { HashRing } from "./hash_ring.ts";
+import type { PromptHolders } from "./prompt_holders.ts";
 import type { UnitHash } from "./version_choice.ts";
 
 /**
- * Part of the cost of reading shared parts that the second server of a prompt pays: what
- * the first cannot take goes there, so it often holds them as well.
+ * Part of the cost of reading shared parts that the first and second server of a prompt
+ * on the ring pay while none is known to hold them. Where VMs tell each other of holders,
+ * only those that have sent the prompt within the last second are unknown.
  */
-const SECOND_SERVER_PART = 0.5;
+const RING_PARTS_IF_TOLD: readonly number[] = [0.7, 0.85];
+/** The same where VMs do not: what others sent is most likely on the first two. */
+const RING_PARTS: readonly number[] = [0, 0.5];
 /**
  * What reading shared parts again counts for, beyond its own time: it also holds up all
  * that runs on the server.
@@ -21,8 +25,6 @@
  * busy server at the same time; if each looked at all servers, all would turn to that one.
  */
 const DRAWN_SERVERS = 4;
-/** Servers that prompts with the same shared parts go to first. */
-const HOLDERS = 2;
 /** Work by which a server in another data centre must be less busy to be taken. */
 const OTHER_DATA_CENTRE_MS = 15;
 /** Work that a failure rate of 1 counts as, in milliseconds. */
@@ -44,17 +46,20 @@
 /** Chooses among the servers of a service. */
 export class AffinityChoice {
   readonly #loads: ServerLoads;
+  readonly #promptHolders: PromptHolders;
   readonly #ring: HashRing;
   readonly #chance: () => number;
 
   constructor(
-    { serverLoads, unitHash, chance }: {
+    { serverLoads, promptHolders, unitHash, chance }: {
       serverLoads: ServerLoads;
+      promptHolders: PromptHolders;
       unitHash: UnitHash;
       chance: () => number;
     },
   ) {
     this.#loads = serverLoads;
+    this.#promptHolders = promptHolders;
     this.#ring = new HashRing(unitHash);
     this.#chance = chance;
   }
@@ -75,22 +80,20 @@
     servers: readonly ServerRecord[],
     input: ChoiceInput,
   ): ServerRecord | undefined {
-    const holders = this.#holders(servers, input.affinity);
-    const drawn = holders.length === 0
+    const missing = this.#missingParts(servers, input);
+    const looked = missing === undefined
       ? servers
-      : [...holders, ...this.#draw(servers, DRAWN_SERVERS)];
+      : [...missing.keys(), ...this.#draw(servers, DRAWN_SERVERS)];
     let best: ServerRecord | undefined;
     let bestCost = Infinity;
-    for (const server of drawn) {
+    for (const server of looked) {
       const away = server.dataCentre === input.dataCentre
         ? 0
         : OTHER_DATA_CENTRE_MS;
-      const missing = holders.length === 0
-        ? 0
-        : MISSING_FACTOR * input.sharedMs * missingPart(server, holders);
+      const part = missing === undefined ? 0 : missing.get(server) ?? 1;
       // Chance breaks ties, so that VMs do not all turn to the same server.
-      const cost = this.#work(server, input.nowMs) + away + missing +
-        this.#chance();
+      const cost = this.#work(server, input.nowMs) + away +
+        MISSING_FACTOR * part * input.sharedMs + this.#chance();
       if (cost >= bestCost) continue;
       best = server;
       bestCost = cost;
@@ -98,16 +101,29 @@
     return best;
   }
 
-  /** Servers that prompts with these parts go to first, the same on every VM. */
-  #holders(
+  /** Part of the shared parts that servers lack which may hold them; others lack all. */
+  #missingParts(
     servers: readonly ServerRecord[],
-    affinity: string | undefined,
-  ): ServerRecord[] {
-    if (affinity === undefined) return [];
-    return this.#ring.order(servers, {
+    { affinity, nowMs }: ChoiceInput,
+  ): ReadonlyMap<ServerRecord, number> | undefined {
+    if (affinity === undefined) return undefined;
+    const known = this.#promptHolders.of(affinity, nowMs);
+    const parts = new Map<ServerRecord, number>();
+    for (const server of servers) {
+      if (known.has(server.instance)) parts.set(server, 0);
+    }
+    const { shared } = this.#promptHolders;
+    if (shared && parts.size > 0) return parts;
+    // The same order on every VM.
+    const order = this.#ring.order(servers, {
       key: affinity,
       idOf: ({ instance }) => instance,
-    }).slice(0, HOLDERS);
+    });
+    (shared ? RING_PARTS_IF_TOLD : RING_PARTS).forEach((part, at) => {
+      const server = order[at];
+      if (server !== undefined && !parts.has(server)) parts.set(server, part);
+    });
+    return parts;
   }
 
   #draw(servers: readonly ServerRecord[], count: number): ServerRecord[] {
@@ -125,11 +141,3 @@
     return this.#loads.work(instance) + failures;
   }
 }
-
-function missingPart(
-  server: ServerRecord,
-  [first, second]: readonly ServerRecord[],
-): number {
-  if (server === first) return 0;
-  return server === second ? SECOND_SERVER_PART : 1;
-}
--- /dev/null
+++ b/src/core/routing/prompt_holders_test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { InstanceId } from "../ids.ts";
+import { PromptHolders } from "./prompt_holders.ts";
+
+const A = "i-a" as InstanceId;
+const B = "i-b" as InstanceId;
+
+let holders: PromptHolders;
+
+beforeEach(() => {
+  holders = new PromptHolders();
+});
+
+describe("prompt holders", () => {
+  it("should know the servers that a prompt was sent to, here or elsewhere", () => {
+    holders.sent({ key: "m/1", instance: A }, 0);
+    holders.told([{ key: "m/1", instance: B }], 100);
+    assert.deepEqual([...holders.of("m/1", 200)], [A, B]);
+    assert.deepEqual([...holders.of("m/2", 200)], []);
+  });
+
+  it("should forget a holder that has not been used for long", () => {
+    holders.sent({ key: "m/1", instance: A }, 0);
+    holders.sent({ key: "m/1", instance: A }, 15_000);
+    assert.equal(holders.of("m/1", 30_000).size, 1);
+    assert.equal(holders.of("m/1", 36_000).size, 0);
+  });
+
+  it("should tell new holders for a while, and what it was told to nobody", () => {
+    holders.sent({ key: "m/1", instance: A }, 0);
+    holders.told([{ key: "m/2", instance: B }], 0);
+    assert.deepEqual(holders.news(1_000), [{ key: "m/1", instance: A }]);
+    holders.sent({ key: "m/1", instance: A }, 3_000);
+    assert.deepEqual(holders.news(3_000), []);
+  });
+
+  it("should keep a bounded number of prompts, those used last", () => {
+    for (let n = 0; n < 30_000; n++) {
+      holders.sent({ key: `m/${n}`, instance: A }, n / 100);
+    }
+    assert.equal(holders.of("m/0", 300).size, 0);
+    assert.equal(holders.of("m/29999", 300).size, 1);
+  });
+});
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -9,6 +9,7 @@
   SessionFilter,
 } from "../core/rollout/session_book.ts";
 import { sessionPoint, TOLD_SHARE } from "../core/rollout/session_point.ts";
+import type { PromptHolders } from "../core/routing/prompt_holders.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import {
   type ServerReport,
@@ -41,6 +42,7 @@
 interface Deps {
   readonly memberTable: MemberTable;
   readonly serverLoads: ServerLoads;
+  readonly promptHolders: PromptHolders;
   readonly evidenceBook: EvidenceBook;
   readonly sessionBook: SessionBook;
   readonly releaseGate: ReleaseGate;
@@ -53,7 +55,10 @@
 }
 
 /** Parts of a digest that depend on who is told. */
-type Told = Pick<VmDigest, "scope" | "servers" | "evidence" | "sessions">;
+type Told = Pick<
+  VmDigest,
+  "scope" | "servers" | "evidence" | "sessions" | "holders"
+>;
 
 /** Keeps the newest digest of each VM. */
 export class DigestKeeper implements DigestExchange {
@@ -113,7 +118,8 @@
 
   /** Forgets what has grown old. */
   expire(): void {
-    const { clock, evidenceBook } = this.#deps;
+    const { clock, evidenceBook, promptHolders, relayRole } = this.#deps;
+    promptHolders.setShared(relayRole.meshed);
     for (const { self, relay } of this.#told.expire(clock.monotonicMs())) {
       // Who has gone to another relay is counted there, and must not be counted twice.
       if (!relay) evidenceBook.forgetVm(self.id);
@@ -139,7 +145,8 @@
 
   /** What this VM has seen itself, and what the VMs tell that follow it. */
   #ofGroup(): Told {
-    const { serverLoads, evidenceBook, clock, relayRole } = this.#deps;
+    const { serverLoads, evidenceBook, promptHolders, clock, relayRole } =
+      this.#deps;
     const followers = relayRole.held
       ? this.#told.followers()
       : new Set<EntryId>();
@@ -154,6 +161,10 @@
         evidenceBook.group(service, followers)
       ),
       sessions: this.#sessions(({ here }) => here),
+      // Where VMs follow relays, too many would be told to too many.
+      holders: promptHolders.shared
+        ? promptHolders.news(clock.monotonicMs())
+        : [],
     };
   }
 
@@ -173,6 +184,7 @@
         evidenceBook.allBut(vm, service)
       ),
       sessions: this.#sessions(({ seenMs }) => seenMs >= sinceMs),
+      holders: [],
     };
   }
 
@@ -182,8 +194,10 @@
 
   /** Takes in what another VM tells. */
   #hear(told: VmDigest): void {
-    const { memberTable, evidenceBook, relayRole, clock } = this.#deps;
+    const { memberTable, evidenceBook, promptHolders, relayRole, clock } =
+      this.#deps;
     const nowMs = clock.monotonicMs();
+    promptHolders.told(told.holders, nowMs);
     this.#noteMembers(memberTable.merge([told.self, ...told.news], nowMs));
     this.#noteSessions(told, nowMs);
     for (const key of told.braked) this.#brake(key, told.self.id);
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -15,6 +15,7 @@
 import { ReleaseGate } from "../core/rollout/release_gate.ts";
 import { SessionBook } from "../core/rollout/session_book.ts";
 import { sessionPoint, TOLD_SHARE } from "../core/rollout/session_point.ts";
+import { PromptHolders } from "../core/routing/prompt_holders.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import { SilentLogger } from "../runtime/logger.ts";
@@ -35,6 +36,7 @@
 /** The parts of one VM that a digest is made from. */
 class Vm {
   readonly loads = new ServerLoads();
+  readonly holders = new PromptHolders();
   readonly evidence = new EvidenceBook();
   readonly sessions = new SessionBook(GAP_MS);
   readonly #keeper: DigestKeeper;
@@ -59,6 +61,7 @@
         revision: NO_REVISION,
       }),
       serverLoads: this.loads,
+      promptHolders: this.holders,
       evidenceBook: this.evidence,
       sessionBook: this.sessions,
       releaseGate,
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -1,6 +1,6 @@
 /** Whether this VM is a relay, which VMs are, and who of them answers. */
 
-import { fleetRelays } from "../core/membership/fleet_relays.ts";
+import { fleetRelays, isMesh } from "../core/membership/fleet_relays.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { UnitHash } from "../core/routing/version_choice.ts";
@@ -30,6 +30,7 @@
   readonly #deps: Deps;
   readonly #failedAtMs = new Map<EntryId, number>();
   #seenChanges = -1;
+  #meshed = true;
   #here: Member[] = [];
   #elsewhere: Member[] = [];
   #heardAtMs = -Infinity;
@@ -44,6 +45,12 @@
     return this.#isSelf(this.#here);
   }
 
+  /** Whether all VMs talk to each other, without relays between them. */
+  get meshed(): boolean {
+    this.#refresh();
+    return this.#meshed;
+  }
+
   /** Other relays, of all data centres. */
   others(): Member[] {
     this.#refresh();
@@ -120,6 +127,7 @@
       fleetRelays(members, { dataCentre, unitHash });
     const dataCentres = new Set(members.map((member) => member.data_centre));
     dataCentres.delete(self.data_centre);
+    this.#meshed = isMesh(members);
     this.#here = relaysOf(self.data_centre);
     this.#elsewhere = [...dataCentres].flatMap(relaysOf);
   }
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -20,6 +20,7 @@
 import { TrialJudge } from "../core/rollout/trial_judge.ts";
 import { SessionBook } from "../core/rollout/session_book.ts";
 import { ProbeOrder } from "../core/membership/probe_order.ts";
+import { PromptHolders } from "../core/routing/prompt_holders.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { SilenceWatch } from "../core/servers/silence.ts";
@@ -166,6 +167,7 @@
       new SessionBook(bounds.sessionGapMs + SESSION_MARGIN_MS),
     ),
     probeOrder: asFunction(({ chance }) => new ProbeOrder(chance)).singleton(),
+    promptHolders: one(PromptHolders),
     affinityChoice: one(AffinityChoice),
     repeatBudget: asValue(
       new RepeatBudget({
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -10,6 +10,7 @@
 import type { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import type { Route } from "../core/routes/route.ts";
+import type { PromptKey } from "../core/routing/prompt_holders.ts";
 import type { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
@@ -75,7 +76,7 @@
     const dataCentre: DataCentreId = vmSettings.dataCentre;
     return affinityChoice.choose({
       candidates,
-      affinity: affinityOf(selection),
+      affinity: promptKeyOf(selection.head, selection.model),
       dataCentre,
       tried: selection.tried,
       sharedMs: selection.sharedMs,
@@ -108,8 +109,11 @@
   return longestSharedPart(head);
 }
 
-/** Requests with the same longest shared beginning of their prompt gain from one server. */
-function affinityOf({ head, model }: Selection): string | undefined {
+/** What requests have in common that gain from one server; undefined if nothing. */
+export function promptKeyOf(
+  head: CallerHead,
+  model: ModelId | undefined,
+): PromptKey | undefined {
   const shared = longestSharedPart(head);
   return shared === undefined ? undefined : `${model ?? ""}/${shared}`;
 }
--- a/src/gateway/try_observer.ts
+++ b/src/gateway/try_observer.ts
@@ -5,6 +5,7 @@
 import type { InstanceId, RouteId, ServiceId } from "../core/ids.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { SessionBook } from "../core/rollout/session_book.ts";
+import type { PromptHolders } from "../core/routing/prompt_holders.ts";
 import type { ReadPace } from "../core/servers/read_pace.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
@@ -12,7 +13,7 @@
 import type { CallerHead } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
-import { sessionOf } from "./server_selector.ts";
+import { promptKeyOf, sessionOf } from "./server_selector.ts";
 import type { TryRecord } from "./try_record.ts";
 import { ownTokens, type PredictedWork } from "./work_predictor.ts";
 
@@ -20,6 +21,7 @@
   readonly serverLoads: ServerLoads;
   readonly evidenceBook: EvidenceBook;
   readonly sessionBook: SessionBook;
+  readonly promptHolders: PromptHolders;
   readonly modelPace: ModelPace;
   readonly silenceWatch: SilenceWatch;
   readonly readPace: ReadPace;
@@ -46,9 +48,14 @@
   }
 
   /** A request is about to be sent. */
-  began({ server, head, work }: ObservedTry): void {
-    const { serverLoads, sessionBook, clock } = this.#deps;
-    serverLoads.begin(server.instance, work.readMs + work.writeMs);
+  began({ server, head, record, work }: ObservedTry): void {
+    const { serverLoads, promptHolders, sessionBook, clock } = this.#deps;
+    const { instance } = server;
+    serverLoads.begin(instance, work.readMs + work.writeMs);
+    const key = promptKeyOf(head, record.model);
+    if (key !== undefined) {
+      promptHolders.sent({ key, instance }, clock.monotonicMs());
+    }
     const session = sessionOf(head);
     if (session === undefined) return;
     const seenMs = clock.monotonicMs();
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -60,6 +60,8 @@
   /** Answers of services that a roll-out is under way for. */
   evidence: z.array(evidenceSchema),
   sessions: z.array(sessionSchema),
+  /** Prompts that the VM has lately begun to send to servers. */
+  holders: z.array(z.object({ key: z.string(), instance: id<InstanceId>() })),
   /** Releases that were found bad. */
   braked: z.array(z.object({
     service: id<ServiceId>(),
