--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -19,12 +19,12 @@
  * What reading shared parts again counts for, beyond its own time: it also holds up all
  * that runs on the server.
  */
-const MISSING_FACTOR = 2;
+const MISSING_FACTOR = 4;
 /**
  * Servers that are looked at besides those that hold the prompt. All VMs hear of the least
  * busy server at the same time; if each looked at all servers, all would turn to that one.
  */
-const DRAWN_SERVERS = 4;
+const DRAWN_SERVERS = 2;
 /** Work by which a server in another data centre must be less busy to be taken. */
 const OTHER_DATA_CENTRE_MS = 15;
 /** Work that a failure rate of 1 counts as, in milliseconds. */
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -26,6 +26,8 @@
 
 /** Time between looks at the evidence; a bad release answers every few of these. */
 const TICK_MS = 200;
+/** Time before a VM repeats a write that failed; one each tick was 60 a VM in an outage. */
+const RETRY_MS = 800;
 /** A VM acts in place of another that did not for this long. */
 const TAKEOVER_MS = 600;
 
@@ -51,6 +53,8 @@
   /** What should be done, and since when it should. */
   wanted: string;
   wantedSinceMs: number;
+  /** Nothing is written before this. */
+  notBeforeMs: number;
 }
 
 /** Looks at all open orders again and again. */
@@ -92,7 +96,13 @@
     const known = this.#watches.get(service);
     if (known?.release === release) return known;
     const nowMs = this.#deps.clock.monotonicMs();
-    const watch = { release, seenMs: nowMs, wanted: "", wantedSinceMs: nowMs };
+    const watch: Watch = {
+      release,
+      seenMs: nowMs,
+      wanted: "",
+      wantedSinceMs: nowMs,
+      notBeforeMs: nowMs,
+    };
     this.#watches.set(service, watch);
     this.#deps.evidenceBook.forget(service);
     return watch;
@@ -177,23 +187,30 @@
   ): Promise<void> {
     if (step.tag === "stay") return;
     if (!this.#isMyTurn(watch, JSON.stringify(step))) return;
+    if (await this.#write(order, step)) return;
+    watch.notBeforeMs = this.#deps.clock.monotonicMs() + RETRY_MS;
+  }
+
+  #write(
+    order: RollOutOrder,
+    step: Exclude<PlanStep | { readonly tag: "begin" }, { tag: "stay" }>,
+  ): Promise<boolean> {
     const { service, release } = order;
     switch (step.tag) {
       case "begin":
-        return await this.#report(order, "in_progress");
+        return this.#report(order, "in_progress");
       case "share": {
         const { share } = step;
-        await this.#deps.trialFollower.write({ service, release, share });
-        return;
+        return this.#deps.trialFollower.write({ service, release, share });
       }
       case "complete":
-        return await this.#report(order, "completed");
+        return this.#report(order, "completed");
       case "roll_back":
-        return await this.#report(order, "rolled_back");
+        return this.#report(order, "rolled_back");
     }
   }
 
-  async #report(order: RollOutOrder, state: RollOutState): Promise<void> {
+  async #report(order: RollOutOrder, state: RollOutState): Promise<boolean> {
     const done = await this.#deps.rollOutFollower.report(order, state);
     this.#deps.logger.info("Roll-out is reported", {
       service: order.service,
@@ -201,6 +218,7 @@
       state,
       written: done,
     });
+    return done;
   }
 
   /** VMs act in the order of their names, each when those before it have not. */
@@ -217,6 +235,7 @@
     const ids = alive.map(({ id }) => id).sort();
     const turn = ids.indexOf(memberTable.self.id);
     const rank = turn < 0 || stopState.stopping ? ids.length : turn;
-    return nowMs - watch.wantedSinceMs >= rank * TAKEOVER_MS;
+    return nowMs >= watch.notBeforeMs &&
+      nowMs - watch.wantedSinceMs >= rank * TAKEOVER_MS;
   }
 }
