--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { benchChoice } from "./choice_cost.ts";
 import { benchCore } from "./core_slopes.ts";
 import { benchFleet } from "./fleet_slopes.ts";
 import { benchGateways } from "./gateway_slopes.ts";
@@ -24,7 +25,14 @@
     "What entries, changes, requests and tokens cost; the figures of docs/CAPACITY.md",
     (args) =>
       args.positional("part", {
-        choices: ["core", "fleet", "gateways", "reports", "requests"] as const,
+        choices: [
+          "choice",
+          "core",
+          "fleet",
+          "gateways",
+          "reports",
+          "requests",
+        ] as const,
       })
         .option("sizes", {
           type: "number",
@@ -33,6 +41,7 @@
         }),
     async ({ part, sizes }) => {
       if (part === undefined || part === "core") benchCore();
+      if (part === undefined || part === "choice") benchChoice();
       if (part === undefined || part === "requests") await benchRequests();
       if (part === undefined || part === "reports") await benchReports();
       if (part === undefined || part === "gateways") await benchGateways();
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -114,14 +114,15 @@
     }
     const { shared } = this.#promptHolders;
     if (shared && parts.size > 0) return parts;
-    // The same order on every VM.
-    const order = this.#ring.order(servers, {
+    const ringParts = shared ? RING_PARTS_IF_TOLD : RING_PARTS;
+    // The same on every VM.
+    const nearest = this.#ring.nearest(servers, {
       key: affinity,
       idOf: ({ instance }) => instance,
+      count: ringParts.length,
     });
-    (shared ? RING_PARTS_IF_TOLD : RING_PARTS).forEach((part, at) => {
-      const server = order[at];
-      if (server !== undefined && !parts.has(server)) parts.set(server, part);
+    nearest.forEach((server, at) => {
+      if (!parts.has(server)) parts.set(server, ringParts[at] ?? 1);
     });
     return parts;
   }
--- a/src/core/routing/hash_ring.ts
+++ b/src/core/routing/hash_ring.ts
@@ -16,30 +16,35 @@
     this.#unitHash = unitHash;
   }
 
-  /** Servers in the order in which they follow the key. */
-  order<T>(servers: readonly T[], by: {
+  /** The first servers that follow the key, nearest first. */
+  nearest<T>(servers: readonly T[], by: {
     readonly key: string;
     readonly idOf: (server: T) => string;
+    readonly count: number;
   }): T[] {
     const at = this.#unitHash(by.key);
-    return servers
-      .map((server) => ({
-        server,
-        distance: this.#distance(by.idOf(server), at),
-      }))
-      .sort((a, b) => a.distance - b.distance)
-      .map(({ server }) => server);
+    const nearest: { readonly server: T; readonly distance: number }[] = [];
+    for (const server of servers) {
+      const distance = this.#distance(by.idOf(server), at);
+      const farthest = nearest.at(-1);
+      const full = nearest.length === by.count;
+      if (full && farthest !== undefined && distance >= farthest.distance) {
+        continue;
+      }
+      if (full) nearest.pop();
+      nearest.push({ server, distance });
+      nearest.sort((a, b) => a.distance - b.distance);
+    }
+    return nearest.map(({ server }) => server);
   }
 
   #distance(id: string, at: number): number {
-    let nearest = 1;
-    for (const point of this.#pointsOf(id)) {
-      const distance = point >= at ? point - at : point - at + 1;
-      if (distance < nearest) nearest = distance;
-    }
-    return nearest;
+    const points = this.#pointsOf(id);
+    const next = points[firstFrom(points, at)] ?? points[0] ?? at;
+    return next >= at ? next - at : next - at + 1;
   }
 
+  /** Points of a server, in rising order. */
   #pointsOf(id: string): readonly number[] {
     const known = this.#points.get(id);
     if (known !== undefined) return known;
@@ -47,8 +52,20 @@
     const points = Array.from(
       { length: POINTS },
       (_, n) => this.#unitHash(`${id}/${n}`),
-    );
+    ).sort((a, b) => a - b);
     this.#points.set(id, points);
     return points;
   }
 }
+
+/** Index of the first point that is not below `at`; the length where there is none. */
+function firstFrom(points: readonly number[], at: number): number {
+  let low = 0;
+  let high = points.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((points[middle] ?? 1) < at) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -10,7 +10,10 @@
 import type { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import type { Route } from "../core/routes/route.ts";
-import type { PromptKey } from "../core/routing/prompt_holders.ts";
+import type {
+  PromptHolders,
+  PromptKey,
+} from "../core/routing/prompt_holders.ts";
 import type { AffinityChoice } from "../core/routing/affinity_choice.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
@@ -26,6 +29,7 @@
   readonly releaseChoice: ReleaseChoice;
   readonly rollOutFollower: RollOutFollower;
   readonly affinityChoice: AffinityChoice;
+  readonly promptHolders: PromptHolders;
   readonly clock: Clock;
   readonly chance: () => number;
 }
@@ -59,6 +63,17 @@
     return targets.at(-1)?.service ?? ("" as ServiceId);
   }
 
+  /** Whether a server is known to hold what a request shares with others. */
+  holds(
+    { instance }: ServerRecord,
+    { head, model }: Pick<Selection, "head" | "model">,
+  ): boolean {
+    const { promptHolders, clock } = this.#deps;
+    const key = promptKeyOf(head, model);
+    if (key === undefined) return false;
+    return promptHolders.of(key, clock.monotonicMs()).has(instance);
+  }
+
   /** Returns the server to use; undefined when none takes new work. */
   choose(selection: Selection): ServerRecord | undefined {
     for (const candidates of this.#candidates(selection)) {
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -108,7 +108,11 @@
     const work = this.#predictWork(admitted, model);
     const server = this.#select(admitted, { tried: NONE, model });
     if (server === undefined) return Infinity;
-    return this.#deps.serverLoads.work(server.instance) + work.readMs;
+    const { serverLoads, serverSelector } = this.#deps;
+    const { head } = this.#request.exchange;
+    const held = serverSelector.holds(server, { head, model });
+    return serverLoads.work(server.instance) + work.readMs +
+      (held ? 0 : work.sharedMs);
   }
 
   /** Lets servers be used again that were tried, as with another model. */
