--- /dev/null
+++ b/src/core/routing/herd_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { unitHash } from "../../runtime/hashing.ts";
+import type { DataCentreId, InstanceId, ReleaseId, ServiceId } from "../ids.ts";
+import { ServerLoads } from "../servers/server_loads.ts";
+import type { ServerRecord } from "../servers/server_record.ts";
+import { AffinityChoice } from "./affinity_choice.ts";
+import { PromptHolders } from "./prompt_holders.ts";
+
+const VMS = 20;
+const NEWS_EVERY_MS = 1_000;
+const STEP_MS = 50;
+const WORK_MS = 100;
+const SHARED_MS = 60;
+const DURATION_MS = 20_000;
+const TWO_TO_32 = 2 ** 32;
+
+const SERVERS: readonly ServerRecord[] = Array.from(
+  { length: 20 },
+  (_, at) => ({
+    instance: `i-${at}` as InstanceId,
+    service: "model" as ServiceId,
+    address: "",
+    dataCentre: "north" as DataCentreId,
+    release: "v1" as ReleaseId,
+    slots: 64,
+    state: "ready",
+  }),
+);
+
+type Choose = (vm: ServerLoads, prompt: string) => InstanceId;
+
+/**
+ * Plays VMs that hear of each other's work once a second. Servers do a millisecond of work
+ * each millisecond, and are asked for half of what they can do. Returns the longest queue.
+ */
+function play(choose: Choose, chance: () => number): number {
+  const vms = Array.from({ length: VMS }, () => new ServerLoads());
+  const queues = new Map<InstanceId, number>();
+  let longest = 0;
+  for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+    if (nowMs % NEWS_EVERY_MS === 0) tellAll(vms, queues);
+    for (const vm of vms) {
+      if (chance() > SERVERS.length * STEP_MS / (2 * VMS * WORK_MS)) continue;
+      const instance = choose(vm, `${Math.floor(chance() * 1e6)}`);
+      vm.begin(instance, WORK_MS);
+      const queue = (queues.get(instance) ?? 0) + WORK_MS;
+      queues.set(instance, queue);
+      longest = Math.max(longest, queue);
+    }
+    for (const [instance, queue] of queues) {
+      queues.set(instance, Math.max(0, queue - STEP_MS));
+    }
+  }
+  return longest;
+}
+
+/** Each VM hears how busy servers are, and forgets what it sent before. */
+function tellAll(
+  vms: readonly ServerLoads[],
+  queues: ReadonlyMap<InstanceId, number>,
+): void {
+  const reports = new Map([...queues].map(([instance, workMs]) => [
+    instance,
+    { instance, workMs, answers: 0, failures: 0, witnesses: 0 },
+  ]));
+  for (const vm of vms) {
+    for (const { instance } of SERVERS) vm.end(instance, Infinity);
+    vm.setElsewhere(reports);
+  }
+}
+
+function newChance(): () => number {
+  const generator = xoroshiro128plus(11);
+  return () => (generator.next() >>> 0) / TWO_TO_32;
+}
+
+function leastBusy(vm: ServerLoads): InstanceId {
+  const [first, ...others] = SERVERS.map(({ instance }) => instance);
+  return others.reduce(
+    (best, instance) => vm.work(instance) < vm.work(best) ? instance : best,
+    first as InstanceId,
+  );
+}
+
+describe("choice by many VMs with late news", () => {
+  it("should not send all VMs to the server that was least busy", () => {
+    const chance = newChance();
+    const choices = new Map<ServerLoads, AffinityChoice>();
+    const longest = play((serverLoads, affinity) => {
+      const choice = choices.get(serverLoads) ?? new AffinityChoice({
+        serverLoads,
+        promptHolders: new PromptHolders(),
+        unitHash,
+        chance,
+      });
+      choices.set(serverLoads, choice);
+      const server = choice.choose({
+        candidates: SERVERS,
+        affinity,
+        sharedMs: SHARED_MS,
+        dataCentre: "north" as DataCentreId,
+        tried: new Set(),
+        nowMs: 0,
+      });
+      assert.ok(server);
+      return server.instance;
+    }, chance);
+    const herded = play(leastBusy, newChance());
+    assert.ok(longest <= 8 * WORK_MS, `longest queue ${longest} ms`);
+    assert.ok(longest < herded / 2, `${longest} ms, herded ${herded} ms`);
+  });
+});
