--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -26,7 +26,7 @@
 
 /** Time between looks at the evidence; a bad release answers every few of these. */
 const TICK_MS = 200;
-/** Time before a VM repeats a write that failed; one each tick was 60 a VM in an outage. */
+/** Time before a VM repeats a write that failed: each tick made 30 of a VM in an outage of 8 s. */
 const RETRY_MS = 800;
 /** A VM acts in place of another that did not for this long. */
 const TAKEOVER_MS = 600;
