--- a/src/core/rollout/trial_plan.ts
+++ b/src/core/rollout/trial_plan.ts
@@ -104,8 +104,8 @@
  * Whether a release that is found bad only later, as one that fails once half of its
  * servers' slots are taken, would still have got no more than `part` of what it may if it
  * had this share from now on. A load that the traffic does not bring cannot be tried at a
- * small share: in one trial of a new release all requests of a fleet came to 12 of 64
- * slots of each server, and its failures began at 32.
+ * small share: all requests of a fleet came to a mean of up to 12 and at most 22 of the 64
+ * slots of a server, and failures of such a release began at about 32.
  */
 function staysWithinBound(
   { trialAnswers, allAnswers, share: boundShare, allowance }: Exposure,
--- a/src/runtime/packed_json.ts
+++ b/src/runtime/packed_json.ts
@@ -7,7 +7,7 @@
 export const PACKED_ENCODING = "deflate-raw";
 /** Shorter texts are sent as they are, in characters: one packet holds them anyway. */
 const MIN_CHARS = 500;
-/** Fastest level; a digest of 3,400 characters becomes about 850 bytes. */
+/** Fastest level, as VMs are short of processor time. */
 const LEVEL = 1;
 
 /** A message as it goes over the wire. */
