Say why a stream is cut, and what a configuration changed

Cause: logs and metrics could not tell the two hypotheses apart. Change: state "cut" of an answer, the line "Stream is cut" with reason, version of admission and version in force, a counter by reason, the difference of configurations in "Configuration is in force", and bursts of news of VMs and servers folded into one line. Ruled out: nothing yet; no decision changed.

--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -1,6 +1,7 @@
 /** Puts together what this VM tells others, and takes in what they tell. */
 
 import type { EntryId } from "../core/ids.ts";
+import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
@@ -21,6 +22,7 @@
   DigestQuestion,
   VmDigest,
 } from "../protocol/digest_schema.ts";
+import { BurstLog } from "../runtime/burst_log.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
@@ -65,10 +67,12 @@
   readonly #deps: Deps;
   readonly #life: number;
   readonly #told = new ToldDigests();
+  readonly #memberNews: BurstLog<Member>;
 
   constructor(deps: Deps) {
     this.#deps = deps;
     this.#life = deps.clock.wallMs();
+    this.#memberNews = memberNewsOf(deps.logger);
   }
 
   /** What this VM asks others. */
@@ -198,7 +202,7 @@
       this.#deps;
     const nowMs = clock.monotonicMs();
     promptHolders.told(told.holders, nowMs);
-    this.#noteMembers(memberTable.merge([told.self, ...told.news], nowMs));
+    this.#memberNews.note(memberTable.merge([told.self, ...told.news], nowMs));
     this.#noteSessions(told, nowMs);
     for (const key of told.braked) this.#brake(key, told.self.id);
     // Who follows a relay hears of all VMs by it, and must not count them twice.
@@ -231,16 +235,6 @@
     }));
   }
 
-  #noteMembers(changed: ReturnType<MemberTable["merge"]>): void {
-    for (const member of changed) {
-      this.#deps.logger.info("VM changed state", {
-        peer: member.id,
-        state: member.state,
-        incarnation: member.incarnation,
-      });
-    }
-  }
-
   #brake(key: VmDigest["braked"][number], by: EntryId): void {
     if (!this.#deps.releaseGate.brake(key)) return;
     this.#deps.logger.warn("Release is braked", { ...key, told_by: by });
@@ -251,6 +245,18 @@
   }
 }
 
+function memberNewsOf(logger: Logger): BurstLog<Member> {
+  return new BurstLog({
+    one: ({ id, state, incarnation }) =>
+      logger.info("VM changed state", { peer: id, state, incarnation }),
+    many: (members) =>
+      logger.info("Many VMs changed state", {
+        changes: members.length,
+        news: members.map(({ id, state }) => `${id} ${state}`).join(","),
+      }),
+  });
+}
+
 function rounded(report: ServerReport): ServerReport {
   const round = (count: number) =>
     Math.round(count * COUNT_STEPS) / COUNT_STEPS;
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -14,7 +14,7 @@
 import type { Clock } from "../runtime/clock.ts";
 
 /** How the answer stands. */
-export type AnswerState = "none" | "begun" | "ended" | "caller_gone";
+export type AnswerState = "none" | "begun" | "ended" | "cut" | "caller_gone";
 
 /** Holds a caller's connection until its request has its answer. */
 export class CallerExchange {
@@ -67,6 +67,11 @@
     return query < 0 ? this.url : this.url.slice(0, query);
   }
 
+  /** Whether nothing more can reach the caller. */
+  get isOver(): boolean {
+    return this.#state !== "none" && this.#state !== "begun";
+  }
+
   /** How the answer stands. */
   get state(): AnswerState {
     return this.#state;
@@ -161,8 +166,8 @@
 
   /** Cuts the connection, so that an answer that is not whole does not look so. */
   cut(): void {
-    if (this.#state === "ended" || this.#state === "caller_gone") return;
-    this.#state = "ended";
+    if (this.isOver) return;
+    this.#state = "cut";
     this.#res.destroy();
   }
 
@@ -194,7 +199,7 @@
   }
 
   #closed(): void {
-    if (this.#state === "ended" || this.#state === "caller_gone") return;
+    if (this.isOver) return;
     this.#state = "caller_gone";
     this.#onGone();
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -22,6 +22,13 @@
     registers: [this.registry],
   });
 
+  readonly streamsCut = new Counter({
+    name: "fieldrack_gateway_streams_cut_total",
+    help: "Streams ended here before they were whole, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+
   readonly tries = new Counter({
     name: "fieldrack_gateway_tries_total",
     help: "Tries at backend servers, by service and outcome",
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -3,6 +3,7 @@
 import type { Refusal } from "../core/refusal.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { RunSummary } from "./run_summary.ts";
 import { describeTry } from "./try_record.ts";
@@ -15,16 +16,19 @@
 export class RequestLog {
   readonly #logger: Logger;
   readonly #metrics: GatewayMetrics;
+  readonly #routing: RoutingFollower;
   #good = 0;
 
   constructor(
-    { logger, gatewayMetrics }: {
+    { logger, gatewayMetrics, routingFollower }: {
       logger: Logger;
       gatewayMetrics: GatewayMetrics;
+      routingFollower: RoutingFollower;
     },
   ) {
     this.#logger = logger;
     this.#metrics = gatewayMetrics;
+    this.#routing = routingFollower;
   }
 
   /** Notes a request that got no server's answer. */
@@ -39,6 +43,24 @@
     });
   }
 
+  /** Notes a stream that this VM ended before it was whole, and by which news. */
+  cut(
+    exchange: CallerExchange,
+    { refusal, run }: { refusal: Refusal; run: RunSummary },
+  ): void {
+    this.#metrics.streamsCut.inc({ reason: refusal.tag });
+    this.#logger.info("Stream is cut", {
+      attempt: exchange.head.attempt,
+      path: exchange.path,
+      reason: refusal.tag,
+      detail: detailOf(refusal),
+      configuration: run.configurationVersion,
+      in_force: this.#routing.table?.version,
+      age_ms: Math.round(exchange.ageMs()),
+      limit_ms: Math.round(run.limitMs),
+    });
+  }
+
   /** Notes the end of a request. */
   ended(exchange: CallerExchange, run: RunSummary): void {
     const status = exchange.status ?? 0;
@@ -53,6 +75,7 @@
       route: run.route,
       account: run.account,
       configuration: run.configurationVersion,
+      in_force: this.#routing.table?.version,
       confirmed_ms: Math.round(run.confirmedAgeMs),
       limit_ms: Math.round(run.limitMs),
       budget_left: Math.floor(run.budgetLeft),
@@ -75,7 +98,8 @@
 }
 
 function outcomeOf(exchange: CallerExchange): string {
-  if (exchange.state === "caller_gone") return "caller_gone";
+  const { state } = exchange;
+  if (state === "caller_gone" || state === "cut") return state;
   const status = exchange.status ?? 0;
   if (status === 0) return "none";
   return `${Math.floor(status / 100)}xx`;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -11,7 +11,6 @@
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
-import type { Logger } from "../runtime/logger.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { ModelChoice } from "./model_choice.ts";
@@ -34,7 +33,6 @@
   readonly repeatBudget: RepeatBudget;
   readonly modelPace: ModelPace;
   readonly requestLog: RequestLog;
-  readonly logger: Logger;
 }
 
 type Next = "again" | "done";
@@ -111,8 +109,7 @@
   }
 
   async #step(): Promise<Next> {
-    const { state } = this.#exchange;
-    if (state === "caller_gone" || state === "ended") return "done";
+    if (this.#exchange.isOver) return "done";
     if (this.#expired || this.#leftMs() < MIN_WAIT_MS) return this.#timeUp();
     const admitted = this.#deps.requestAdmission.admit(this.#exchange);
     if (!admitted.ok) return this.#finish(admitted.error);
@@ -249,9 +246,7 @@
     this.#stream.restart();
     const { route } = this.#admitted;
     if (route.resumable && this.#tally.runs < route.maxRuns) return "again";
-    this.#deps.logger.info("Stream is cut", { reason, runs: this.#tally.runs });
-    this.#exchange.cut();
-    return "done";
+    return this.#finish({ tag: "answer_lost", reason });
   }
 
   /** Whether a request that may have run may be sent again. */
@@ -273,9 +268,14 @@
 
   /** Gives the final answer, or cuts a stream that has begun. */
   #finish(refusal: Refusal): Next {
-    if (this.#exchange.state === "begun") this.#exchange.cut();
-    else this.#exchange.refuse(refusal);
-    this.#deps.requestLog.refused(this.#exchange, refusal);
+    const { requestLog } = this.#deps;
+    if (this.#exchange.state === "begun") {
+      this.#exchange.cut();
+      requestLog.cut(this.#exchange, { refusal, run: this.summary() });
+    } else {
+      this.#exchange.refuse(refusal);
+      requestLog.refused(this.#exchange, refusal);
+    }
     return "done";
   }
 
--- /dev/null
+++ b/src/runtime/burst_log.ts
@@ -0,0 +1,46 @@
+/** Folds what happens many times at once into one log line. */
+
+/**
+ * Time for which news is gathered before it is logged, in milliseconds: most of what one
+ * event brings about on other VMs and servers is heard within it.
+ */
+const GATHER_MS = 250;
+/** Pieces of news that get a line each; more get one together. */
+const MOST_LINES = 3;
+
+/** How one piece of news is logged, and how many are. */
+export interface BurstLogOptions<T> {
+  readonly one: (item: T) => void;
+  readonly many: (items: readonly T[]) => void;
+}
+
+/**
+ * Gathers news for a moment. When 85 VMs restart at once, each hears of 84 others: one line
+ * each was half of all that was logged in the seconds that mattered.
+ */
+export class BurstLog<T> {
+  readonly #options: BurstLogOptions<T>;
+  #items: T[] = [];
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: BurstLogOptions<T>) {
+    this.#options = options;
+  }
+
+  /** Takes in news; it is logged a moment later. */
+  note(items: readonly T[]): void {
+    if (items.length === 0) return;
+    this.#items.push(...items);
+    this.#timer ??= setTimeout(() => this.flush(), GATHER_MS).unref();
+  }
+
+  /** Logs what has been gathered, as at the end of the process. */
+  flush(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    const items = this.#items;
+    this.#items = [];
+    if (items.length > MOST_LINES) this.#options.many(items);
+    else for (const item of items) this.#options.one(item);
+  }
+}
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -1,5 +1,7 @@
 /** Keeps the newest routing configuration, and how lately it was confirmed. */
 
+import { configurationChange } from "../core/routes/configuration_change.ts";
+import type { RoutingConfiguration } from "../core/routes/route.ts";
 import { RouteTable } from "../core/routes/route_table.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
 import {
@@ -14,7 +16,7 @@
 } from "../platform/routing_wire.ts";
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
-import type { Logger } from "../runtime/logger.ts";
+import type { LogContext, Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
@@ -214,16 +216,34 @@
       return false;
     }
     const configuration = decoded.value;
-    const known = this.#table?.version;
-    if (known !== undefined && configuration.version <= known) return true;
+    const before = this.#table?.configuration;
+    if (before !== undefined && configuration.version <= before.version) {
+      return true;
+    }
     this.#table = new RouteTable(configuration);
     for (const listener of this.#listeners) listener(this.#table);
     logger.info("Configuration is in force", {
       version: configuration.version,
-      before: known,
+      before: before?.version,
       routes: configuration.routes.length,
       accounts: configuration.accounts?.length,
+      ...(before === undefined ? {} : changeContext(before, configuration)),
     });
     return true;
   }
 }
+
+function changeContext(
+  before: RoutingConfiguration,
+  after: RoutingConfiguration,
+): LogContext {
+  const change = configurationChange(before, after);
+  return {
+    keys_added: change.keysAdded,
+    keys_withdrawn: change.keysWithdrawn,
+    routes_added: change.routesAdded,
+    routes_removed: change.routesRemoved,
+    routes_changed: change.routesChanged,
+    changed: change.changed,
+  };
+}
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -10,6 +10,7 @@
 import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
 import { decodeServer, SERVER_KIND } from "../platform/server_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { BurstLog } from "../runtime/burst_log.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
@@ -18,9 +19,6 @@
 /** Time between looks for servers that were not listed again. */
 const EXPIRY_INTERVAL_MS = 250;
 
-/** Changes at once that get a line each; more get one together. */
-const MOST_LINES = 8;
-
 /** Called when servers get no new work any more. */
 export type RemovalListener = (server: ServerRecord) => void;
 
@@ -39,6 +37,10 @@
   /** Its copy of the kind, to exchange with other VMs. */
   readonly follower: KindFollower;
   readonly #listeners: RemovalListener[] = [];
+  readonly #news = new BurstLog<DirectoryChange>({
+    one: (change) => this.#logOne(change),
+    many: (changes) => this.#logMany(changes),
+  });
   #timer: NodeJS.Timeout | undefined;
 
   constructor(deps: Deps) {
@@ -62,6 +64,7 @@
   /** Stops to follow. */
   stop(): void {
     clearInterval(this.#timer);
+    this.#news.flush();
     this.follower.stop();
   }
 
@@ -107,9 +110,7 @@
   }
 
   #note(changes: readonly DirectoryChange[]): void {
-    // A first list is one change of what this VM believes, however long it is.
-    if (changes.length > MOST_LINES) this.#logMany(changes);
-    else for (const change of changes) this.#logOne(change);
+    this.#news.note(changes);
     for (const change of changes) {
       if (change.tag !== "removed") continue;
       for (const listener of this.#listeners) listener(change.server);
