Show that streams are cut by news that came after they were accepted

Cause: RequestRun asks RequestAdmission again before each try, by the configuration in force by then; a stream given up as paused, or broken off by its server, is cut where its key was withdrawn or is not confirmed. Ruled out: silence of servers as the cause by itself; the first case has none, the server resets.

--- /dev/null
+++ b/tests/accepted_requests_test.ts
@@ -0,0 +1,106 @@
+/**
+ * Seen: callers' connections closed in the middle of streams with status 200, three to four
+ * seconds after a configuration had withdrawn keys, long before any time limit. Each stream
+ * had run at one server, whose run ended as the caller's connection did; nothing else was
+ * amiss. How: the stream paused, its VM gave the server up to go on at another one, and
+ * before that try it judged the request again, by the configuration in force by then. Its
+ * key was no longer in it, so the VM cut what it had accepted. Cause: an accepted request
+ * was judged anew at each try, by news that came after it. What proved it: these tests,
+ * in which nothing changes but the key, the route or the store between two tries.
+ */
+
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import type { RawRequest } from "./fixtures/raw_server.ts";
+import {
+  routeWire,
+  streamBytes,
+  TestGateway,
+} from "./fixtures/test_gateway.ts";
+import { until } from "./fixtures/test_fleet.ts";
+
+const STREAM = routeWire({
+  RouteType: "streaming",
+  StreamResumption: true,
+  MaxAttempts: 3,
+});
+const OTHER_KEYS = { keys: ["another-key-000000000"] };
+const FIRST = "id: 1\ndata: a\n\n";
+const SECOND = "id: 2\ndata: b\n\n";
+const END = "0\r\n\r\n";
+/** Longer than any of these tests takes. */
+const WAIT_MS = 60_000;
+
+let gateway: TestGateway;
+/** Requests whose answers the test still owes. */
+let held: RawRequest[];
+
+beforeEach(() => {
+  gateway = new TestGateway();
+  held = [];
+});
+
+afterEach(() => gateway.stop());
+
+/** Begins streams and holds them, but for those of the path that warms up. */
+function beginStream(req: RawRequest): void {
+  const { socket, text } = req;
+  if (/last-event-id: 1/i.test(text)) {
+    socket.write(streamBytes(SECOND) + END);
+  } else if (text.includes("/warm")) {
+    socket.write(streamBytes(FIRST) + END);
+  } else {
+    socket.write(streamBytes(FIRST));
+    held.push(req);
+  }
+}
+
+/** Starts a gateway with two servers and one stream that has begun. */
+async function startStream(
+  bounds: Parameters<TestGateway["start"]>[1] = {},
+): Promise<{ readonly stream: Promise<{ readonly body: string }> }> {
+  await gateway.start([STREAM], bounds);
+  await gateway.addServer("i-1", beginStream);
+  await gateway.addServer("i-2", beginStream);
+  await untilStatus(200);
+  const stream = gateway.call("/stock/1", { waitMs: WAIT_MS });
+  await until(() => Promise.resolve(held.length > 0));
+  return { stream };
+}
+
+async function untilStatus(status: number): Promise<void> {
+  await until(async () =>
+    (await gateway.call("/stock/warm")).status === status
+  );
+}
+
+/** Has the first server break the stream off, and expects another to finish it. */
+async function breakOffAndFinish(
+  stream: Promise<{ readonly body: string }>,
+): Promise<void> {
+  held[0]?.socket.resetAndDestroy();
+  assert.equal((await stream).body, FIRST + SECOND);
+}
+
+describe("accepted requests", () => {
+  it("should finish a stream elsewhere although its key was withdrawn", async () => {
+    const { stream } = await startStream();
+    gateway.configure([STREAM], OTHER_KEYS);
+    await untilStatus(401);
+    await breakOffAndFinish(stream);
+  });
+
+  it("should finish a stream that its server lets pause, although its key was withdrawn", async () => {
+    const { stream } = await startStream();
+    gateway.configure([STREAM], OTHER_KEYS);
+    await untilStatus(401);
+    assert.equal((await stream).body, FIRST + SECOND);
+  });
+
+  it("should finish a stream elsewhere although nothing confirms its key any more", async () => {
+    const { stream } = await startStream({ keyRemovalMs: 1_000 });
+    gateway.store.setFaults({ down: true });
+    await untilStatus(503);
+    await breakOffAndFinish(stream);
+  });
+});
