Admit a request once, for all its tries

Cause: RequestRun judged an accepted request anew before each try, by the configuration in force by then. A stream that its server broke off or let pause was cut where its key had been withdrawn, its route removed, or nothing confirmed the configuration; a repeatable request was answered 401, 404, or a 503 that says "not run" after it had run. Change: the admission of a request, once all of it has been read, holds for all its tries. Servers, releases and brakes are still looked up each time.

--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -1,4 +1,8 @@
-/** Decides whether a request may run, and as what. */
+/**
+ * Decides whether a request may run, and as what: once, when all of it has been read. Its
+ * sender sent it before then, so however late its last try begins, no request runs that was
+ * sent longer after the removal of its key than is allowed.
+ */
 
 import type { AccountId } from "../core/ids.ts";
 import type { Refusal } from "../core/refusal.ts";
@@ -15,7 +19,7 @@
  */
 const USABLE_CONFIRMATION = 0.8;
 
-/** What a request may run as. */
+/** What a request may run as, with all tries that it takes. */
 export interface Admitted {
   readonly table: RouteTable;
   readonly route: Route;
@@ -39,7 +43,7 @@
     this.#deps = deps;
   }
 
-  /** Returns what the request may run as now; asked again before each try. */
+  /** Returns what a request that has just been read may run as. */
   admit(exchange: CallerExchange): Result<Admitted, Refusal> {
     const { table } = this.#deps.routingFollower;
     if (table === undefined) return fail({ tag: "no_configuration" });
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -14,7 +14,7 @@
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { ModelChoice } from "./model_choice.ts";
-import type { Admitted, RequestAdmission } from "./request_admission.ts";
+import type { Admitted } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
 import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
@@ -28,7 +28,6 @@
 
 /** What all runs share. */
 export interface RequestRunDeps extends TrySenderDeps {
-  readonly requestAdmission: RequestAdmission;
   readonly serverFollower: ServerFollower;
   readonly repeatBudget: RepeatBudget;
   readonly modelPace: ModelPace;
@@ -46,7 +45,12 @@
   readonly #stream: StreamRelay;
   readonly #sender: TrySender;
   readonly #limitMs: number;
-  #admitted: Admitted;
+  /**
+   * What the request was accepted as, which holds until its end: judged anew at a later try,
+   * news that came after it (a key withdrawn, a route removed, the store out of reach) cut
+   * streams of which callers had a part.
+   */
+  readonly #admitted: Admitted;
   readonly #tally = new RunTally();
   #expired = false;
   #timer: NodeJS.Timeout | undefined;
@@ -111,9 +115,6 @@
   async #step(): Promise<Next> {
     if (this.#exchange.isOver) return "done";
     if (this.#expired || this.#leftMs() < MIN_WAIT_MS) return this.#timeUp();
-    const admitted = this.#deps.requestAdmission.admit(this.#exchange);
-    if (!admitted.ok) return this.#finish(admitted.error);
-    this.#admitted = admitted.value;
     const server = this.#choose();
     if (server === undefined) return this.#noServer();
     if (!this.#mayTry()) return this.#noServer();
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -9,7 +9,7 @@
   readonly route: RouteId;
   /** Undefined where the route needs no key. */
   readonly account: AccountId | undefined;
-  /** Version of the configuration by which the request was last admitted. */
+  /** Version of the configuration by which the request was admitted. */
   readonly configurationVersion: number;
   /** Time since that configuration was confirmed as the newest, in milliseconds. */
   readonly confirmedAgeMs: number;
--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -13,6 +13,7 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import type { RawRequest } from "./fixtures/raw_server.ts";
 import {
+  answerBytes,
   routeWire,
   streamBytes,
   TestGateway,
@@ -97,10 +98,38 @@
     assert.equal((await stream).body, FIRST + SECOND);
   });
 
+  it("should finish a stream elsewhere although its route was removed", async () => {
+    const { stream } = await startStream();
+    gateway.configure([]);
+    await untilStatus(404);
+    await breakOffAndFinish(stream);
+  });
+
   it("should finish a stream elsewhere although nothing confirms its key any more", async () => {
     const { stream } = await startStream({ keyRemovalMs: 1_000 });
     gateway.store.setFaults({ down: true });
     await untilStatus(503);
     await breakOffAndFinish(stream);
   });
+
+  it("should not say that nothing ran where the store fell away after a run", async () => {
+    // The objective keeps the server from being given up before it has answered.
+    const route = routeWire({ MaxAttempts: 2, TargetLatencyMs: WAIT_MS });
+    await gateway.start([route], { keyRemovalMs: 1_000 });
+    const fail = answerBytes({ status: "500 Internal Server Error" });
+    const answer = (req: RawRequest) => {
+      if (req.text.includes("/warm")) req.socket.write(answerBytes());
+      else if (held.length > 0) req.socket.write(fail);
+      else held.push(req);
+    };
+    await gateway.addServer("i-1", answer);
+    await gateway.addServer("i-2", answer);
+    await untilStatus(200);
+    const call = gateway.call("/stock/1", { waitMs: WAIT_MS });
+    await until(() => Promise.resolve(held.length > 0));
+    gateway.store.setFaults({ down: true });
+    await untilStatus(503);
+    held[0]?.socket.write(fail);
+    assert.notEqual((await call).status, 503);
+  });
 });
