Give a running stream up only for a repeat that is paid, and let a begun one wait for a place

Cause: the same class elsewhere, found by reading. look() asked whether a repeat was left and gave the server up, the repeat was taken later: of many streams that paused together on one server all but the first were cut once the budget held fewer. And a begun stream was cut at once where three servers were full or the budget was spent, however much time was left; refusals before its last run counted towards the three. Change: the repeat is paid before what runs is given up (RepeatPass); a begun stream asks for a place eight times, 250 ms apart, before it is cut; refusals count anew for each run. Ruled out: keeping the paused run while another begins (two runs of one stream at once); waiting till the time is up (a caller cut off by this VM alone does better elsewhere).

--- /dev/null
+++ b/src/gateway/repeat_pass.ts
@@ -0,0 +1,56 @@
+/** The part of the shared budget of repeats that one request uses. */
+
+import type { ServiceId } from "../core/ids.ts";
+import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
+import type { Clock } from "../runtime/clock.ts";
+
+interface Deps {
+  readonly repeatBudget: RepeatBudget;
+  readonly clock: Clock;
+}
+
+/** Asks the budget for one request, and keeps what was paid ahead. */
+export class RepeatPass {
+  readonly #deps: Deps;
+  readonly #service: ServiceId;
+  #paid = false;
+
+  constructor(deps: Deps, service: ServiceId) {
+    this.#deps = deps;
+    this.#service = service;
+  }
+
+  /** Counts the request, by which the budget grows. */
+  countRequest(): void {
+    const { repeatBudget, clock } = this.#deps;
+    repeatBudget.countRequest(this.#service, clock.monotonicMs());
+  }
+
+  /** Repeats that the service may still have. */
+  left(): number {
+    const { repeatBudget, clock } = this.#deps;
+    return repeatBudget.left(this.#service, clock.monotonicMs());
+  }
+
+  /**
+   * Pays for a repeat before what runs is given up for it; returns whether it could. Many
+   * streams of one server pause together, and all but the first would otherwise find the
+   * budget spent when their run is gone already.
+   */
+  payAhead(): boolean {
+    this.#paid ||= this.#spend();
+    return this.#paid;
+  }
+
+  /** Takes a repeat, the one paid ahead if there is one; returns whether there was one. */
+  take(): boolean {
+    if (!this.#paid) return this.#spend();
+    this.#paid = false;
+    return true;
+  }
+
+  #spend(): boolean {
+    const { repeatBudget, clock } = this.#deps;
+    return repeatBudget.spend(this.#service, clock.monotonicMs());
+  }
+}
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -11,11 +11,13 @@
 import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
+import { pause } from "../runtime/pause.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
+import { RepeatPass } from "./repeat_pass.ts";
 import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -25,6 +27,8 @@
 const DEFAULT_WAIT_MS = 30_000;
 /** Shortest time with which a request is still sent to a server, in milliseconds. */
 const MIN_WAIT_MS = 20;
+/** Pause before a begun stream asks for a place again; one is free after about this time. */
+const PLACE_PAUSE_MS = 250;
 
 /** What all runs share. */
 export interface RequestRunDeps extends TrySenderDeps {
@@ -52,6 +56,7 @@
    */
   readonly #admitted: Admitted;
   readonly #tally = new RunTally();
+  readonly #repeats: RepeatPass;
   #expired = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -67,6 +72,7 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#service = deps.serverSelector.serviceFor(admitted.route);
+    this.#repeats = new RepeatPass(deps, this.#service);
     const { head } = exchange;
     const { route } = admitted;
     this.#limitMs = Math.min(
@@ -94,15 +100,14 @@
       configurationVersion: table.version,
       confirmedAgeMs,
       limitMs: this.#limitMs,
-      budgetLeft: this.#budgetLeft(),
+      budgetLeft: this.#repeats.left(),
       tries: this.#sender.tries,
     };
   }
 
   /** Runs to the end; the caller has its answer then, or is gone. */
   async run(): Promise<void> {
-    const { repeatBudget, clock } = this.#deps;
-    repeatBudget.countRequest(this.#service, clock.monotonicMs());
+    this.#repeats.countRequest();
     this.#timer = setTimeout(() => this.#expire(), this.#leftMs());
     this.#exchange.onGone(() => this.#sender.giveUp());
     try {
@@ -119,7 +124,7 @@
     if (server === undefined) return this.#noServer();
     if (!this.#mayTry()) return this.#noServer();
     const outcome = await this.#try(server);
-    return this.#after(outcome, server);
+    return await this.#after(outcome, server);
   }
 
   #choose(): ServerRecord | undefined {
@@ -130,9 +135,7 @@
 
   /** Whether the shared budget lets the request be sent once more. */
   #mayTry(): boolean {
-    if (this.#sender.tries.length === 0) return true;
-    const { repeatBudget, clock } = this.#deps;
-    return repeatBudget.spend(this.#service, clock.monotonicMs());
+    return this.#sender.tries.length === 0 || this.#repeats.take();
   }
 
   #try(server: ServerRecord): Promise<TryOutcome> {
@@ -150,6 +153,7 @@
     if (!this.#mayRepeat(1)) return;
     const reason = this.#sender.silence(this.#admitted, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
+    if (!this.#repeats.payAhead()) return;
     const streaming = this.#exchange.state === "begun";
     this.#sender.giveUp({
       tag: streaming ? "stream_broken" : "broken",
@@ -168,7 +172,7 @@
   }
 
   #wantsLarger(confidence: number | undefined): boolean {
-    if (this.#budgetLeft() < 1) return false;
+    if (this.#repeats.left() < 1) return false;
     const { route } = this.#admitted;
     return this.#models.wantsLarger({
       route,
@@ -180,13 +184,7 @@
     });
   }
 
-  /** Repeats that the service may still have. */
-  #budgetLeft(): number {
-    const { repeatBudget, clock } = this.#deps;
-    return repeatBudget.left(this.#service, clock.monotonicMs());
-  }
-
-  #after(outcome: TryOutcome, server: ServerRecord): Next {
+  #after(outcome: TryOutcome, server: ServerRecord): Next | Promise<Next> {
     switch (outcome.tag) {
       case "given_up":
         this.#tally.ran();
@@ -256,11 +254,17 @@
   }
 
   #hasOther(): boolean {
-    return this.#choose() !== undefined && this.#budgetLeft() >= 1;
+    return this.#choose() !== undefined && this.#repeats.left() >= 1;
   }
 
-  #noServer(): Next {
-    return this.#finish(this.#tally.noServerRefusal());
+  /** Ends a request that no server takes, but has a stream that has begun wait for a place. */
+  async #noServer(): Promise<Next> {
+    const begun = this.#exchange.state === "begun";
+    if (!begun || !this.#tally.mayAskLater()) {
+      return this.#finish(this.#tally.noServerRefusal());
+    }
+    await pause(PLACE_PAUSE_MS);
+    return "again";
   }
 
   #timeUp(): Next {
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -5,12 +5,18 @@
 
 /** Servers asked for one request while each says that it did not run it. */
 const MAX_REFUSALS = 3;
+/**
+ * Times that a stream which has begun waits for a place before it is cut: with the pause
+ * between them two seconds, after which its caller does better to go on at another VM.
+ */
+const MAX_WAITS = 8;
 
 /** What has become of the tries so far. */
 export class RunTally {
   #runs = 0;
   #refusals = 0;
   #unsent = 0;
+  #waits = 0;
   #mayHaveRun = false;
 
   /** Servers on which the request has run, or may have. */
@@ -22,11 +28,20 @@
   ran(): void {
     this.#runs += 1;
     this.#mayHaveRun = true;
+    this.#forgetRefusals();
   }
 
   /** Notes a run of a stream that the caller has a part of already. */
   resumed(): void {
     this.#runs += 1;
+    this.#forgetRefusals();
+  }
+
+  /** Notes that no server takes a stream that has begun; returns whether to ask again later. */
+  mayAskLater(): boolean {
+    this.#waits += 1;
+    this.#forgetRefusals();
+    return this.#waits <= MAX_WAITS;
   }
 
   /** Notes that a try is under way whose end will not be known. */
@@ -64,4 +79,10 @@
   timeUpRefusal(): Refusal {
     return this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" };
   }
+
+  /** Refusals count anew for each run: a run that breaks off says nothing of other servers. */
+  #forgetRefusals(): void {
+    this.#refusals = 0;
+    this.#unsent = 0;
+  }
 }
--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -14,6 +14,8 @@
 import type { RawRequest } from "./fixtures/raw_server.ts";
 import {
   answerBytes,
+  chunkBytes,
+  notRunBytes,
   routeWire,
   streamBytes,
   TestGateway,
@@ -132,4 +134,38 @@
     held[0]?.socket.write(fail);
     assert.notEqual((await call).status, 503);
   });
+
+  it("should leave paused servers only for as many streams as may be repeated", async () => {
+    // Three streams pause at once; the fleet's bounds allow one repeat.
+    await gateway.start([STREAM], { retryRatio: 0, retryAllowance: 1.2 });
+    await gateway.addServer("i-1", beginStream);
+    await untilStatus(200);
+    const streams = [1, 2, 3].map((n) =>
+      gateway.call(`/stock/${n}`, { waitMs: WAIT_MS })
+    );
+    await until(() => Promise.resolve(held.length === 3));
+    const other = await gateway.addServer("i-2", beginStream);
+    await until(() => Promise.resolve(other.requests.length > 0));
+    for (const { socket } of held) socket.write(chunkBytes(SECOND) + END);
+    for (const { body } of await Promise.all(streams)) {
+      assert.equal(body, FIRST + SECOND);
+    }
+  });
+
+  it("should wait for a place for a stream whose server broke off while the others are full", async () => {
+    let turnedAway = 0;
+    await gateway.start([STREAM]);
+    const answer = (req: RawRequest) => {
+      const resumed = /last-event-id: 1/i.test(req.text);
+      if (!resumed || turnedAway === 5) return beginStream(req);
+      turnedAway += 1;
+      req.socket.write(notRunBytes());
+    };
+    await gateway.addServer("i-1", answer);
+    await gateway.addServer("i-2", answer);
+    await untilStatus(200);
+    const stream = gateway.call("/stock/1", { waitMs: WAIT_MS });
+    await until(() => Promise.resolve(held.length > 0));
+    await breakOffAndFinish(stream);
+  });
 });
