Keep an answer that is ready where no server would begin the larger model in time

Cause: the same class elsewhere, found by reading and by the pure function: an answer of the smaller model was turned down although no server of the larger one was to be had, or none that would begin within the time limit. Change: the predicted beginning counts among the time that must be left. Ruled out: nothing further; the effect on worth was not measured by itself. Result: the new case of model_ladder_test failed and passes; gateway_test passes.

--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -60,9 +60,10 @@
   return largest === model ? undefined : largest;
 }
 
-function hasTime({ usedMs, limitMs, largest }: LadderInput): boolean {
+/** Without it an answer that is ready is dropped for one that nobody gets. */
+function hasTime({ usedMs, limitMs, startMs, largest }: LadderInput): boolean {
   const needed = NEEDED_PART * (largest?.totalMs ?? 0);
-  return usedMs + needed < limitMs;
+  return usedMs + Math.max(startMs, needed) < limitMs;
 }
 
 /** Less, the later the larger model would begin: none is asked for what comes too late. */
--- a/src/core/cascade/model_ladder_test.ts
+++ b/src/core/cascade/model_ladder_test.ts
@@ -48,6 +48,13 @@
     assert.equal(escalateTo({ ...hopeless, confidence: 0 }), undefined);
   });
 
+  it("should pass on any answer where no server would begin the larger model in time", () => {
+    for (const startMs of [INPUT.limitMs, Infinity]) {
+      const late = { ...INPUT, startMs, confidence: 0 };
+      assert.equal(escalateTo(late), undefined);
+    }
+  });
+
   it("should stay within the runs of the route, and at the largest model", () => {
     assert.equal(escalateTo({ ...INPUT, runsLeft: 0 }), undefined);
     assert.equal(escalateTo({ ...INPUT, model: LARGE }), undefined);
