Hold a caller's own pause against no server

While a caller does not keep up, nothing is read from its server; after 1.6 s that was taken as a pause of the server, which was given up for another one, counted as failed, and held against its release. Change: a try that reads nothing for its caller's sake is not judged, and its pause counts from when reading goes on. Ruled out: larger buffers (the pause only comes later). Result: the new case of accepted_requests_test failed (another server was asked) and passes; 46 tests of gateway and servers pass.

--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -80,6 +80,7 @@
   #head: AnswerHead | undefined;
   #verdict: HeadVerdict = "collect";
   #sent = false;
+  #paused = false;
   #done = false;
 
   constructor(connections: BackendConnections, input: TryInput) {
@@ -93,6 +94,11 @@
     return this.#sent;
   }
 
+  /** Whether nothing is read from the server, as the sink wants no more for a while. */
+  get paused(): boolean {
+    return this.#paused;
+  }
+
   /** Whether the head of the answer has come. */
   get hasHead(): boolean {
     return this.#head !== undefined;
@@ -116,7 +122,9 @@
 
   /** Goes on reading after the sink has wanted no more for a while. */
   resume(): void {
-    if (!this.#done) this.#connection.setPaused(false);
+    if (this.#done) return;
+    this.#paused = false;
+    this.#connection.setPaused(false);
   }
 
   onSending(): void {
@@ -147,7 +155,9 @@
       this.#chunks.push(chunk);
       return;
     }
-    if (!this.#input.sink.write(chunk)) this.#connection.setPaused(true);
+    if (this.#input.sink.write(chunk)) return;
+    this.#paused = true;
+    this.#connection.setPaused(true);
   }
 
   onEnd(): void {
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -139,7 +139,7 @@
           observed.record.confidence = head.decoded.confidence;
           return terms.judge(head);
         },
-        write: (chunk) => stream.write(chunk, () => this.#current?.resume()),
+        write: (chunk) => stream.write(chunk, () => this.#readOn(observed)),
         onProgress: () => tryObserver.byteCame(observed),
       },
     });
@@ -150,6 +150,12 @@
     return outcome;
   }
 
+  /** Reads on after a pause that was the caller's, and so is not held against the server. */
+  #readOn({ record }: ObservedTry): void {
+    record.byteMs = this.#deps.clock.monotonicMs();
+    this.#current?.resume();
+  }
+
   /** Gives the try up that is under way, if there is one. */
   giveUp(outcome?: TryOutcome): void {
     this.#current?.giveUp(outcome);
@@ -165,6 +171,7 @@
   ): SilenceReason | undefined {
     const record = this.#tries.at(-1);
     if (record === undefined || !this.isSent) return undefined;
+    if (this.#current?.paused === true) return undefined;
     const { silenceWatch, serverProbe } = this.#deps;
     const waiting = {
       instance: record.server,
--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -20,6 +20,7 @@
   streamBytes,
   TestGateway,
 } from "./fixtures/test_gateway.ts";
+import { pause } from "../src/runtime/pause.ts";
 import { until } from "./fixtures/test_fleet.ts";
 
 const STREAM = routeWire({
@@ -31,6 +32,13 @@
 const FIRST = "id: 1\ndata: a\n\n";
 const SECOND = "id: 2\ndata: b\n\n";
 const END = "0\r\n\r\n";
+/** More events than the buffers of all connections between server and caller take. */
+const MANY_EVENTS = Array.from(
+  { length: 2_000 },
+  (_, n) => `id: ${n + 2}\ndata: ${"b".repeat(10_000)}\n\n`,
+).join("");
+/** Longer than any patience with a pause in a stream. */
+const SLOW_CALLER_MS = 3_000;
 /** Longer than any of these tests takes. */
 const WAIT_MS = 60_000;
 
@@ -168,4 +176,22 @@
     await until(() => Promise.resolve(held.length > 0));
     await breakOffAndFinish(stream);
   });
+
+  it("should not take a server as paused while its caller does not keep up", async () => {
+    // Read in the code: nothing is read from a server whose caller is slow, and the pause
+    // this makes was held against the server, which was given up for another one.
+    await gateway.start([STREAM]);
+    await gateway.addServer("i-1", beginStream);
+    const other = await gateway.addServer("i-2", beginStream);
+    await untilStatus(200);
+    const warm = other.requests.length;
+    const body = await gateway.open("/stock/1", { waitMs: WAIT_MS });
+    await until(() => Promise.resolve(held.length > 0));
+    held[0]?.socket.write(chunkBytes(MANY_EVENTS) + END);
+    await pause(SLOW_CALLER_MS);
+    assert.equal(await body.text(), FIRST + MANY_EVENTS);
+    assert.equal(held.length, 1);
+    const asked = other.requests.slice(warm).map(({ text }) => text);
+    assert.ok(!asked.some((text) => /last-event-id/i.test(text)));
+  });
 });
