Leave no running request because its server is said to leave, nor for the same server

The server to go on at could be the very one that was being left, each time for a run and a repeat. A run that this VM gave up itself ended in 502 at once where the other servers were full. Change: last words are kept for as long as anything may wait for them; a silent server is left only for another one; a request whose run this VM gave up waits for a place as a begun stream does, one server a round after the first, so that it costs 11 repeats at most; a cut stream says whether a place or a repeat was missing; one line for many servers keeps service and reason. Names: checkSilence, RepeatReservation, noteWait. Ruled out: not counting what was not sent; keeping the forgotten words by the number of tries under way (a second count of the same thing).

--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -60,7 +60,10 @@
   return largest === model ? undefined : largest;
 }
 
-/** Without it an answer that is ready is dropped for one that nobody gets. */
+/**
+ * Whether the larger model could still answer in time; otherwise an answer that is ready
+ * would be dropped for one that nobody gets.
+ */
 function hasTime({ usedMs, limitMs, startMs, largest }: LadderInput): boolean {
   const needed = NEEDED_PART * (largest?.totalMs ?? 0);
   return usedMs + Math.max(startMs, needed) < limitMs;
--- a/src/core/servers/silence.ts
+++ b/src/core/servers/silence.ts
@@ -21,6 +21,11 @@
 const FIRST_BYTE_UNKNOWN_MS = 1_500;
 /** Longest pause within a stream while its server talks to others. */
 const STREAM_PAUSE_MS = 1_600;
+/**
+ * Servers that have not spoken for this long are forgotten, in milliseconds; nothing that
+ * waits for one of them runs as long.
+ */
+const FORGET_AFTER_MS = 600_000;
 /** Weight of the newest first byte in the usual time. */
 const WEIGHT = 0.1;
 
@@ -63,9 +68,14 @@
     this.#firstByteMs.set(kind, next);
   }
 
-  /** Forgets a server that is gone. */
-  forget(instance: InstanceId): void {
-    this.#spokeMs.delete(instance);
+  /**
+   * Forgets servers that have not spoken for long, as when some are gone. One that only
+   * takes no new work is still at what it has, and must not look as if it had never spoken.
+   */
+  forgetLongSilent(nowMs: number): void {
+    for (const [instance, spokeMs] of this.#spokeMs) {
+      if (nowMs - spokeMs > FORGET_AFTER_MS) this.#spokeMs.delete(instance);
+    }
   }
 
   /** Says why a try should be given up now, if it should. */
--- a/src/core/servers/silence_test.ts
+++ b/src/core/servers/silence_test.ts
@@ -60,6 +60,18 @@
     );
   });
 
+  // A server that is said to leave serves on. Its last words were forgotten as it was listed
+  // so, and what ran there was given up at once as if it had never spoken.
+  it("should remember the last words of a server that takes no new work", () => {
+    const watch = new SilenceWatch();
+    const waiting = { ...TRY, targetMs: 60_000 };
+    watch.spoke(instance, 2_300);
+    watch.forgetLongSilent(2_400);
+    assert.equal(watch.judge(waiting, 2_400), undefined);
+    watch.forgetLongSilent(10_000_000);
+    assert.equal(watch.judge(waiting, 2_400), "server_silent");
+  });
+
   it("should give up a stream that pauses for long", () => {
     const watch = new SilenceWatch();
     const streaming = { ...TRY, byteMs: 1_200 };
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -39,7 +39,7 @@
     parts.serverFollower.onRemoved(({ instance }) => {
       parts.backendConnections.drop(instance);
       parts.serverLoads.forget(instance);
-      parts.silenceWatch.forget(instance);
+      parts.silenceWatch.forgetLongSilent(parts.clock.monotonicMs());
       parts.serverProbe.forget(instance);
     });
     parts.routingFollower.onChange(({ configuration, version }) => {
--- a/src/gateway/repeat_pass.ts
+++ b/src/gateway/repeat_reservation.ts
@@ -9,11 +9,11 @@
   readonly clock: Clock;
 }
 
-/** Asks the budget for one request, and keeps what was paid ahead. */
-export class RepeatPass {
+/** Asks the budget for one request, and keeps what was reserved. */
+export class RepeatReservation {
   readonly #deps: Deps;
   readonly #service: ServiceId;
-  #paid = false;
+  #reserved = false;
 
   constructor(deps: Deps, service: ServiceId) {
     this.#deps = deps;
@@ -33,19 +33,19 @@
   }
 
   /**
-   * Pays for a repeat before what runs is given up for it; returns whether it could. Many
+   * Reserves a repeat before what runs is given up for it; returns whether it could. Many
    * streams of one server pause together, and all but the first would otherwise find the
    * budget spent when their run is gone already.
    */
-  payAhead(): boolean {
-    this.#paid ||= this.#spend();
-    return this.#paid;
+  reserve(): boolean {
+    this.#reserved ||= this.#spend();
+    return this.#reserved;
   }
 
-  /** Takes a repeat, the one paid ahead if there is one; returns whether there was one. */
+  /** Takes a repeat, the reserved one if there is one; returns whether it could. */
   take(): boolean {
-    if (!this.#paid) return this.#spend();
-    this.#paid = false;
+    if (!this.#reserved) return this.#spend();
+    this.#reserved = false;
     return true;
   }
 
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -17,7 +17,7 @@
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
-import { RepeatPass } from "./repeat_pass.ts";
+import { RepeatReservation } from "./repeat_reservation.ts";
 import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -27,8 +27,10 @@
 const DEFAULT_WAIT_MS = 30_000;
 /** Shortest time with which a request is still sent to a server, in milliseconds. */
 const MIN_WAIT_MS = 20;
-/** Pause before a begun stream asks for a place again; one is free after about this time. */
+/** Pause before a request that waits for a place asks for one again, in milliseconds. */
 const PLACE_PAUSE_MS = 250;
+/** Why a request ends that may not be sent again. */
+const NO_REPEAT = "the service has no repeats left";
 
 /** What all runs share. */
 export interface RequestRunDeps extends TrySenderDeps {
@@ -50,14 +52,16 @@
   readonly #sender: TrySender;
   readonly #limitMs: number;
   /**
-   * What the request was accepted as, which holds until its end: judged anew at a later try,
-   * news that came after it (a key withdrawn, a route removed, the store out of reach) cut
-   * streams of which callers had a part.
+   * What the request was accepted as. It holds for all tries: judging the request again by
+   * later news (a key withdrawn, a route removed, the store out of reach) would cut streams
+   * of which callers have a part.
    */
   readonly #admitted: Admitted;
   readonly #tally = new RunTally();
-  readonly #repeats: RepeatPass;
+  readonly #repeats: RepeatReservation;
   #expired = false;
+  /** Whether this VM has given up a run that its server had not ended. */
+  #leftRunning = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -72,7 +76,7 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#service = deps.serverSelector.serviceFor(admitted.route);
-    this.#repeats = new RepeatPass(deps, this.#service);
+    this.#repeats = new RepeatReservation(deps, this.#service);
     const { head } = exchange;
     const { route } = admitted;
     this.#limitMs = Math.min(
@@ -120,21 +124,19 @@
   async #step(): Promise<Next> {
     if (this.#exchange.isOver) return "done";
     if (this.#expired || this.#leftMs() < MIN_WAIT_MS) return this.#timeUp();
-    const server = this.#choose();
+    const server = this.#sender.choose(this.#admitted, this.#choice);
     if (server === undefined) return this.#noServer();
-    if (!this.#mayTry()) return this.#noServer();
+    if (!this.#takeRepeat()) return this.#noServer(NO_REPEAT);
     const outcome = await this.#try(server);
     return await this.#after(outcome, server);
   }
 
-  #choose(): ServerRecord | undefined {
-    return this.#sender.choose(this.#admitted, {
-      mayComeBack: this.#tally.runs > 0,
-    });
+  get #choice() {
+    return { mayComeBack: this.#tally.runs > 0 };
   }
 
   /** Whether the shared budget lets the request be sent once more. */
-  #mayTry(): boolean {
+  #takeRepeat(): boolean {
     return this.#sender.tries.length === 0 || this.#repeats.take();
   }
 
@@ -148,17 +150,14 @@
   }
 
   /** Called again and again while the request runs, to leave silent servers. */
-  look(nowMs: number): void {
+  checkSilence(nowMs: number): void {
     // The run under way counts as well.
     if (!this.#mayRepeat(1)) return;
     const reason = this.#sender.silence(this.#admitted, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
-    if (!this.#repeats.payAhead()) return;
-    const streaming = this.#exchange.state === "begun";
-    this.#sender.giveUp({
-      tag: streaming ? "stream_broken" : "broken",
-      reason,
-    });
+    if (!this.#repeats.reserve()) return;
+    this.#leftRunning = true;
+    this.#sender.leaveSilent(reason);
   }
 
   #judge(head: AnswerHead): HeadVerdict {
@@ -241,7 +240,7 @@
 
   /** Goes on with a stream on another server, inside the same answer. */
   #resume(reason: string): Next {
-    this.#tally.resumed();
+    this.#tally.ran();
     this.#stream.restart();
     const { route } = this.#admitted;
     if (route.resumable && this.#tally.runs < route.maxRuns) return "again";
@@ -254,14 +253,18 @@
   }
 
   #hasOther(): boolean {
-    return this.#choose() !== undefined && this.#repeats.left() >= 1;
+    const other = this.#sender.chooseOther(this.#admitted, this.#choice);
+    return other !== undefined && this.#repeats.left() >= 1;
   }
 
-  /** Ends a request that no server takes, but has a stream that has begun wait for a place. */
-  async #noServer(): Promise<Next> {
-    const begun = this.#exchange.state === "begun";
-    if (!begun || !this.#tally.mayAskLater()) {
-      return this.#finish(this.#tally.noServerRefusal());
+  /**
+   * Ends a request that no server takes. One that has lost a run, as its caller has a part of
+   * the answer or this VM gave the run up, waits for a place before that.
+   */
+  async #noServer(reason?: string): Promise<Next> {
+    const owed = this.#exchange.state === "begun" || this.#leftRunning;
+    if (!owed || !this.#tally.noteWait()) {
+      return this.#finish(this.#tally.noServerRefusal(reason));
     }
     await pause(PLACE_PAUSE_MS);
     return "again";
@@ -274,6 +277,7 @@
   /** Gives the final answer, or cuts a stream that has begun. */
   #finish(refusal: Refusal): Next {
     const { requestLog } = this.#deps;
+    if (this.#exchange.isOver) return "done";
     if (this.#exchange.state === "begun") {
       this.#exchange.cut();
       requestLog.cut(this.#exchange, { refusal, run: this.summary() });
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -6,8 +6,8 @@
 /** Servers asked for one request while each says that it did not run it. */
 const MAX_REFUSALS = 3;
 /**
- * Times that a stream which has begun waits for a place before it is cut: with the pause
- * between them two seconds, after which its caller does better to go on at another VM.
+ * Times that a request which has lost a run waits for a place: with the pause between them
+ * two seconds. A caller cut off by this VM alone can then still go on at another one.
  */
 const MAX_WAITS = 8;
 
@@ -31,14 +31,8 @@
     this.#forgetRefusals();
   }
 
-  /** Notes a run of a stream that the caller has a part of already. */
-  resumed(): void {
-    this.#runs += 1;
-    this.#forgetRefusals();
-  }
-
-  /** Notes that no server takes a stream that has begun; returns whether to ask again later. */
-  mayAskLater(): boolean {
+  /** Notes that no server takes the request now; returns whether to ask again later. */
+  noteWait(): boolean {
     this.#waits += 1;
     this.#forgetRefusals();
     return this.#waits <= MAX_WAITS;
@@ -52,13 +46,13 @@
   /** Notes a server that did not run the request; returns whether to ask another. */
   notRun(): boolean {
     this.#refusals += 1;
-    return this.#refusals < MAX_REFUSALS;
+    return this.#refusals < this.#mostRefusals;
   }
 
   /** Notes a try that was not sent; returns whether to make another. */
   notSent(): boolean {
     this.#unsent += 1;
-    return this.#unsent <= MAX_REFUSALS;
+    return this.#unsent <= this.#mostRefusals;
   }
 
   /** Whether the route allows a further run, besides those under way. */
@@ -67,10 +61,8 @@
   }
 
   /** Why the request ends where no server takes it. */
-  noServerRefusal(): Refusal {
-    if (this.#mayHaveRun) {
-      return { tag: "answer_lost", reason: "no further server takes it" };
-    }
+  noServerRefusal(reason = "no further server takes it"): Refusal {
+    if (this.#mayHaveRun) return { tag: "answer_lost", reason };
     const asked = this.#refusals + this.#unsent;
     return asked > 0 ? { tag: "servers_full", asked } : { tag: "no_server" };
   }
@@ -80,6 +72,11 @@
     return this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" };
   }
 
+  /** After a wait one server is asked at a time, as each refusal costs a repeat. */
+  get #mostRefusals(): number {
+    return this.#waits > 0 ? 1 : MAX_REFUSALS;
+  }
+
   /** Refusals count anew for each run: a run that breaks off says nothing of other servers. */
   #forgetRefusals(): void {
     this.#refusals = 0;
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -96,11 +96,24 @@
   choose(
     admitted: Admitted,
     { mayComeBack }: { mayComeBack: boolean },
+  ): ServerRecord | undefined {
+    const other = this.chooseOther(admitted, { mayComeBack });
+    if (other !== undefined || !mayComeBack) return other;
+    const { model } = this.#request.models;
+    return this.#select(admitted, { tried: NONE, model });
+  }
+
+  /** The same, but never the server that was tried last. */
+  chooseOther(
+    admitted: Admitted,
+    { mayComeBack }: { mayComeBack: boolean },
   ): ServerRecord | undefined {
     const { model } = this.#request.models;
     const untried = this.#select(admitted, { tried: this.#tried, model });
     if (untried !== undefined || !mayComeBack) return untried;
-    return this.#select(admitted, { tried: NONE, model });
+    const last = this.#tries.at(-1)?.server;
+    const tried = last === undefined ? NONE : new Set([last]);
+    return this.#select(admitted, { tried, model });
   }
 
   /** Time until a model would begin to answer on the server that would be chosen. */
@@ -161,6 +174,12 @@
     this.#current?.giveUp(outcome);
   }
 
+  /** Gives the try up that is under way, as its server has fallen silent. */
+  leaveSilent(reason: SilenceReason): void {
+    const streaming = this.#request.exchange.state === "begun";
+    this.giveUp({ tag: streaming ? "stream_broken" : "broken", reason });
+  }
+
   /**
    * Says why the try under way should be given up as silent, if it should, and has a model
    * server that is quiet asked whether it still answers.
--- a/src/runtime/burst_log.ts
+++ b/src/runtime/burst_log.ts
@@ -1,4 +1,7 @@
-/** Folds what happens many times at once into one log line. */
+/**
+ * Folds what happens many times at once into one log line. Lines come up to a quarter of a
+ * second late; a process that ends meanwhile does not write the last ones.
+ */
 
 /**
  * Time for which news is gathered before it is logged, in milliseconds: most of what one
@@ -34,7 +37,7 @@
     this.#timer ??= setTimeout(() => this.flush(), GATHER_MS).unref();
   }
 
-  /** Logs what has been gathered, as at the end of the process. */
+  /** Logs at once what has been gathered. */
   flush(): void {
     clearTimeout(this.#timer);
     this.#timer = undefined;
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -130,9 +130,7 @@
 
   #logMany(changes: readonly DirectoryChange[]): void {
     const namesOf = (tag: DirectoryChange["tag"]) =>
-      changes.filter((change) => change.tag === tag)
-        .map(({ server }) => `${server.instance} ${server.release}`)
-        .join(",");
+      changes.filter((change) => change.tag === tag).map(describe).join(",");
     this.#deps.logger.info("Many servers changed", {
       changes: changes.length,
       added: namesOf("added"),
@@ -141,3 +139,9 @@
     });
   }
 }
+
+function describe(change: DirectoryChange): string {
+  const { instance, service, release, state } = change.server;
+  const why = change.tag === "removed" ? change.reason : state;
+  return `${instance} ${service} ${release} ${why}`;
+}
--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -177,6 +177,46 @@
     await breakOffAndFinish(stream);
   });
 
+  it("should wait for a place for a request whose run this VM gave up itself", async () => {
+    // Seen in a trial: a run was given up as silent, the other servers were full, and the
+    // caller had a failure in place of the answer that the run would have come to.
+    let turnedAway = 0;
+    await gateway.start([routeWire({ MaxAttempts: 3 })]);
+    const answer = (req: RawRequest) => {
+      if (req.text.includes("/warm")) req.socket.write(answerBytes());
+      else if (held.length === 0) held.push(req);
+      else if (turnedAway++ < 5) req.socket.write(notRunBytes());
+      else req.socket.write(answerBytes());
+    };
+    await gateway.addServer("i-1", answer);
+    await gateway.addServer("i-2", answer);
+    await untilStatus(200);
+    const res = await gateway.call("/stock/1", { waitMs: WAIT_MS });
+    assert.equal(res.status, 200);
+  });
+
+  it("should not leave a silent server for the same one", async () => {
+    // Seen in a trial: the only server that was left to choose was the one being left, and
+    // each time a run and a repeat were spent on it.
+    const route = routeWire({ RouteType: "streaming", StreamResumption: true });
+    await gateway.start([{ ...route, MaxAttempts: 5 }]);
+    const server = await gateway.addServer("i-1", (req) => {
+      if (req.text.includes("/warm")) return beginStream(req);
+      held.push(req);
+      if (held.length > 1) return;
+      req.socket.write(streamBytes(FIRST));
+      setTimeout(() => req.socket.resetAndDestroy(), 20);
+    });
+    await untilStatus(200);
+    const stream = gateway.call("/stock/1", { waitMs: WAIT_MS });
+    await until(() => Promise.resolve(held.length === 2));
+    await pause(SLOW_CALLER_MS);
+    held[1]?.socket.write(streamBytes(SECOND) + END);
+    assert.equal((await stream).body, FIRST + SECOND);
+    assert.equal(held.length, 2);
+    assert.ok(server.requests.length > 2);
+  });
+
   it("should not take a server as paused while its caller does not keep up", async () => {
     // Read in the code: nothing is read from a server whose caller is slow, and the pause
     // this makes was held against the server, which was given up for another one.
