Check in the soak that accepted requests outlive changes of the configuration

Cause: the soak judged cut answers only next to planned stops, and its servers broke answers off too seldom just after a key was removed. So it did not see that a gateway asks admission again before each try, and ends what it has accepted by what it would accept by then.

Change: one check more. A stream that had begun must not end cut, nor a repeatable request that had run end in 401, 403, 404 or 503, beside a new configuration or trouble of the store. It is judged only where runs and time were left, two other servers that were in order had run requests of the same gateway within the last second, and no kill, freeze, planned stop or lapse of servers is near. The soak notes when servers are out of order, and callers whether an answer had begun. Keys are removed in turn while a server holds answers back and then breaks them off, and one does so as confirmations run out.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -6,7 +6,7 @@
 import type { StoreFaults } from "../src/standins/object_store_standin.ts";
 import { EVERYONE } from "../tests/fixtures/cuttable_proxy.ts";
 import type { Fault, PlannedFault } from "./fault_plan.ts";
-import type { History, Trouble, Victim } from "./history.ts";
+import type { History, ServerTrouble, Trouble, Victim } from "./history.ts";
 import type { SoakGateway } from "./soak_gateway.ts";
 import { SoakServer } from "./soak_server.ts";
 import { BOUNDS } from "./soak_settings.ts";
@@ -180,14 +180,17 @@
     forMs: number,
   ): Promise<void> {
     const found = this.#server(server);
+    const trouble = this.#noteTrouble(found);
     found.mode = mode;
     await pause(forMs);
     found.mode = "sound";
+    trouble.untilMs = performance.now();
   }
 
   async #crash(at: number): Promise<void> {
     const { store } = this.#fleet;
     const server = this.#server(at);
+    this.#noteTrouble(server);
     server.close();
     await pause(RELIST_MS);
     store.unlist(server);
@@ -197,6 +200,7 @@
   async #leave(at: number): Promise<void> {
     const { store } = this.#fleet;
     const server = this.#server(at);
+    this.#noteTrouble(server);
     store.leave(server);
     await this.startServer(at);
     await pause(2 * BOUNDS.drainMs);
@@ -206,6 +210,13 @@
     server.close();
   }
 
+  #noteTrouble({ name }: SoakServer): ServerTrouble {
+    const fromMs = performance.now();
+    const trouble = { server: name, fromMs, untilMs: Infinity };
+    this.#fleet.history.serverTroubles.push(trouble);
+    return trouble;
+  }
+
   async #during(
     name: string,
     victim: Victim,
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -68,6 +68,10 @@
 /** Pauses between faults; shorter than most faults last, so that they overlap. */
 const LEAST_PAUSE_MS = 150;
 const MOST_PAUSE_MS = 900;
+/** Keys that are removed under answers that break off; enough that some caller is hit. */
+const REMOVALS = 4;
+/** Time in which callers' requests reach the server that holds them back. */
+const BEFORE_REMOVAL_MS = 250;
 const LEAST_TIME_MS = 400;
 const MOST_TIME_MS = 3_500;
 
@@ -110,9 +114,31 @@
   }));
 }
 
+/**
+ * Keys are removed one after the other while a server holds answers back that it then
+ * breaks off: another one each time, as gateways avoid servers that broke answers off.
+ */
+export function planBrokenAnswers(
+  { servers }: { servers: number },
+): PlannedFault[] {
+  return Array.from({ length: REMOVALS }, (_, at): PlannedFault[] => [
+    {
+      atMs: at * MOST_PAUSE_MS,
+      forMs: LEAST_TIME_MS,
+      fault: { tag: "server", server: at % servers, mode: "stalls" },
+    },
+    {
+      atMs: at * MOST_PAUSE_MS + BEFORE_REMOVAL_MS,
+      forMs: LEAST_TIME_MS,
+      fault: { tag: "key_removed" },
+    },
+  ]).flat();
+}
+
 /**
  * A key is removed while the store answers no gateway, for longer than a removed key may
- * still open anything.
+ * still open anything. A server breaks answers off around the time at which gateways no
+ * longer take keys as confirmed.
  */
 export function planUnseenRemoval(): PlannedFault[] {
   return [
@@ -122,6 +148,11 @@
       forMs: LEAST_TIME_MS,
       fault: { tag: "key_removed" },
     },
+    {
+      atMs: BOUNDS.keyRemovalMs / 2,
+      forMs: BOUNDS.keyRemovalMs / 2,
+      fault: { tag: "server", server: 0, mode: "stalls" },
+    },
   ];
 }
 
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -10,8 +10,8 @@
   | { readonly tag: "answered"; readonly status: number; readonly body: string }
   /** No connection came up. */
   | { readonly tag: "not_connected" }
-  /** The connection ended without a whole answer. */
-  | { readonly tag: "cut" };
+  /** The connection ended without a whole answer; `begun` where its head had come. */
+  | { readonly tag: "cut"; readonly begun: boolean };
 
 /** One request as its caller saw it; all times are of one monotonic clock. */
 export interface CallerRecord {
@@ -48,6 +48,14 @@
   untilMs: number;
 }
 
+/** A span of time in which a backend server was out of order by intent, or leaving. */
+export interface ServerTrouble {
+  readonly server: string;
+  readonly fromMs: number;
+  /** Infinite for a server that has crashed or leaves. */
+  untilMs: number;
+}
+
 /** A planned stop of a gateway. */
 export interface PlannedStop {
   readonly gateway: GatewayName;
@@ -82,6 +90,7 @@
   readonly callers: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly troubles: Trouble[] = [];
+  readonly serverTroubles: ServerTrouble[] = [];
   readonly plannedStops: PlannedStop[] = [];
   readonly configurations: ConfigurationRecord[] = [];
   readonly leavings: LeavingRecord[] = [];
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -3,7 +3,7 @@
 import type { CallerRecord, History, RunRecord } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
-import { ACCOUNT, BOUNDS, CONTACT_MS } from "./soak_settings.ts";
+import { ACCOUNT, BOUNDS, CONTACT_MS, ROUTE } from "./soak_settings.ts";
 
 /** A promise that was broken. */
 export interface Violation {
@@ -14,6 +14,24 @@
 /** Statuses by which a gateway says that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Statuses by which a gateway says that it does not accept a request. */
+const NOT_ACCEPTED: ReadonlySet<number> = new Set([401, 403, 404, 503]);
+/** Troubles by which a gateway may lose what it has accepted, or all of its servers. */
+const LOSSES: ReadonlySet<string> = new Set([
+  "kill",
+  "freeze",
+  "servers_lapse",
+]);
+/** A server that ran a gateway's request this long ago could take another of it. */
+const RAN_LATELY_MS = 1_000;
+/**
+ * Servers that must be able to take a request: a gateway asks three at most that refuse,
+ * and may not have come to a single able one by then.
+ */
+const ABLE_SERVERS = 2;
+/** A gateway may end a request this long before its time is up, when it is of no use. */
+const SHORT_TIME_MS = 100;
+
 /** Returns all promises that were broken. */
 export function checkPromises(history: History): Violation[] {
   const runs = runsByAttempt(history);
@@ -24,6 +42,7 @@
     ...checkKeys(history, runs),
     ...checkLeaving(history, runs),
     ...checkPlannedStops(history, runs),
+    ...checkAccepted(history, runs),
     ...checkVersions(history),
   ];
 }
@@ -139,6 +158,87 @@
   );
 }
 
+/** What a gateway has accepted and sent must not end by what it would accept later. */
+function checkAccepted(history: History, runs: Runs): Violation[] {
+  return history.callers
+    .filter((record) => wasGivenUp(record))
+    .filter((record) => hadRunsLeft(record, runs))
+    .filter((record) => wasBesideChange(history, record))
+    .filter((record) => !isNextToPlannedStop(history, record))
+    .filter(({ gateway, sentMs, endMs }) =>
+      !wasTroubled(history, {
+        gateway,
+        fromMs: sentMs,
+        untilMs: endMs,
+        names: LOSSES,
+      })
+    )
+    .filter((record) => ableServers(history, runs, record) >= ABLE_SERVERS)
+    .map((record) =>
+      violation(
+        "accepted requests outlive changes of the configuration",
+        record,
+        `ended after ${Math.round(record.endMs - record.sentMs)} ms with ${
+          record.ending.tag === "answered" ? record.ending.status : "a cut"
+        }`,
+      )
+    );
+}
+
+function wasGivenUp({ kind, ending }: CallerRecord): boolean {
+  if (kind === "stream") return ending.tag === "cut" && ending.begun;
+  return kind === "repeatable" && ending.tag === "answered" &&
+    NOT_ACCEPTED.has(ending.status);
+}
+
+/** Whether a request that had run could have been run once more. */
+function hadRunsLeft(
+  { attempt, sentMs, endMs }: CallerRecord,
+  runs: Runs,
+): boolean {
+  const ran = runs.get(attempt)?.length ?? 0;
+  return ran > 0 && ran < ROUTE.maxRuns &&
+    endMs - sentMs < ROUTE.timeLimitMs - SHORT_TIME_MS;
+}
+
+/** Whether a change came into force, or a confirmation ran out, while a request ran. */
+function wasBesideChange(
+  { configurations, troubles }: History,
+  { sentMs, endMs }: CallerRecord,
+): boolean {
+  const changed = configurations.some(({ takenMs }) =>
+    takenMs >= sentMs - BOUNDS.configurationApplyMs && takenMs <= endMs
+  );
+  return changed ||
+    troubles.some(({ name, fromMs, untilMs }) =>
+      !LOSSES.has(name) && fromMs <= endMs &&
+      untilMs >= sentMs - BOUNDS.keyRemovalMs
+    );
+}
+
+/** Servers in order that ran other requests of the same gateway shortly before. */
+function ableServers(
+  history: History,
+  runs: Runs,
+  { attempt, gateway, endMs }: CallerRecord,
+): number {
+  const tried = new Set(runs.get(attempt)?.map(({ server }) => server));
+  const fromMs = endMs - RAN_LATELY_MS;
+  const able = history.callers
+    .filter((other) => other.gateway === gateway)
+    .flatMap((other) => runs.get(other.attempt) ?? [])
+    .filter(({ atMs, broken }) => !broken && atMs >= fromMs && atMs <= endMs)
+    .map(({ server }) => server)
+    .filter((server) => !tried.has(server))
+    .filter((server) =>
+      !history.serverTroubles.some((trouble) =>
+        trouble.server === server && trouble.fromMs <= endMs &&
+        trouble.untilMs >= fromMs
+      )
+    );
+  return new Set(able).size;
+}
+
 /** A gateway that has shown a version in one life must go on to do so. */
 function checkVersions({ shownVersions }: History): Violation[] {
   const first = new Map<string, number>();
@@ -163,13 +263,16 @@
 /** Whether a gateway, or all, had trouble in a span of time or shortly before it. */
 function wasTroubled(
   { troubles }: History,
-  { gateway, fromMs, untilMs }: {
+  { gateway, fromMs, untilMs, names }: {
     gateway: GatewayName;
     fromMs: number;
     untilMs: number;
+    /** Kinds of trouble that count; all where left out. */
+    names?: ReadonlySet<string>;
   },
 ): boolean {
   return troubles.some((trouble) =>
+    (names?.has(trouble.name) ?? true) &&
     (trouble.victim === "all" || trouble.victim === gateway) &&
     trouble.fromMs <= untilMs && trouble.untilMs >= fromMs - CONTACT_MS
   );
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -75,6 +75,7 @@
     { callers }: SoakGateway,
     { attempt, kind, key }: Pick<CallerRecord, "attempt" | "kind" | "key">,
   ): Promise<Ending> {
+    let begun = false;
     try {
       const res = await request(`http://${callers}/${kind}/${attempt}`, {
         method: kind === "once" ? "POST" : "GET",
@@ -89,11 +90,13 @@
         headersTimeout: 2 * WAIT_MS,
         bodyTimeout: 2 * WAIT_MS,
       });
+      begun = true;
       const body = await res.body.text();
       return { tag: "answered", status: res.statusCode, body };
     } catch (err) {
       const { code } = err as NodeJS.ErrnoException;
-      return { tag: NOT_CONNECTED.has(code) ? "not_connected" : "cut" };
+      if (NOT_CONNECTED.has(code)) return { tag: "not_connected" };
+      return { tag: "cut", begun };
     }
   }
 }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -5,6 +5,7 @@
 import { Draw } from "./draw.ts";
 import { FaultInjector, type Fleet } from "./fault_injector.ts";
 import {
+  planBrokenAnswers,
   planCalmChanges,
   planFaults,
   type PlannedFault,
@@ -103,6 +104,7 @@
   // Limits of time hold only for gateways in touch, which they hardly are before this.
   await pause(CONTACT_MS);
   await injector.run(planCalmChanges(draw, size));
+  await injector.run(planBrokenAnswers(size));
   await injector.run(planUnseenRemoval());
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -25,7 +25,9 @@
   /** Answers with the answer to another request. */
   | "crossed"
   /** Ends answers before their end, without a reset. */
-  | "cuts";
+  | "cuts"
+  /** Begins streams, and breaks all answers off after a while. */
+  | "stalls";
 
 /** Time that a request takes, in milliseconds. */
 const WORK_MS = 15;
@@ -33,6 +35,8 @@
 const EVENT_MS = 8;
 /** Longer than a gateway waits for a silent server. */
 const SILENCE_MS = 4_000;
+/** Time for a gateway to take a new configuration over, before an answer is broken off. */
+const STALL_MS = 300;
 /** Part of an answer after which it is broken off. */
 const BROKEN_AFTER = 1_000;
 
@@ -78,8 +82,9 @@
     const run = this.#note(req, attempt);
     res.setHeader("fieldrack-server-seal", this.name);
     await pause(WORK_MS);
-    if (await this.#misbehaves(run, res)) return;
-    if (req.url?.startsWith("/stream/")) await this.#stream(req, res, run);
+    const isStream = req.url?.startsWith("/stream/") ?? false;
+    if (await this.#misbehaves(run, { res, isStream })) return;
+    if (isStream) await this.#stream(req, res, run);
     else res.end(wholeBody(attempt));
   }
 
@@ -97,7 +102,10 @@
   }
 
   /** Does what the mode asks for; returns whether there is nothing more to answer. */
-  async #misbehaves(run: RunRecord, res: ServerResponse): Promise<boolean> {
+  async #misbehaves(
+    run: RunRecord,
+    { res, isStream }: { res: ServerResponse; isStream: boolean },
+  ): Promise<boolean> {
     const body = wholeBody(run.attempt);
     switch (this.mode) {
       case "resets":
@@ -122,6 +130,12 @@
         await pause(SILENCE_MS);
         res.destroy();
         return true;
+      case "stalls":
+        if (isStream) return false;
+        run.broken = true;
+        await pause(STALL_MS);
+        res.socket?.resetAndDestroy();
+        return true;
       default:
         return false;
     }
@@ -135,7 +149,7 @@
     res.setHeader("content-type", "text/event-stream");
     const after = Number(headerOf(req, "last-event-id") ?? 0);
     for (let event = after + 1; event <= EVENTS; event++) {
-      if (this.mode !== "sound") {
+      if (await this.#breaksOff(event)) {
         run.broken = true;
         res.write(eventOf(run.attempt, event).slice(0, -4));
         res.socket?.resetAndDestroy();
@@ -146,6 +160,14 @@
     }
     res.end();
   }
+
+  /** Whether a stream ends with a part of this event; one that stalls keeps its caller waiting. */
+  async #breaksOff(event: number): Promise<boolean> {
+    if (this.mode !== "stalls") return this.mode !== "sound";
+    if (event < EVENTS) return false;
+    await pause(STALL_MS);
+    return true;
+  }
 }
 
 function headerOf(req: IncomingMessage, name: string): string | undefined {
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -14,6 +14,14 @@
  */
 export const CONTACT_MS = 3_000;
 
+/** What the routes of callers allow one request. */
+export const ROUTE = {
+  /** Runs on servers, where the request may be repeated. */
+  maxRuns: 3,
+  /** Time until its answer must have ended, in milliseconds. */
+  timeLimitMs: 3_000,
+} as const;
+
 /** What one run consists of. */
 export interface SoakSize {
   readonly gateways: number;
--- a/soak/soak_store.ts
+++ b/soak/soak_store.ts
@@ -7,7 +7,7 @@
 } from "../src/standins/object_store_standin.ts";
 import type { History } from "./history.ts";
 import type { SoakServer } from "./soak_server.ts";
-import { ACCOUNT, HOST, SERVICE } from "./soak_settings.ts";
+import { ACCOUNT, HOST, ROUTE, SERVICE } from "./soak_settings.ts";
 
 /** Removed keys that callers still try. */
 const REMOVED_KEYS_USED = 1;
@@ -58,8 +58,8 @@
     const route = {
       Hostname: HOST,
       Service: SERVICE,
-      MaxAttempts: 3,
-      TimeoutMs: 3_000,
+      MaxAttempts: ROUTE.maxRuns,
+      TimeoutMs: ROUTE.timeLimitMs,
     };
     this.#store.kinds.put("config", {
       name: "main",
