Say that a cut stream may have run, whatever kept it from the next server

Cause: a stream cut before its first event is dispatched a second time, and that dispatch knows nothing of the first: where no server was left, the key was withdrawn, the next server refused the connection, or the caller went before a byte had left, the caller was told 503, 401, 502 or 499 with ran "no" although a server had run it. Change: the error of the cut is kept, and errorAfter() tells of both: "not run" only if it is true of every try; otherwise the later error with "maybe", or the earlier one where the later kind always means "not run". Ruled out: not looking the account up again before a later try (the entry promises that look-up, docs/PROOFS.md); a flag handed into the dispatcher (it would still answer 503 and 401, which have no other word than "not run"). Result: four cases of entry_ran_test failed before and pass; the fifth, that a stream which no server took is still "not run", passed before and passes.

--- a/src/core/request_error.ts
+++ b/src/core/request_error.ts
@@ -63,6 +63,20 @@
   }
 }
 
+/**
+ * What to tell of a request whose last try ended with `err` and one before it with
+ * `earlier`: "not run" is true only if it is true of all tries.
+ */
+export function errorAfter(
+  err: RequestError,
+  earlier: RequestError | undefined,
+): RequestError {
+  const mayHaveRun = earlier !== undefined && ranOf(earlier) === "maybe";
+  if (!mayHaveRun || ranOf(err) === "maybe") return err;
+  // A kind that always says "not run" would be untrue, so the earlier one stands.
+  return "ran" in err ? { ...err, ran: "maybe" } : earlier;
+}
+
 /** HTTP status by which an error is answered. */
 export function statusOf(err: RequestError): number {
   switch (err.tag) {
--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -8,7 +8,7 @@
 import { isGoodEnough } from "../core/cascade/answer_judge.ts";
 import type { PlanStep } from "../core/cascade/cascade_plan.ts";
 import type { RetryBudget } from "../core/limits/retry_budget.ts";
-import type { RequestError } from "../core/request_error.ts";
+import { errorAfter, type RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
 import type { ChatAnswer, ChatRequest } from "../protocol/chat_schema.ts";
@@ -106,12 +106,16 @@
 
   /** A stream that is cut before its first event reached the caller is asked for again. */
   async #streamStep(input: StepInput, sink: ChatSink): Promise<RelayResult> {
+    let cut: RequestError | undefined;
     for (;;) {
       const dispatched = await this.#deps.modelDispatcher.dispatch<ChatStream>(
         input,
         (call) => this.#deps.modelServers.stream(call),
       );
-      if (!dispatched.ok) return { tag: "cut", error: dispatched.error };
+      if (!dispatched.ok) {
+        // A server ran the stream that was cut, whatever kept it from the next.
+        return { tag: "cut", error: errorAfter(dispatched.error, cut) };
+      }
       const result = await this.#relay(dispatched.value, {
         ctx: input.ctx,
         sink,
@@ -120,6 +124,7 @@
         return result;
       }
       if (!this.#deps.retryBudget.spend()) return result;
+      cut = result.error;
     }
   }
 
