Close an unread stream without an error that ends the process

Cause: the reader of a stream destroys the body when it is left early. Where the server has sent all of it by then, and part of it is unread, the HTTP client reports that as an error event, and no longer listens for it itself: the entry process ends. Change: the reader listens for that error; it has nothing more to learn. Ruled out: the reader rejecting (the error is an event of the body, after the reader has returned); a stream that still runs (the client listens; the first case of the test passed before).

--- a/src/backends/chat_stream_reader.ts
+++ b/src/backends/chat_stream_reader.ts
@@ -46,7 +46,8 @@
 /** The connection of an ended stream is used again; that of any other is closed. */
 function release(body: Body, ended: boolean): void {
   if (ended) void body.dump();
-  else body.destroy();
+  // An unread body reports its end as an error, which ends the process if nobody listens.
+  else body.on("error", () => {}).destroy();
 }
 
 function parseEvent(data: string, requestId: RequestId): StreamEvent {
