Keep a stream with a poor beginning until the next step's answer begins

Cause: stream() cancelled a poor beginning at its server and then looked for the next step. Where that had no server, was refused or cut, or the key had been withdrawn meanwhile, the caller got 503, 401 or 502, some with ran "no", though an answer was on its way; answer() passes its poor answer on there. Change: a poor beginning stays open, unread, until the next step's answer is about to go to the caller; if none does, it is passed on as soon as it shows that it goes on. It is given up earlier only where its own server is asked for the next step: both runs have one id, so that a later cancel would end the next one, and the next may be waiting for the connection of the first (many such requests would wait for each other). A step that was poor counts as run. Ruled out: holding it only until the next server has answered with its head (that may be cut before its first event); asking first whether a server is there (it may refuse); reading on while it is held (answers are not buffered). Not measured: the longer use of the small model's places.

--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -7,6 +7,7 @@
 } from "../backends/model_servers.ts";
 import { isGoodEnough } from "../core/cascade/answer_judge.ts";
 import type { PlanStep } from "../core/cascade/cascade_plan.ts";
+import type { BackendServer } from "../core/config/configuration.ts";
 import type { RetryBudget } from "../core/limits/retry_budget.ts";
 import { errorAfter, type RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
@@ -21,6 +22,7 @@
 import type { RequestContext } from "./request_context.ts";
 import {
   type ChatSink,
+  type RelayOutcome,
   type RelayResult,
   StreamRelay,
 } from "./stream_relay.ts";
@@ -31,6 +33,26 @@
   readonly text: string;
 }
 
+/** A stream whose poor beginning is kept until there is something better. */
+interface HeldStream {
+  readonly dispatched: Dispatched<ChatStream>;
+  readonly relay: StreamRelay;
+  readonly outcome: RelayOutcome;
+}
+
+type StepResult =
+  | Exclude<RelayResult, { tag: "poor" }>
+  | { readonly tag: "poor"; readonly held: HeldStream };
+
+interface RelayOptions {
+  readonly ctx: RequestContext;
+  readonly sink: ChatSink;
+  /** Called before a server is asked. */
+  readonly onAsk: (server: BackendServer) => void;
+  /** Called when the beginning of a stream is good enough. */
+  readonly onGood: () => void;
+}
+
 interface Deps {
   readonly backendSelector: BackendSelector;
   readonly modelDispatcher: ModelDispatcher;
@@ -86,42 +108,60 @@
   ): Promise<Result<undefined, RequestError>> {
     const plan = this.#deps.backendSelector.plan(ctx, req.model);
     if (!plan.ok) return plan;
+    let poor: HeldStream | undefined;
     let lastError: RequestError | undefined;
+    const giveUp = () => {
+      if (poor !== undefined) this.#giveUp(poor, ctx);
+      poor = undefined;
+    };
+    // By then there is something better than a poor beginning.
+    const onGood = giveUp;
+    // Two runs at one server have one id: a later cancel would end the next one as well, and
+    // the next one may be waiting for the connection or the place of the first.
+    const onAsk = ({ id }: BackendServer) => {
+      if (poor?.dispatched.target.server.id === id) giveUp();
+    };
     for (const step of plan.value) {
-      const outcome = await this.#streamStep({
-        ctx,
-        req,
-        step,
-        tried: new Set(),
-      }, sink);
+      const outcome = await this.#streamStep(
+        { ctx, req, step, tried: new Set() },
+        { ctx, sink, onAsk, onGood },
+      );
       if (outcome.tag === "passed") return ok(undefined);
       if (outcome.tag === "poor") {
         this.#countEscalation(step, "poor");
+        giveUp();
+        poor = outcome.held;
+        lastError = { tag: "stream_cut", reason: "its beginning was poor" };
         continue;
       }
       // An earlier step may have run, though this one has not.
       lastError = errorAfter(outcome.error, lastError);
       if (!this.#mayEscalate(outcome.error, step)) break;
     }
+    // A poor answer is still better than none.
+    if (poor !== undefined) return await this.#passOn(poor, ctx);
     return fail(lastError as RequestError);
   }
 
   /** A stream that is cut before its first event reached the caller is asked for again. */
-  async #streamStep(input: StepInput, sink: ChatSink): Promise<RelayResult> {
+  async #streamStep(
+    input: StepInput,
+    options: RelayOptions,
+  ): Promise<StepResult> {
     let cut: RequestError | undefined;
     for (;;) {
       const dispatched = await this.#deps.modelDispatcher.dispatch<ChatStream>(
         input,
-        (call) => this.#deps.modelServers.stream(call),
+        (call) => {
+          options.onAsk(call.server);
+          return this.#deps.modelServers.stream(call);
+        },
       );
       if (!dispatched.ok) {
         // A server ran the stream that was cut, whatever kept it from the next.
         return { tag: "cut", error: errorAfter(dispatched.error, cut) };
       }
-      const result = await this.#relay(dispatched.value, {
-        ctx: input.ctx,
-        sink,
-      });
+      const result = await this.#relay(dispatched.value, options);
       if (result.tag !== "cut" || result.error.tag !== "stream_cut") {
         return result;
       }
@@ -132,20 +172,51 @@
 
   async #relay(
     dispatched: Dispatched<ChatStream>,
-    { ctx, sink }: { ctx: RequestContext; sink: ChatSink },
-  ): Promise<RelayResult> {
+    { ctx, sink, onGood }: RelayOptions,
+  ): Promise<StepResult> {
     const relay = new StreamRelay({
       entryMetrics: this.#deps.entryMetrics,
       target: dispatched.target,
+      stream: dispatched.answer,
       deadline: ctx.deadline,
       sink,
+      onGood,
     });
-    const outcome = await relay.run(dispatched.answer);
+    const outcome = await relay.run();
+    const { result } = outcome;
+    if (result.tag === "poor") {
+      return { tag: "poor", held: { dispatched, relay, outcome } };
+    }
+    this.#settle(dispatched, { ctx, outcome });
+    return result;
+  }
+
+  async #passOn(
+    { dispatched, relay }: HeldStream,
+    ctx: RequestContext,
+  ): Promise<Result<undefined, RequestError>> {
+    const outcome = await relay.passOn();
+    this.#settle(dispatched, { ctx, outcome });
+    const { result } = outcome;
+    return result.tag === "cut" ? fail(result.error) : ok(undefined);
+  }
+
+  #giveUp(
+    { dispatched, relay, outcome }: HeldStream,
+    ctx: RequestContext,
+  ): void {
+    void relay.close();
+    this.#settle(dispatched, { ctx, outcome });
+  }
+
+  #settle(
+    dispatched: Dispatched<ChatStream>,
+    { ctx, outcome }: { ctx: RequestContext; outcome: RelayOutcome },
+  ): void {
     dispatched.done(outcome.serverFailed ? "failed" : "answered");
     if (!outcome.ended) {
       this.#deps.modelServers.cancel(dispatched.target.server, ctx.requestId);
     }
-    return outcome.result;
   }
 
   /** Later steps are no help to a caller that has gone or has no time left. */
--- a/src/entry/stream_relay.ts
+++ b/src/entry/stream_relay.ts
@@ -36,57 +36,87 @@
 
 interface Deps {
   readonly target: Target;
+  readonly stream: ChatStream;
   readonly deadline: Deadline;
   readonly sink: ChatSink;
   readonly entryMetrics: EntryMetrics;
+  /** Called when a beginning is good enough, just before it goes to the caller. */
+  readonly onGood: () => void;
 }
 
 /** One stream on its way to a caller. */
 export class StreamRelay {
   readonly #deps: Deps;
+  readonly #batches: AsyncIterator<readonly StreamEvent[]>;
   readonly #held: string[] = [];
   readonly #logprobs: number[] = [];
   #textLength = 0;
   #tokens = 0;
   #started = false;
+  #finished = false;
+  #takesAny = false;
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    this.#batches = deps.stream[Symbol.asyncIterator]();
   }
 
-  /** Relays until the end, the first cut, or a poor beginning. */
-  async run(stream: ChatStream): Promise<RelayOutcome> {
-    for await (const batch of stream) {
-      const last = batch[batch.length - 1];
-      this.#hold(batch);
-      if (last?.tag === "cut") return this.#cut(last);
-      const finished = last?.tag === "end";
-      if (!this.#started) {
-        const verdict = this.#judge(finished);
-        if (verdict === "poor") {
-          return {
-            result: { tag: "poor" },
-            ended: finished,
-            serverFailed: false,
-          };
-        }
-        if (verdict === "unknown") continue;
-        this.#started = true;
-        this.#deps.sink.start(this.#deps.target);
-      }
-      if (!await this.#deps.sink.write(this.#held.splice(0))) {
-        return {
-          result: { tag: "passed" },
-          ended: finished,
-          serverFailed: false,
-        };
+  /** Relays until the end, the first cut, or a poor beginning; that one stays open. */
+  async run(): Promise<RelayOutcome> {
+    let outcome: RelayOutcome | undefined;
+    try {
+      while (outcome === undefined) outcome = await this.#relayBatch();
+      return outcome;
+    } finally {
+      // Nothing better may be to be had, so a poor beginning is kept for `passOn`.
+      if (outcome?.result.tag !== "poor") await this.close();
+    }
+  }
+
+  /** Relays a poor beginning after all, as soon as its stream shows that it goes on. */
+  async passOn(): Promise<RelayOutcome> {
+    this.#takesAny = true;
+    const whole = this.#finished ? await this.#send() : undefined;
+    return whole ?? await this.run();
+  }
+
+  /** Reads no further; whoever holds a poor beginning calls it. */
+  async close(): Promise<void> {
+    await this.#batches.return?.();
+  }
+
+  async #relayBatch(): Promise<RelayOutcome | undefined> {
+    const next = await this.#batches.next();
+    if (next.done === true) {
+      return this.#cut({
+        tag: "cut",
+        error: { tag: "failed", reason: "no end" },
+      });
+    }
+    const last = next.value[next.value.length - 1];
+    this.#hold(next.value);
+    if (last?.tag === "cut") return this.#cut(last);
+    this.#finished = last?.tag === "end";
+    return await this.#send();
+  }
+
+  /** Sends what is held if it is good enough; returns nothing while more is to come. */
+  async #send(): Promise<RelayOutcome | undefined> {
+    const ended = this.#finished;
+    if (!this.#started) {
+      const verdict = this.#judge(ended);
+      if (verdict === "poor") {
+        return { result: { tag: "poor" }, ended, serverFailed: false };
       }
-      if (finished) return this.#finish();
+      if (verdict === "unknown") return undefined;
+      this.#started = true;
+      if (!this.#takesAny) this.#deps.onGood();
+      this.#deps.sink.start(this.#deps.target);
+    }
+    if (!await this.#deps.sink.write(this.#held.splice(0))) {
+      return { result: { tag: "passed" }, ended, serverFailed: false };
     }
-    return this.#cut({
-      tag: "cut",
-      error: { tag: "failed", reason: "no end" },
-    });
+    return ended ? this.#finish() : undefined;
   }
 
   #hold(batch: readonly StreamEvent[]): void {
@@ -106,7 +136,7 @@
 
   #judge(finished: boolean): "good" | "poor" | "unknown" {
     const rules = this.#deps.target.step.judge;
-    if (rules === undefined) return "good";
+    if (rules === undefined || this.#takesAny) return "good";
     if (!finished && this.#tokens < rules.judgeTokens) return "unknown";
     const good = isGoodEnough({
       logprobs: this.#logprobs,
