--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -37,4 +37,23 @@
     const asked = [1, 2, 3, 4, 5].filter(() => tally.notRun()).length + 1;
     assert.equal(asked, 3);
   });
+
+  it("should ask one server a round once it has waited, and not wait without end", () => {
+    const tally = new RunTally();
+    tally.ran();
+    assert.equal(tally.notRun(), true);
+    assert.equal(tally.noteWait(), true);
+    assert.equal(tally.notRun(), false);
+    let waits = 1;
+    while (tally.noteWait()) waits += 1;
+    assert.equal(waits, 8);
+  });
+
+  it("should count refusals anew for each run", () => {
+    const tally = new RunTally();
+    tally.notRun();
+    tally.notRun();
+    tally.ran();
+    assert.equal(tally.notRun(), true);
+  });
 });
