Keep one copy of the tests' resumable route

Cause: two test files declared the same route. Change: it stands with the other fixtures of the gateway's tests.

--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -17,17 +17,13 @@
   chunkBytes,
   notRunBytes,
   routeWire,
+  STREAM_ROUTE,
   streamBytes,
   TestGateway,
 } from "./fixtures/test_gateway.ts";
 import { pause } from "../src/runtime/pause.ts";
 import { until } from "./fixtures/test_fleet.ts";
 
-const STREAM = routeWire({
-  RouteType: "streaming",
-  StreamResumption: true,
-  MaxAttempts: 3,
-});
 const OTHER_KEYS = { keys: ["another-key-000000000"] };
 const FIRST = "id: 1\ndata: a\n\n";
 const SECOND = "id: 2\ndata: b\n\n";
@@ -70,7 +66,7 @@
 async function startStream(
   bounds: Parameters<TestGateway["start"]>[1] = {},
 ): Promise<{ readonly stream: Promise<{ readonly body: string }> }> {
-  await gateway.start([STREAM], bounds);
+  await gateway.start([STREAM_ROUTE], bounds);
   await gateway.addServer("i-1", beginStream);
   await gateway.addServer("i-2", beginStream);
   await untilStatus(200);
@@ -96,14 +92,14 @@
 describe("accepted requests", () => {
   it("should finish a stream elsewhere although its key was withdrawn", async () => {
     const { stream } = await startStream();
-    gateway.configure([STREAM], OTHER_KEYS);
+    gateway.configure([STREAM_ROUTE], OTHER_KEYS);
     await untilStatus(401);
     await breakOffAndFinish(stream);
   });
 
   it("should finish a stream that its server lets pause, although its key was withdrawn", async () => {
     const { stream } = await startStream();
-    gateway.configure([STREAM], OTHER_KEYS);
+    gateway.configure([STREAM_ROUTE], OTHER_KEYS);
     await untilStatus(401);
     assert.equal((await stream).body, FIRST + SECOND);
   });
@@ -145,7 +141,7 @@
 
   it("should leave paused servers only for as many streams as may be repeated", async () => {
     // Three streams pause at once; the fleet's bounds allow one repeat.
-    await gateway.start([STREAM], { retryRatio: 0, retryAllowance: 1.2 });
+    await gateway.start([STREAM_ROUTE], { retryRatio: 0, retryAllowance: 1.2 });
     await gateway.addServer("i-1", beginStream);
     await untilStatus(200);
     const streams = [1, 2, 3].map((n) =>
@@ -162,7 +158,7 @@
 
   it("should wait for a place for a stream whose server broke off while the others are full", async () => {
     let turnedAway = 0;
-    await gateway.start([STREAM]);
+    await gateway.start([STREAM_ROUTE]);
     const answer = (req: RawRequest) => {
       const resumed = /last-event-id: 1/i.test(req.text);
       if (!resumed || turnedAway === 5) return beginStream(req);
@@ -220,7 +216,7 @@
   it("should not take a server as paused while its caller does not keep up", async () => {
     // Read in the code: nothing is read from a server whose caller is slow, and the pause
     // this makes was held against the server, which was given up for another one.
-    await gateway.start([STREAM]);
+    await gateway.start([STREAM_ROUTE]);
     await gateway.addServer("i-1", beginStream);
     const other = await gateway.addServer("i-2", beginStream);
     await untilStatus(200);
--- a/tests/gateway_test.ts
+++ b/tests/gateway_test.ts
@@ -7,16 +7,12 @@
   HOST,
   notRunBytes,
   routeWire,
+  STREAM_ROUTE,
   streamBytes,
   TestGateway,
 } from "./fixtures/test_gateway.ts";
 import { until } from "./fixtures/test_fleet.ts";
 
-const STREAM = routeWire({
-  RouteType: "streaming",
-  StreamResumption: true,
-  MaxAttempts: 3,
-});
 const ONCE = routeWire({ RouteType: "non_idempotent", MaxAttempts: 1 });
 
 let gateway: TestGateway;
@@ -178,7 +174,7 @@
   });
 
   it("should go on with a stream on another server inside the same answer", async () => {
-    await gateway.start([STREAM]);
+    await gateway.start([STREAM_ROUTE]);
     const answered: string[] = [];
     const answer = ({ socket, text }: RawRequest) => {
       const last = /last-event-id: (\d+)/i.exec(text)?.[1];
@@ -213,7 +209,7 @@
   it("should ask the largest model where the smallest is not sure", async () => {
     await gateway.start([
       routeWire({
-        ...STREAM,
+        ...STREAM_ROUTE,
         Sizes: ["m0", "m1", "m2"],
         TargetLatencyMs: 2_000,
       }),
@@ -235,7 +231,7 @@
   });
 
   it("should stop a server's work when the caller leaves", async () => {
-    await gateway.start([STREAM]);
+    await gateway.start([STREAM_ROUTE]);
     let closed = 0;
     await gateway.addServer("i-1", ({ socket }) => {
       socket.write(streamBytes("id: 1\ndata: a\n\n"));
