Let few VMs read the store, and push what they read to the relays

Change: two or more readers by rank in different data centres (one for 60 VMs); relays keep a question waiting at each of them, which is answered with the next news. Relays stand in 2.1 s after the newest confirmation by a reader. Stand-ins repeat failed calls slowly. Only readers write their address down, and a VM looks for others in the store after two rounds alone.

Tests: fleet_relays_test, fleet_relay_role_test, store_feed_test, digest_server_test.

--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -1,4 +1,4 @@
-/** Which VMs ask the platform's store and add up what the others of their data centre tell. */
+/** Which VMs read the platform's store, and which add up what those of a data centre tell. */
 
 import type { UnitHash } from "../routing/version_choice.ts";
 import type { Member } from "./member.ts";
@@ -12,6 +12,14 @@
 const VMS_PER_RELAY = 12;
 /** Relays of one data centre, at least, so that one can be lost unnoticed. */
 const FEWEST_RELAYS = 2;
+/**
+ * VMs for each reader of the store. Each reader pays for every change, as it watches all
+ * kinds; a reader too many costs calls, one too few only a rest of the relays that read
+ * themselves for a while once all readers are lost.
+ */
+const VMS_PER_READER = 60;
+/** Readers of a large fleet, at least, so that one can be lost without a change being late. */
+const FEWEST_READERS = 2;
 /** Cores of a VM that does not tell. */
 const UNKNOWN_CORES = 1;
 
@@ -35,6 +43,31 @@
     .map(({ member }) => member);
 }
 
+/**
+ * Returns the VMs that read the store for all others: all of a small fleet, a few relays of
+ * a large one, in as many data centres as can be. VMs that see the same members agree.
+ */
+export function storeReaders(
+  members: readonly Member[],
+  { unitHash }: { unitHash: UnitHash },
+): Member[] {
+  const alive = members.filter(({ state }) => state === "alive");
+  if (isMesh(members)) return alive;
+  const rank = (dataCentre: string) => unitHash(`readers/${dataCentre}`);
+  const places = new Set(alive.map(({ data_centre }) => data_centre));
+  const relays = [...places]
+    .sort((a, b) => rank(a) - rank(b))
+    .map((dataCentre) => fleetRelays(members, { dataCentre, unitHash }));
+  const count = Math.max(
+    FEWEST_READERS,
+    Math.ceil(alive.length / VMS_PER_READER),
+  );
+  const mostHere = Math.max(...relays.map(({ length }) => length));
+  return Array.from({ length: mostHere }, (_, at) => at)
+    .flatMap((at) => relays.flatMap((here) => here[at] ?? []))
+    .slice(0, count);
+}
+
 /** Whether all VMs talk to each other, without relays between them. */
 export function isMesh(members: readonly Member[]): boolean {
   const alive = members.filter(({ state }) => state === "alive");
--- a/src/core/membership/fleet_relays_test.ts
+++ b/src/core/membership/fleet_relays_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { unitHash } from "../../runtime/hashing.ts";
 import type { DataCentreId, EntryId, Revision } from "../ids.ts";
-import { fleetRelays } from "./fleet_relays.ts";
+import { fleetRelays, storeReaders } from "./fleet_relays.ts";
 import type { Member } from "./member.ts";
 
 function fleetOf(count: number, changes: Partial<Member> = {}): Member[] {
@@ -58,3 +58,44 @@
     assert.ok(!relaysIn(without).includes(first ?? ""));
   });
 });
+
+describe("readers of the store", () => {
+  const readersIn = (members: readonly Member[]) =>
+    storeReaders(members, { unitHash });
+
+  it("should be all VMs of a small fleet", () => {
+    assert.equal(readersIn(fleetOf(12)).length, 12);
+  });
+
+  it("should be relays in different data centres, few however large the fleet", () => {
+    for (const [vms, readers] of [[13, 2], [91, 2], [195, 4], [390, 7]]) {
+      const members = fleetOf(vms as number);
+      const chosen = readersIn(members);
+      assert.equal(chosen.length, readers);
+      const relays = ["north", "south"].flatMap((dataCentre) =>
+        fleetRelays(members, { dataCentre, unitHash })
+      );
+      assert.ok(chosen.every((reader) => relays.includes(reader)));
+      const places = new Set(chosen.map(({ data_centre }) => data_centre));
+      assert.equal(places.size, 2);
+    }
+  });
+
+  it("should be chosen alike by VMs that know each other in another order", () => {
+    const members = fleetOf(91);
+    const ids = (known: readonly Member[]) =>
+      readersIn(known).map(({ id }) => id);
+    assert.deepEqual(ids([...members].reverse()), ids(members));
+  });
+
+  it("should be others once one is suspected", () => {
+    const members = fleetOf(91);
+    const [first] = readersIn(members);
+    const without = members.map((member) =>
+      member === first ? { ...member, state: "suspect" as const } : member
+    );
+    const ids = readersIn(without).map(({ id }) => id);
+    assert.equal(ids.length, 2);
+    assert.ok(first !== undefined && !ids.includes(first.id));
+  });
+});
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -4,16 +4,15 @@
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ProbeOrder } from "../core/membership/probe_order.ts";
-import { TrpcClients } from "../peers/trpc_clients.ts";
 import { digestAnswerSchema } from "../protocol/digest_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
-import { SocketMeter } from "../runtime/socket_meter.ts";
 import type { VmRegistry } from "../store/vm_registry.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
-import type { DigestRouter } from "./digest_router.ts";
 import type { FleetRelayRole } from "./fleet_relay_role.ts";
+import type { StoreSubscriber } from "./store_subscriber.ts";
+import type { VmClients } from "./vm_clients.ts";
 
 /** Time between rounds. Load and sessions that others tell are about as old as this. */
 const ROUND_MS = 400;
@@ -30,8 +29,13 @@
 const MOST_RELAYS_TRIED = 2;
 /** Longest wait for an answer; VMs stand a few milliseconds apart. */
 const TIMEOUT_MS = 700;
-/** Rounds after which a VM knows the others, and so whether it is a relay. */
+/** Rounds after which a VM knows the others, and so whether it reads the store for them. */
 const SETTLED_ROUNDS = 4;
+/**
+ * Rounds after which a VM that knows no other looks for them in the store. Most hear of all
+ * by a seed in the first round, and the store is paid by the call.
+ */
+const ALONE_ROUNDS = 2;
 /**
  * A VM that follows a relay asks it in every so many rounds: changes take up to that much
  * longer to come to it, of the two or three seconds that they may take.
@@ -51,6 +55,8 @@
   readonly seedAddresses: () => readonly string[];
   readonly vmRegistry: VmRegistry;
   readonly relayRole: FleetRelayRole;
+  readonly storeSubscriber: StoreSubscriber;
+  readonly vmClients: VmClients;
 }
 
 /** What a question brought: an answer, or one of a relay in touch with the store. */
@@ -63,13 +69,6 @@
     intervalMs: ROUND_MS,
     run: () => this.#round(),
   });
-  readonly #clients = new TrpcClients<DigestRouter>({
-    meter: new SocketMeter(),
-    headers: {},
-    localAddress: undefined,
-    // Takes a fifth off the bytes between the data centres of a fleet of six.
-    packed: true,
-  });
   #rounds = 0;
 
   constructor(deps: Deps) {
@@ -84,7 +83,8 @@
   /** Stops to talk. */
   async stop(): Promise<void> {
     this.#task.stop();
-    await this.#clients.close();
+    this.#deps.storeSubscriber.stop();
+    await this.#deps.vmClients.close();
   }
 
   /** Tells all relays at once, as when this VM leaves; the others hear of it by them. */
@@ -98,13 +98,18 @@
     this.#rounds += 1;
     digestKeeper.expire();
     relayRole.update();
+    this.#deps.storeSubscriber.update();
     // Nothing waits for slow VMs: the next round comes whether or not they answer.
     if (!relayRole.held) this.#follow();
-    // Whoever starts later and finds no seed alive looks for relays in the store.
-    else if (this.#rounds > SETTLED_ROUNDS) void this.#deps.vmRegistry.write();
+    // Whoever starts later and finds no seed alive looks for readers in the store.
+    if (relayRole.reads && this.#rounds > SETTLED_ROUNDS) {
+      void this.#deps.vmRegistry.write();
+    }
     for (const member of this.#chosen()) void this.#probe(member);
     const members = memberTable.others();
-    if (members.length === 0) void this.#deps.vmRegistry.whileAlone();
+    if (members.length === 0 && this.#rounds > ALONE_ROUNDS) {
+      void this.#deps.vmRegistry.whileAlone();
+    }
     if (members.length === 0 || this.#rounds % SEED_EVERY_ROUNDS === 0) {
       this.#askSeeds(members);
     }
@@ -185,7 +190,7 @@
     const { digestKeeper } = this.#deps;
     const question = digestKeeper.question();
     const askedMs = this.#deps.clock.monotonicMs();
-    const answer = await this.#clients.call(address, {
+    const answer = await this.#deps.vmClients.call(address, {
       timeoutMs: TIMEOUT_MS,
       ask: async (client, signal) =>
         digestAnswerSchema.parse(
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -71,7 +71,12 @@
       } as unknown as RoutingFollower,
       storeSync: {
         known: () => [],
-        tell: () => ({ watched: relay, known: [], changes: [] }),
+        tell: () => ({
+          reads: relay,
+          inTouch: relay,
+          known: [],
+          changes: [],
+        }),
         hear: () => relay,
       } as unknown as StoreSync,
       relayRole: { held: relay } as FleetRelayRole,
--- a/src/fleet/digest_router.ts
+++ b/src/fleet/digest_router.ts
@@ -6,6 +6,11 @@
   type DigestQuestion,
   digestQuestionSchema,
 } from "../protocol/digest_schema.ts";
+import {
+  type FeedAnswer,
+  feedQuestionSchema,
+} from "../protocol/store_schema.ts";
+import type { StoreNews } from "./store_feed.ts";
 
 const trpc = initTRPC.create();
 
@@ -14,11 +19,22 @@
   exchange(question: DigestQuestion): DigestAnswer;
 }
 
+/** What answers the questions of other VMs. */
+export interface DigestAnswerers {
+  readonly digestKeeper: DigestExchange;
+  readonly storeFeed: StoreNews;
+}
+
 /** Returns the router of one VM. */
-export function createDigestRouter(digests: DigestExchange) {
+export function createDigestRouter(
+  { digestKeeper, storeFeed }: DigestAnswerers,
+) {
   return trpc.router({
     exchange: trpc.procedure.input(digestQuestionSchema).mutation(
-      ({ input }): DigestAnswer => digests.exchange(input),
+      ({ input }): DigestAnswer => digestKeeper.exchange(input),
+    ),
+    feed: trpc.procedure.input(feedQuestionSchema).mutation(
+      ({ input }): Promise<FeedAnswer> => storeFeed.next(input),
     ),
   });
 }
@@ -27,8 +43,8 @@
 export type DigestRouter = ReturnType<typeof createDigestRouter>;
 
 /** Returns the router's procedures as functions that check what they are given. */
-export function createDigestCaller(digests: DigestExchange) {
-  return trpc.createCallerFactory(createDigestRouter(digests))({});
+export function createDigestCaller(answerers: DigestAnswerers) {
+  return trpc.createCallerFactory(createDigestRouter(answerers))({});
 }
 
 /** Type of those functions. */
--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -16,14 +16,15 @@
 } from "../runtime/packed_json.ts";
 import {
   createDigestCaller,
+  type DigestAnswerers,
   type DigestCaller,
-  type DigestExchange,
 } from "./digest_router.ts";
 
 const MAX_BODY_BYTES = 1024 * 1024;
 /** Longer than the pause between two exchanges of a pair of VMs in a large fleet. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const PATH = "/exchange";
+/** Procedures by the path that tRPC's clients ask for. */
+const PROCEDURES = { "/exchange": "exchange", "/feed": "feed" } as const;
 /** Number of an error in tRPC's envelope, where its name says it all. */
 const UNSPECIFIED = -1;
 
@@ -35,8 +36,8 @@
   readonly #server: Server;
   readonly #caller: DigestCaller;
 
-  constructor({ digestKeeper }: { digestKeeper: DigestExchange }) {
-    this.#caller = createDigestCaller(digestKeeper);
+  constructor({ digestKeeper, storeFeed }: DigestAnswerers) {
+    this.#caller = createDigestCaller({ digestKeeper, storeFeed });
     this.#server = createServer((req, res) => void this.#handle(req, res));
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
@@ -69,13 +70,15 @@
   }
 
   async #answer(req: IncomingMessage): Promise<unknown> {
-    if (req.method !== "POST" || req.url !== PATH) {
+    const procedure = PROCEDURES[req.url as keyof typeof PROCEDURES];
+    if (req.method !== "POST" || procedure === undefined) {
+      const paths = Object.keys(PROCEDURES).join(" or ");
       throw new TRPCError({
         code: "NOT_FOUND",
-        message: `VMs ask each other by POST ${PATH} only`,
+        message: `VMs ask each other by POST ${paths} only`,
       });
     }
-    return await this.#caller.exchange(
+    return await this.#caller[procedure](
       parseBody(await readBody(req), req.headers["content-encoding"]),
     );
   }
--- a/src/fleet/digest_server_test.ts
+++ b/src/fleet/digest_server_test.ts
@@ -1,12 +1,13 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import type { TRPCClient } from "@trpc/client";
 import { request } from "undici";
 import type { DigestQuestion } from "../protocol/digest_schema.ts";
-import { TrpcClients } from "../peers/trpc_clients.ts";
-import { SocketMeter } from "../runtime/socket_meter.ts";
 import { freePort } from "../../tests/fixtures/free_port.ts";
+import type { FeedAnswer } from "../protocol/store_schema.ts";
 import type { DigestExchange, DigestRouter } from "./digest_router.ts";
 import { DigestServer } from "./digest_server.ts";
+import { VmClients } from "./vm_clients.ts";
 
 const TIMEOUT_MS = 5_000;
 
@@ -14,29 +15,33 @@
 let server: DigestServer;
 let exchange: DigestExchange["exchange"];
 
+const NO_NEWS: FeedAnswer = {
+  store: { reads: true, inTouch: true, known: [], changes: [] },
+  configurationVersion: 3,
+  confirmedAgeMs: 5,
+  heldMs: 10,
+};
+
 beforeEach(async () => {
   address = `127.0.0.1:${await freePort()}`;
   server = new DigestServer({
     digestKeeper: { exchange: (question) => exchange(question) },
+    storeFeed: { next: () => Promise.resolve(NO_NEWS) },
   });
   await server.listen(address);
 });
 
 afterEach(() => server.close());
 
-/** Asks as other VMs do. */
-async function ask(question: unknown) {
-  const clients = new TrpcClients<DigestRouter>({
-    meter: new SocketMeter(),
-    headers: {},
-    localAddress: undefined,
-    packed: true,
-  });
+/** Asks for a digest as other VMs do. */
+function ask(question: unknown) {
+  return call((client) => client.exchange.mutate(question as DigestQuestion));
+}
+
+async function call<T>(ask: (client: TRPCClient<DigestRouter>) => Promise<T>) {
+  const clients = new VmClients();
   try {
-    return await clients.call(address, {
-      timeoutMs: TIMEOUT_MS,
-      ask: (client) => client.exchange.mutate(question as DigestQuestion),
-    });
+    return await clients.call(address, { timeoutMs: TIMEOUT_MS, ask });
   } finally {
     await clients.close();
   }
@@ -53,6 +58,12 @@
     assert.match(answer.error.reason, /digest/);
   });
 
+  it("should pass on what the feed of the store answers", async () => {
+    const question = { known: [], waitMs: 1_000 };
+    const answer = await call((client) => client.feed.mutate(question));
+    assert.deepEqual(answer, { ok: true, value: NO_NEWS });
+  });
+
   it("should refuse bodies that are no JSON, and unknown paths", async () => {
     for (const path of ["/exchange", "/other"]) {
       const res = await request(`http://${address}${path}`, {
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -1,12 +1,17 @@
-/** Whether this VM is a relay, which VMs are, and who of them answers. */
+/** Whether this VM is a relay or reads the store, which VMs do, and who of them answers. */
 
-import { fleetRelays, isMesh } from "../core/membership/fleet_relays.ts";
+import {
+  fleetRelays,
+  isMesh,
+  storeReaders,
+} from "../core/membership/fleet_relays.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { UnitHash } from "../core/routing/version_choice.ts";
 import type { EntryId } from "../core/ids.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import { asksStore, type StoreAccess } from "../store/store_access.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 
 /**
@@ -14,6 +19,13 @@
  * itself: two questions, and within the seconds in which changes must be in force.
  */
 const RELAY_PATIENCE_MS = 1_800;
+/**
+ * A relay asks the store itself once the newest confirmation by a reader is older than
+ * this. Readers confirm every 1.4 to 1.7 s on the users' deployments, and tell at once; a
+ * change that no reader hears of is then in force on relays after this time, and on their
+ * followers 0.8 s later, of the 3 s that the users allow in fleets of this size.
+ */
+const READER_PATIENCE_MS = 2_100;
 /** A relay that failed is asked last for this long. */
 const RELAY_AVOIDED_MS = 3_000;
 
@@ -33,7 +45,9 @@
   #meshed = true;
   #here: Member[] = [];
   #elsewhere: Member[] = [];
+  #readers: Member[] = [];
   #heardAtMs = -Infinity;
+  #confirmedAtMs = -Infinity;
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -45,6 +59,19 @@
     return this.#isSelf(this.#here);
   }
 
+  /** Whether this VM reads the store for others. */
+  get reads(): boolean {
+    this.#refresh();
+    return this.#isSelf(this.#readers);
+  }
+
+  /** Readers whose news this VM waits for: none, unless it is a relay of a large fleet. */
+  readersToFollow(): Member[] {
+    if (!this.held || this.#meshed) return [];
+    const { id: self } = this.#deps.memberTable.self;
+    return this.#readers.filter(({ id }) => id !== self);
+  }
+
   /** Whether all VMs talk to each other, without relays between them. */
   get meshed(): boolean {
     this.#refresh();
@@ -97,26 +124,43 @@
     this.#heardAtMs = nowMs;
   }
 
-  /** Whether this VM asks the store itself, as a relay or since none was heard lately. */
+  /** Notes that a reader has told of a confirmation of its own at `atMs`. */
+  heardReader(atMs: number): void {
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+  }
+
+  /** Whether this VM asks the store itself, for others or since none was heard lately. */
   get asksStore(): boolean {
-    return this.#deps.storeSync.direct;
+    return asksStore(this.#deps.storeSync.access);
   }
 
-  /** Brings up to date whether this VM asks the store itself. */
+  /** Brings up to date how this VM comes to know what the store holds. */
   update(): void {
     const { storeSync, clock, logger } = this.#deps;
-    const { held } = this;
-    const silentMs = clock.monotonicMs() - this.#heardAtMs;
-    const direct = held || silentMs > RELAY_PATIENCE_MS;
-    if (direct === storeSync.direct) return;
-    storeSync.setDirect(direct);
-    logger.info(direct ? "Store is asked here" : "Relays are followed", {
-      relay: held,
+    const nowMs = clock.monotonicMs();
+    const access = this.#accessAt(nowMs);
+    const before = storeSync.access;
+    if (access === before) return;
+    storeSync.setAccess(access);
+    logger.info("Access to the store changed", {
+      access,
+      before,
+      relay: this.held,
       relays: this.#here.length,
-      silent_ms: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined,
+      readers: this.#readers.map(({ id }) => id).join(","),
+      relay_silent_ms: roundedAge(nowMs - this.#heardAtMs),
+      reader_confirmed_ms: roundedAge(nowMs - this.#confirmedAtMs),
     });
   }
 
+  #accessAt(nowMs: number): StoreAccess {
+    if (this.reads) return "reader";
+    const isHeard = this.held
+      ? nowMs - this.#confirmedAtMs <= READER_PATIENCE_MS
+      : nowMs - this.#heardAtMs <= RELAY_PATIENCE_MS;
+    return isHeard ? "listener" : "stand_in";
+  }
+
   #refresh(): void {
     const { memberTable, unitHash } = this.#deps;
     if (memberTable.changes === this.#seenChanges) return;
@@ -130,6 +174,7 @@
     this.#meshed = isMesh(members);
     this.#here = relaysOf(self.data_centre);
     this.#elsewhere = [...dataCentres].flatMap(relaysOf);
+    this.#readers = storeReaders(members, { unitHash });
   }
 
   #isSelf(relays: readonly Member[]): boolean {
@@ -142,3 +187,8 @@
     return atMs !== undefined && nowMs - atMs < RELAY_AVOIDED_MS;
   }
 }
+
+/** Undefined where nothing was ever heard. */
+function roundedAge(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
--- a/src/fleet/fleet_relay_role_test.ts
+++ b/src/fleet/fleet_relay_role_test.ts
@@ -5,13 +5,14 @@
 import { MemberTable } from "../core/membership/member_table.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import { SilentLogger } from "../runtime/logger.ts";
+import type { StoreAccess } from "../store/store_access.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import { FleetRelayRole } from "./fleet_relay_role.ts";
 
 const VMS = 40;
 
 let nowMs: number;
-let direct: boolean;
+let access: StoreAccess;
 let role: FleetRelayRole;
 let table: MemberTable;
 
@@ -31,21 +32,25 @@
 /** A VM too small to be a relay among all the others. */
 beforeEach(() => {
   nowMs = 10_000;
-  direct = true;
-  table = new MemberTable(member(0, 0.1));
-  role = new FleetRelayRole({
+  access = "reader";
+  role = roleOf(member(0, 0.1));
+});
+
+function roleOf(self: Member): FleetRelayRole {
+  table = new MemberTable(self);
+  return new FleetRelayRole({
     memberTable: table,
     storeSync: {
-      get direct() {
-        return direct;
+      get access() {
+        return access;
       },
-      setDirect: (now: boolean) => direct = now,
+      setAccess: (now: StoreAccess) => access = now,
     } as unknown as StoreSync,
     unitHash,
     clock: { monotonicMs: () => nowMs, wallMs: () => 0 },
     logger: new SilentLogger(),
   });
-});
+}
 
 function joinAll(): void {
   const others = Array.from({ length: VMS - 1 }, (_, at) => member(at + 1));
@@ -56,19 +61,40 @@
   it("should be held by a VM that knows nobody", () => {
     assert.equal(role.held, true);
     role.update();
-    assert.equal(direct, true);
+    assert.equal(access, "reader");
   });
 
   it("should follow a relay once it is heard, and ask the store once it is not", () => {
     joinAll();
     role.update();
-    assert.equal(direct, true);
+    assert.equal(access, "stand_in");
     role.heard(role.toAsk()[0]?.id as EntryId, true);
     role.update();
-    assert.equal(direct, false);
+    assert.equal(access, "listener");
     nowMs += 5_000;
     role.update();
-    assert.equal(direct, true);
+    assert.equal(access, "stand_in");
+  });
+
+  it("should follow two readers as a relay, and stand in once neither confirms", () => {
+    // Large enough to be a relay of its data centre, behind larger ones that read.
+    role = roleOf(member(0, 1.2));
+    const larger = [1, 2, 3, 4].map((at) => member(at, 1.3));
+    joinAll();
+    table.merge(larger.map((vm) => ({ ...vm, incarnation: 2 })), nowMs);
+    assert.equal(role.held, false);
+    table.merge([{ ...member(4), incarnation: 3 }], nowMs);
+    assert.equal(role.held, true);
+    assert.equal(role.reads, false);
+    assert.equal(role.readersToFollow().length, 2);
+    role.update();
+    assert.equal(access, "stand_in");
+    role.heardReader(nowMs - 1_000);
+    role.update();
+    assert.equal(access, "listener");
+    nowMs += 1_500;
+    role.update();
+    assert.equal(access, "stand_in");
   });
 
   it("should ask relays of its own data centre first, and failed ones last", () => {
--- /dev/null
+++ b/src/fleet/store_feed_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { ToldStore } from "../protocol/store_schema.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { StoreSync } from "../store/store_sync.ts";
+import { StoreFeed } from "./store_feed.ts";
+
+const KIND = "servers";
+/** Longer than a test may take: an answer within the test has not waited for its end. */
+const LONG_WAIT_MS = 10_000;
+
+let revision: number;
+let news: () => void;
+let nowMs: number;
+let feed: StoreFeed;
+
+function known(): ToldStore["known"] {
+  return [{ kind: KIND, revision }];
+}
+
+beforeEach(() => {
+  revision = 7;
+  nowMs = 1_000;
+  feed = new StoreFeed({
+    storeSync: {
+      known,
+      tell: () => ({ reads: true, inTouch: true, known: known(), changes: [] }),
+      onNews: (listener: () => void) => news = listener,
+    } as unknown as StoreSync,
+    routingFollower: {
+      confirmation: { version: 4, ageMs: 20 },
+    } as unknown as RoutingFollower,
+    clock: { monotonicMs: () => nowMs, wallMs: () => 0 },
+  });
+});
+
+describe("feed of the store", () => {
+  it("should answer at once a VM that knows less", async () => {
+    const asked = [{ kind: KIND, revision: 5 }];
+    const answer = await feed.next({ known: asked, waitMs: LONG_WAIT_MS });
+    assert.deepEqual(answer.store.known, known());
+    assert.equal(answer.heldMs, 0);
+  });
+
+  it("should answer a VM that knows all with the next news, and say how long it waited", async () => {
+    const asked = feed.next({ known: known(), waitMs: LONG_WAIT_MS });
+    nowMs += 400;
+    revision = 8;
+    news();
+    const answer = await asked;
+    assert.deepEqual(answer.store.known, [{ kind: KIND, revision: 8 }]);
+    assert.equal(answer.heldMs, 400);
+    assert.equal(answer.confirmedAgeMs, 20);
+  });
+
+  it("should answer without news once the wait is over", async () => {
+    const answer = await feed.next({ known: known(), waitMs: 1 });
+    assert.deepEqual(answer.store.known, known());
+  });
+
+  it("should answer all that wait when the VM stops", async () => {
+    const asked = feed.next({ known: known(), waitMs: LONG_WAIT_MS });
+    feed.flush();
+    assert.equal((await asked).configurationVersion, 4);
+  });
+});
--- /dev/null
+++ b/src/fleet/store_subscriber.ts
@@ -0,0 +1,93 @@
+/** Waits at the VMs that read the platform's store for what they learn from it. */
+
+import type { EntryId } from "../core/ids.ts";
+import type { Member } from "../core/membership/member.ts";
+import { feedAnswerSchema } from "../protocol/store_schema.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { pause } from "../runtime/pause.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { StoreSync } from "../store/store_sync.ts";
+import type { FleetRelayRole } from "./fleet_relay_role.ts";
+import type { VmClients } from "./vm_clients.ts";
+
+/**
+ * How long a reader holds a question without news. Readers confirm the configuration more
+ * often than this on most deployments, so that few questions come back with nothing.
+ */
+const WAIT_MS = 1_500;
+/** Wait for an answer beyond that; VMs stand a few milliseconds apart. */
+const GRACE_MS = 700;
+/** Pause after a reader did not answer. */
+const RETRY_PAUSE_MS = 300;
+
+interface Deps {
+  readonly relayRole: FleetRelayRole;
+  readonly storeSync: StoreSync;
+  readonly routingFollower: RoutingFollower;
+  readonly vmClients: VmClients;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Keeps one question waiting at each reader, while this VM is a relay. */
+export class StoreSubscriber {
+  readonly #deps: Deps;
+  readonly #followed = new Set<EntryId>();
+  #stopped = false;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Begins to follow readers that are new. */
+  update(): void {
+    for (const reader of this.#deps.relayRole.readersToFollow()) {
+      if (!this.#followed.has(reader.id)) void this.#follow(reader);
+    }
+  }
+
+  /** Asks nobody any more. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #follow(reader: Member): Promise<void> {
+    this.#followed.add(reader.id);
+    this.#deps.logger.info("Reader of the store is followed", {
+      reader: reader.id,
+    });
+    while (!this.#stopped && this.#isReader(reader)) {
+      if (!await this.#ask(reader)) await pause(RETRY_PAUSE_MS);
+    }
+    this.#followed.delete(reader.id);
+  }
+
+  #isReader({ id }: Member): boolean {
+    return this.#deps.relayRole.readersToFollow().some((reader) =>
+      reader.id === id
+    );
+  }
+
+  /** Returns whether the reader answered. */
+  async #ask({ peers }: Member): Promise<boolean> {
+    const { storeSync, vmClients, clock } = this.#deps;
+    const question = { known: storeSync.known(), waitMs: WAIT_MS };
+    const askedMs = clock.monotonicMs();
+    const answer = await vmClients.call(peers, {
+      timeoutMs: WAIT_MS + GRACE_MS,
+      ask: async (client, signal) =>
+        feedAnswerSchema.parse(await client.feed.mutate(question, { signal })),
+    });
+    if (!answer.ok) return false;
+    const { store, configurationVersion, confirmedAgeMs, heldMs } =
+      answer.value;
+    storeSync.hear(store);
+    // The answer was made no earlier than this, however long it was on its way.
+    const atMs = askedMs + heldMs - confirmedAgeMs;
+    const version = configurationVersion;
+    this.#deps.routingFollower.hearConfirmation({ version, atMs });
+    if (store.reads) this.#deps.relayRole.heardReader(atMs);
+    return true;
+  }
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -30,6 +30,9 @@
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
 import { FleetRelayRole } from "../fleet/fleet_relay_role.ts";
 import { DigestServer } from "../fleet/digest_server.ts";
+import { StoreFeed } from "../fleet/store_feed.ts";
+import { StoreSubscriber } from "../fleet/store_subscriber.ts";
+import { VmClients } from "../fleet/vm_clients.ts";
 import { HttpObjectStore } from "../platform/http_object_store.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import { type Clock, SystemClock } from "../runtime/clock.ts";
@@ -81,6 +84,7 @@
   readonly trialController: TrialController;
   readonly digestServer: DigestServer;
   readonly digestExchanger: DigestExchanger;
+  readonly storeFeed: StoreFeed;
   readonly repeatBudget: RepeatBudget;
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
@@ -208,6 +212,9 @@
     relayRole: one(FleetRelayRole),
     digestKeeper: one(DigestKeeper),
     digestServer: one(DigestServer),
+    vmClients: asFunction(() => new VmClients()).singleton(),
+    storeFeed: one(StoreFeed),
+    storeSubscriber: one(StoreSubscriber),
     digestExchanger: one(DigestExchanger),
     seedList: asValue(new SeedList(vmSettings.seeds)),
     vmRegistry: one(VmRegistry),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -99,6 +99,7 @@
     parts.serverFollower.stop();
     parts.routingFollower.stop();
     await parts.digestExchanger.stop();
+    parts.storeFeed.flush();
     await parts.requestServer.close();
     await parts.digestServer.close();
     await parts.controlServer.close();
--- a/src/protocol/store_schema.ts
+++ b/src/protocol/store_schema.ts
@@ -22,8 +22,10 @@
 
 /** Schema of what a VM tells of the store. */
 export const toldStoreSchema = z.object({
-  /** Whether the VM asks the store itself, and the store answers it. */
-  watched: z.boolean(),
+  /** Whether the VM reads the store for others, and the store answers it. */
+  reads: z.boolean(),
+  /** Whether the store answers the VM, or those answer that read it for others. */
+  inTouch: z.boolean(),
   /** How long ago the store came back, in milliseconds, if it was away. */
   backAgeMs: z.number().optional(),
   /** Up to which revision the VM knows each kind. */
@@ -32,6 +34,29 @@
   changes: z.array(changesSchema),
 });
 
+/** What a relay asks a VM that reads the store. */
+export const feedQuestionSchema = z.object({
+  /** Up to which revision the asker knows each kind. */
+  known: toldStoreSchema.shape.known,
+  /** How long to wait for news, in milliseconds. */
+  waitMs: z.number().min(0).max(10_000),
+});
+
+/** What the VM that reads the store answers, once there is news or the wait is over. */
+export const feedAnswerSchema = z.object({
+  store: toldStoreSchema,
+  /** Version of the configuration in force; 0 before the first. */
+  configurationVersion: z.number(),
+  /** Time since a read of the store showed that it is the newest. */
+  confirmedAgeMs: z.number(),
+  /** How long the question waited for this answer, in milliseconds. */
+  heldMs: z.number(),
+});
+
+/** What a relay asks a VM that reads the store. */
+export type FeedQuestion = z.infer<typeof feedQuestionSchema>;
+/** What the VM that reads the store answers. */
+export type FeedAnswer = z.infer<typeof feedAnswerSchema>;
 /** What a VM tells of the store. */
 export type ToldStore = z.infer<typeof toldStoreSchema>;
 /** Changes of one kind. */
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -10,15 +10,13 @@
 import { pause } from "../runtime/pause.ts";
 import { type CopyNews, type KindChanges, KindCopy } from "./kind_copy.ts";
 import type { KindListener } from "./kind_listener.ts";
+import { asksStore, retryPauseMs, type StoreAccess } from "./store_access.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Longest wait of one watch; the store counts each watch as a call, and takes 30 s. */
 const WATCH_WAIT_MS = 25_000;
 /** Longest wait for a list. */
 const LIST_TIMEOUT_MS = 1_500;
-/** Pause after a failed call; spread, so that a fleet does not return as one. */
-const RETRY_PAUSE_MS = 150;
-const RETRY_SPREAD_MS = 200;
 /**
  * Pause before the first watch. A VM that has just started finds a relay to follow in this
  * time, and then needs no watch; a watch tells of what has changed meanwhile.
@@ -51,9 +49,10 @@
   readonly #listener: KindListener;
   readonly #copy: KindCopy;
   #watch = new AbortController();
-  #direct = true;
+  #access: StoreAccess = "reader";
   #mustList = true;
   #settled = false;
+  #onNews: () => void = () => {};
   /** Ends the wait of a VM that does not ask the store. */
   #wake: () => void = () => {};
   #stopped = false;
@@ -87,12 +86,13 @@
     this.#wake();
   }
 
-  /** Whether to ask the store, rather than to wait for what other VMs tell. */
-  setDirect(direct: boolean): void {
-    if (this.#direct === direct) return;
-    this.#direct = direct;
-    if (direct) this.#wake();
-    else this.#watch.abort();
+  /** Whether to ask the store, or to wait for what other VMs tell. */
+  setAccess(access: StoreAccess): void {
+    const asked = asksStore(this.#access);
+    this.#access = access;
+    if (asksStore(access) === asked) return;
+    if (asked) this.#watch.abort();
+    else this.#wake();
   }
 
   /** Reads the whole list at once instead of waiting for changes. */
@@ -101,6 +101,11 @@
     this.#watch.abort();
   }
 
+  /** Sets what is called whenever objects have changed here. */
+  onNews(listener: () => void): void {
+    this.#onNews = listener;
+  }
+
   /** Changes that a VM does not know which knows all up to a revision. */
   changesSince(revision: number | undefined): KindChanges | undefined {
     return this.#copy.changesSince(revision);
@@ -114,7 +119,7 @@
 
   async #run(): Promise<void> {
     while (!this.#stopped) {
-      if (!this.#direct) {
+      if (!asksStore(this.#access)) {
         await new Promise<void>((resolve) => this.#wake = resolve);
         continue;
       }
@@ -168,6 +173,7 @@
   #tell(take: () => CopyNews): void {
     const isFirst = this.#copy.revision === undefined;
     const { changed, removed } = take();
+    if (changed.length + removed.length > 0) this.#onNews();
     if (isFirst && this.#copy.revision !== undefined) {
       this.#listener.listed(changed);
       return;
@@ -184,7 +190,7 @@
     });
     // History that is lost says nothing about whether the store answers.
     if (err.tag === "history_lost") return;
-    await pause(RETRY_PAUSE_MS + RETRY_SPREAD_MS * this.#deps.chance());
+    await pause(retryPauseMs(this.#access, this.#deps.chance()));
     await this.#awaitStore();
   }
 
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -19,6 +19,7 @@
 import type { LogContext, Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
+import { asksStore, retryPauseMs, type StoreAccess } from "./store_access.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /**
@@ -30,17 +31,14 @@
 const CONFIRMATIONS_PER_KEY_REMOVAL = 3;
 /**
  * Part of the time allowed for the removal of keys after which a VM that learns from
- * others asks the store itself. Others confirm three times as often; less than the 0.8
- * after which keys are refused.
+ * others asks the store itself. Less than the 0.8 after which keys are refused; more than
+ * the third after which readers confirm, with the 0.8 s that news take to a follower.
  */
-const OWN_READ_AFTER = 0.45;
+const OWN_READ_AFTER = 0.6;
 /** Time that the first list has before the configuration is read by itself. */
 const FIRST_READ_MS = 300;
 /** Longest wait for a confirmation; the store usually answers in milliseconds. */
 const CONFIRM_TIMEOUT_MS = 1_000;
-/** Pause after a failed confirmation, spread over the fleet. */
-const RETRY_PAUSE_MS = 200;
-const RETRY_SPREAD_MS = 150;
 /** Intervals differ by so much between VMs, so that their reads do not come as one. */
 const INTERVAL_SPREAD = 0.2;
 
@@ -63,8 +61,9 @@
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
   #reading = false;
-  #direct = true;
+  #access: StoreAccess = "reader";
   readonly #listeners: ((table: RouteTable) => void)[] = [];
+  #onConfirmed: () => void = () => {};
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -89,6 +88,11 @@
     this.#listeners.push(listener);
   }
 
+  /** Sets what is called whenever an own read has confirmed the configuration. */
+  onConfirmed(listener: () => void): void {
+    this.#onConfirmed = listener;
+  }
+
   /** Milliseconds since the confirmation and the version, as other VMs may use them. */
   get confirmation(): { readonly version: number; readonly ageMs: number } {
     return { version: this.#table?.version ?? 0, ageMs: this.confirmedAgeMs() };
@@ -119,11 +123,12 @@
   }
 
   /** Whether to confirm by own reads, rather than by those of other VMs. */
-  setDirect(direct: boolean): void {
-    if (this.#direct === direct) return;
-    this.#direct = direct;
-    this.follower.setDirect(direct);
-    if (!direct || this.#reading || this.#stopped) return;
+  setAccess(access: StoreAccess): void {
+    const asked = asksStore(this.#access);
+    this.#access = access;
+    this.follower.setAccess(access);
+    const asksNow = asksStore(access) && !asked;
+    if (!asksNow || this.#reading || this.#stopped) return;
     clearTimeout(this.#timer);
     void this.#confirmIfDue();
   }
@@ -158,7 +163,9 @@
   /** Reads, unless another VM has confirmed the configuration meanwhile. */
   async #confirmIfDue(): Promise<void> {
     const dueInMs = this.#intervalMs() - this.confirmedAgeMs();
-    if (dueInMs <= 0 || !this.#deps.storeHealth.health.reachable) {
+    const asks = asksStore(this.#access);
+    const lost = asks && !this.#deps.storeHealth.health.reachable;
+    if (dueInMs <= 0 || lost) {
       await this.#confirm();
       return;
     }
@@ -177,7 +184,7 @@
     if (this.#stopped) return;
     if (read.ok) {
       storeHealth.answered();
-      if (this.#apply(read.value)) this.#confirmedAtMs = startedMs;
+      if (this.#apply(read.value)) this.#confirmedBy(startedMs);
     } else if (read.error.tag === "missing") {
       storeHealth.answered();
     } else {
@@ -191,9 +198,14 @@
     );
   }
 
+  #confirmedBy(startedMs: number): void {
+    this.#confirmedAtMs = startedMs;
+    this.#onConfirmed();
+  }
+
   #intervalMs(): number {
     const { bounds, chance } = this.#deps;
-    if (!this.#direct) return OWN_READ_AFTER * bounds.keyRemovalMs;
+    if (!asksStore(this.#access)) return OWN_READ_AFTER * bounds.keyRemovalMs;
     const shortest = Math.min(
       bounds.configurationApplyMs / CONFIRMATIONS_PER_APPLY,
       bounds.keyRemovalMs / CONFIRMATIONS_PER_KEY_REMOVAL,
@@ -202,7 +214,7 @@
   }
 
   #retryMs(): number {
-    return RETRY_PAUSE_MS + RETRY_SPREAD_MS * this.#deps.chance();
+    return retryPauseMs(this.#access, this.#deps.chance());
   }
 
   /** Returns whether the configuration in force is at least as new as the object. */
--- a/src/store/store_sync.ts
+++ b/src/store/store_sync.ts
@@ -6,6 +6,7 @@
 import type { RollOutFollower } from "./roll_out_follower.ts";
 import type { RoutingFollower } from "./routing_follower.ts";
 import type { ServerFollower } from "./server_follower.ts";
+import { asksStore, type StoreAccess } from "./store_access.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 import type { TrialFollower } from "./trial_follower.ts";
 
@@ -22,7 +23,7 @@
 export class StoreSync {
   readonly #deps: Deps;
   readonly #followers: readonly KindFollower[];
-  #direct = true;
+  #access: StoreAccess = "reader";
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -34,16 +35,27 @@
     ];
   }
 
-  /** Whether this VM asks the store itself. */
-  get direct(): boolean {
-    return this.#direct;
+  /** How this VM comes to know what the store holds. */
+  get access(): StoreAccess {
+    return this.#access;
   }
 
   /** Begins or ends to ask the store itself. */
-  setDirect(direct: boolean): void {
-    this.#direct = direct;
-    this.#deps.routingFollower.setDirect(direct);
-    for (const follower of this.#followers) follower.setDirect(direct);
+  setAccess(access: StoreAccess): void {
+    this.#access = access;
+    this.#deps.routingFollower.setAccess(access);
+    for (const follower of this.#followers) follower.setAccess(access);
+  }
+
+  /** Whether the store answers this VM, or those answer that read it for others. */
+  get inTouch(): boolean {
+    return !asksStore(this.#access) || this.#deps.storeHealth.health.reachable;
+  }
+
+  /** Sets what is called when objects have changed, or an own read has confirmed them. */
+  onNews(listener: () => void): void {
+    this.#deps.routingFollower.onConfirmed(listener);
+    for (const follower of this.#followers) follower.onNews(listener);
   }
 
   /** Up to which revision each kind is known here. */
@@ -56,10 +68,11 @@
   /** What a VM should hear that knows so much; `undefined` tells no changes. */
   tell(known: ToldStore["known"] | undefined): ToldStore {
     const { storeHealth, clock } = this.#deps;
-    const { reachable, backSinceMs } = storeHealth.health;
+    const { backSinceMs } = storeHealth.health;
     const nowMs = clock.monotonicMs();
     return {
-      watched: this.#direct && reachable,
+      reads: this.#access === "reader" && this.inTouch,
+      inTouch: this.inTouch,
       backAgeMs: backSinceMs === undefined ? undefined : nowMs - backSinceMs,
       known: this.known(),
       changes: known === undefined ? [] : this.#changesSince(known),
@@ -67,13 +80,15 @@
   }
 
   /** Takes in what a VM has told; returns whether it is in touch with the store. */
-  hear({ watched, backAgeMs, changes }: ToldStore): boolean {
+  hear({ inTouch, backAgeMs, changes }: ToldStore): boolean {
     // Why entries are missing is learnt before which are.
-    if (watched && !this.#direct) this.#deps.storeHealth.heard(backAgeMs);
+    if (inTouch && !asksStore(this.#access)) {
+      this.#deps.storeHealth.heard(backAgeMs);
+    }
     for (const change of changes) {
       this.#followers.find(({ kind }) => kind === change.kind)?.hear(change);
     }
-    return watched;
+    return inTouch;
   }
 
   #changesSince(known: ToldStore["known"]): ToldChanges[] {
