Ask seeds before the store at a start, and let other VMs read where no relay can

And in a fleet with two relays that both lose the store no VM was a reader for the others.

Change: a start asks the seeds; if one tells all that the VM needs, it reads no list. Where the store answers no relay, the first VMs by rank that it does answer read. A pause of 50 ms after each answer of a reader, so that one of another release cannot be asked without end.

--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -47,7 +47,8 @@
 /**
  * Returns the VMs that read the store for all others: all of a small fleet, a few relays of
  * a large one, in as many data centres as can be, but none that the store does not answer
- * while it answers others. VMs that see the same members agree.
+ * while it answers others. Where it answers no relay, other VMs read. VMs that see the same
+ * members agree.
  */
 export function storeReaders(
   members: readonly Member[],
@@ -58,14 +59,22 @@
 ): Member[] {
   const alive = members.filter(({ state }) => state === "alive");
   if (isMesh(members)) return alive;
-  const ranked = rankedRelays(members, unitHash);
-  const answered = ranked.filter(({ id }) => !hasLostStore(id));
+  const relays = rankedRelays(members, unitHash);
   const count = Math.max(
     FEWEST_READERS,
     Math.ceil(alive.length / VMS_PER_READER),
   );
+  const answered = (vms: readonly Member[]) =>
+    vms.filter(({ id }) => !hasLostStore(id));
+  const readers = answered(relays).slice(0, count);
+  if (readers.length > 0) return readers;
+  const others = alive.filter((vm) => !relays.includes(vm));
+  const standbys = answered(others)
+    .map((vm) => ({ vm, rank: unitHash(`reader/${vm.id}`) }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ vm }) => vm);
   // Where the store answers none, the first of all find out when it is back.
-  return (answered.length > 0 ? answered : ranked).slice(0, count);
+  return (standbys.length > 0 ? standbys : relays).slice(0, count);
 }
 
 /** Relays of all data centres, by turns. */
--- a/src/core/membership/fleet_relays_test.ts
+++ b/src/core/membership/fleet_relays_test.ts
@@ -109,6 +109,17 @@
     assert.ok(chosen.every(({ id }) => !lost.has(id)));
   });
 
+  it("should be other VMs where the store answers no relay", () => {
+    const members = fleetOf(20);
+    const relays = ["north", "south"].flatMap((dataCentre) =>
+      fleetRelays(members, { dataCentre, unitHash })
+    );
+    const lost = new Set<EntryId>(relays.map(({ id }) => id));
+    const chosen = readersIn(members, (vm) => lost.has(vm));
+    assert.equal(chosen.length, 2);
+    assert.ok(chosen.every(({ id }) => !lost.has(id)));
+  });
+
   it("should be the first of all where the store answers none", () => {
     const members = fleetOf(91);
     assert.deepEqual(readersIn(members, () => true), readersIn(members));
--- a/src/fleet/store_subscriber.ts
+++ b/src/fleet/store_subscriber.ts
@@ -20,6 +20,11 @@
 const GRACE_MS = 700;
 /** Pause after a reader did not answer. */
 const RETRY_PAUSE_MS = 300;
+/**
+ * Pause after an answer. A reader of another release may know kinds that are not followed
+ * here, and would answer each question at once.
+ */
+const ASK_PAUSE_MS = 50;
 
 interface Deps {
   readonly relayRole: FleetRelayRole;
@@ -61,7 +66,7 @@
     let waitMs = 0;
     while (!this.#stopped && this.#isReader(reader)) {
       const answered = await this.#ask(reader, waitMs);
-      if (!answered) await pause(RETRY_PAUSE_MS);
+      await pause(answered ? ASK_PAUSE_MS : RETRY_PAUSE_MS);
       waitMs = answered ? WAIT_MS : 0;
     }
     this.#followed.delete(reader.id);
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -114,8 +114,11 @@
 
   /** Takes in what another VM has told. */
   hear(changes: KindChanges): void {
+    const isFirst = this.#copy.revision === undefined;
     this.#settled = true;
     this.#tell(() => this.#copy.takeChanges(changes));
+    // All that a list would bring; what came since, a watch brings.
+    if (isFirst && this.#copy.revision !== undefined) this.#mustList = false;
   }
 
   async #run(): Promise<void> {
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -121,8 +121,7 @@
   /** Starts to follow. */
   start(): void {
     this.follower.start();
-    // The first list confirms as well, where it comes in time.
-    this.#timer = setTimeout(() => void this.#confirmIfDue(), FIRST_READ_MS);
+    this.#awaitFirstList();
   }
 
   /** Whether to confirm by own reads, rather than by those of other VMs. */
@@ -133,7 +132,13 @@
     const asksNow = asksStore(access) && !asked;
     if (!asksNow || this.#reading || this.#stopped) return;
     clearTimeout(this.#timer);
-    void this.#confirmIfDue();
+    if (this.#table === undefined) this.#awaitFirstList();
+    else void this.#confirmIfDue();
+  }
+
+  /** The first list confirms as well, where it comes in time. */
+  #awaitFirstList(): void {
+    this.#timer = setTimeout(() => void this.#confirmIfDue(), FIRST_READ_MS);
   }
 
   /** Stops to follow. */
--- a/tests/gateway_fleet_test.ts
+++ b/tests/gateway_fleet_test.ts
@@ -57,6 +57,16 @@
     await untilInForce("/after/", VMS - relays.length);
   });
 
+  // With relays that all read, a fleet bore such a loss unnoticed; with few readers, in a
+  // first form, those that had lost the store and their successors took turns for as long.
+  for (const how of ["silence", "resets"] as const) {
+    it(`should choose readers anew when ${how} keep both from the store`, async () => {
+      await untilRelayed();
+      for (const vm of relayNames()) fleet.cutOff(vm, how);
+      await untilInForce(`/beyond-${how}/`, VMS);
+    });
+  }
+
   it("should tell all VMs of a planned stop by the relays", async () => {
     await untilRelayed();
     const relays = relayNames();
