--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -8,7 +8,6 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
-import type { StoreSync } from "../store/store_sync.ts";
 import type { VmRegistry } from "../store/vm_registry.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
 import type { Asked, FleetRelayRole } from "./fleet_relay_role.ts";
@@ -47,11 +46,6 @@
  * longer to come to it, of the two or three seconds that they may take.
  */
 const FOLLOW_EVERY_ROUNDS = 2;
-/**
- * Longest wait of a VM that starts for what its seeds know. A dead seed's port refuses at
- * once where its VM runs, and says nothing where it has no power.
- */
-const JOIN_TIMEOUT_MS = 400;
 /** Every so many rounds a seed is asked, so that fleets that were apart join again. */
 const SEED_EVERY_ROUNDS = 12;
 
@@ -66,7 +60,6 @@
   readonly seedAddresses: () => readonly string[];
   readonly vmRegistry: VmRegistry;
   readonly relayRole: FleetRelayRole;
-  readonly storeSync: StoreSync;
   readonly storeSubscriber: StoreSubscriber;
   readonly vmClients: VmClients;
 }
@@ -84,28 +77,6 @@
     this.#deps = deps;
   }
 
-  /**
-   * Asks the seeds for what the store holds. Returns once one has told it, or none will:
-   * a VM that restarts alone then needs no list of its own, and a fleet that starts as one
-   * does not wait.
-   */
-  async join(): Promise<void> {
-    const asked = this.#unknownSeeds([]).map((seed) => this.#askToJoin(seed));
-    if (asked.length === 0) return;
-    await Promise.any(asked).catch((err: AggregateError) =>
-      this.#deps.logger.info("No seed told what the store holds", {
-        seeds: asked.length,
-        reason: String((err.errors[0] as Error | undefined)?.message ?? ""),
-      })
-    );
-  }
-
-  async #askToJoin(seed: string): Promise<void> {
-    const asked = await this.#ask(seed, JOIN_TIMEOUT_MS);
-    const { knowsAll } = this.#deps.storeSync;
-    if (!knowsAll) throw new Error(`${seed}: ${asked}, but tells too little`);
-  }
-
   /** Starts to talk. */
   start(): void {
     this.#task.start();
@@ -211,23 +182,19 @@
   }
 
   #askSeeds(members: readonly Member[]): void {
-    for (const seed of this.#unknownSeeds(members)) void this.#ask(seed);
-  }
-
-  #unknownSeeds(members: readonly Member[]): string[] {
     const { memberTable, seedAddresses } = this.#deps;
     const known = new Set(members.map(({ peers }) => peers));
     known.add(memberTable.self.peers);
     const unknown = seedAddresses().filter((seed) => !known.has(seed));
-    return [...new Set(unknown)];
+    for (const seed of new Set(unknown)) void this.#ask(seed);
   }
 
-  async #ask(address: string, timeoutMs = TIMEOUT_MS): Promise<Asked> {
+  async #ask(address: string): Promise<Asked> {
     const { digestKeeper } = this.#deps;
     const question = digestKeeper.question();
     const askedMs = this.#deps.clock.monotonicMs();
     const answer = await this.#deps.vmClients.call(address, {
-      timeoutMs,
+      timeoutMs: TIMEOUT_MS,
       ask: async (client, signal) =>
         digestAnswerSchema.parse(
           await client.exchange.mutate(question, { signal }),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -22,7 +22,6 @@
   readonly #parts: GatewayParts;
   readonly #options: GatewayOptions;
   readonly #logger: Logger;
-  #stopped = false;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -34,8 +33,8 @@
   async start(): Promise<void> {
     const parts = this.#parts;
     const { listen } = this.#options.vmSettings;
-    // The store is asked only once the seeds were.
-    parts.storeSync.setAccess("listener");
+    // Decides which kinds this VM reads, before any is read.
+    parts.storeSync.setAccess("reader");
     parts.routingFollower.start();
     parts.rollOutFollower.start();
     parts.serverFollower.start();
@@ -52,9 +51,7 @@
     parts.trialFollower.start();
     if (listen.peers !== undefined) {
       await parts.digestServer.listen(listen.peers);
-      void parts.digestExchanger.join().then(() => this.#joined());
-    } else {
-      parts.storeSync.setAccess("reader");
+      parts.digestExchanger.start();
     }
     parts.trialController.start();
     if (listen.callers !== undefined) {
@@ -68,13 +65,6 @@
     });
   }
 
-  /** Until it knows others, a VM reads the store itself. */
-  #joined(): void {
-    if (this.#stopped) return;
-    this.#parts.storeSync.setAccess("reader");
-    this.#parts.digestExchanger.start();
-  }
-
   /** Planned stop: callers are sent elsewhere, and those that still come are served. */
   async drain(): Promise<void> {
     const { stopState, memberTable, requestServer } = this.#parts;
@@ -105,7 +95,6 @@
   /** Ends at once all that was started. */
   async stop(): Promise<void> {
     const parts = this.#parts;
-    this.#stopped = true;
     parts.trialController.stop();
     parts.trialFollower.stop();
     parts.rollOutFollower.stop();
--- a/src/store/store_sync.ts
+++ b/src/store/store_sync.ts
@@ -81,14 +81,6 @@
     for (const follower of this.#followers) follower.onNews(listener);
   }
 
-  /** Whether this VM knows all that it needs to serve. */
-  get knowsAll(): boolean {
-    const { routingFollower, serverFollower, rollOutFollower } = this.#deps;
-    return [routingFollower, serverFollower, rollOutFollower].every((
-      { follower },
-    ) => follower.revision !== undefined);
-  }
-
   /** Up to which revision each kind is known here. */
   known(): ToldStore["known"] {
     return this.#followers.flatMap(({ kind, revision }) =>
