Hold questions about the store for 4 s

Each relay keeps a question at every reader; with 1.5 s, about as many came back with nothing as with news.

--- a/src/fleet/store_subscriber.ts
+++ b/src/fleet/store_subscriber.ts
@@ -12,10 +12,11 @@
 import type { VmClients } from "./vm_clients.ts";
 
 /**
- * How long a reader holds a question without news. Readers confirm the configuration more
- * often than this on most deployments, so that few questions come back with nothing.
+ * How long a reader holds a question without news. One of the readers confirms the
+ * configuration every 1.4 to 1.7 s and tells; what the others hold meanwhile should not
+ * come back with nothing. That a reader is gone shows by confirmations, not by this.
  */
-const WAIT_MS = 1_500;
+const WAIT_MS = 4_000;
 /** Wait for an answer beyond that; VMs stand a few milliseconds apart. */
 const GRACE_MS = 700;
 /** Pause after a reader did not answer. */
