--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -44,37 +44,55 @@
     .map(({ member }) => member);
 }
 
-/**
- * Returns the VMs that read the store for all others: all of a small fleet, a few relays of
- * a large one, in as many data centres as can be, but none that the store does not answer
- * while it answers others. Where it answers no relay, other VMs read. VMs that see the same
- * members agree.
- */
-export function storeReaders(
+/** Which VMs read the store, in what order; worked out once for the same members. */
+export interface ReaderRanks {
+  /** How many read; undefined where all do, as in a small fleet. */
+  readonly count: number | undefined;
+  /** Relays of all data centres, by turns; in a small fleet all VMs. */
+  readonly relays: readonly Member[];
+  /** VMs that read where the store answers no relay. */
+  readonly standbys: () => readonly Member[];
+}
+
+/** Ranks the VMs of a fleet as readers. VMs that see the same members agree. */
+export function rankReaders(
   members: readonly Member[],
-  { unitHash, hasLostStore }: {
-    unitHash: UnitHash;
-    hasLostStore: (vm: EntryId) => boolean;
-  },
-): Member[] {
+  { unitHash }: { unitHash: UnitHash },
+): ReaderRanks {
   const alive = members.filter(({ state }) => state === "alive");
-  if (isMesh(members)) return alive;
+  if (isMesh(members)) {
+    return { count: undefined, relays: alive, standbys: () => [] };
+  }
   const relays = rankedRelays(members, unitHash);
   const count = Math.max(
     FEWEST_READERS,
     Math.ceil(alive.length / VMS_PER_READER),
   );
+  const standbys = () =>
+    alive.filter((vm) => !relays.includes(vm))
+      .map((vm) => ({ vm, rank: unitHash(`reader/${vm.id}`) }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({ vm }) => vm);
+  return { count, relays, standbys };
+}
+
+/**
+ * Returns the VMs that read the store for all others: all of a small fleet, a few relays of
+ * a large one, in as many data centres as can be, but none that the store does not answer
+ * while it answers others. Where it answers no relay, other VMs read.
+ */
+export function storeReaders(
+  { count, relays, standbys }: ReaderRanks,
+  hasLostStore: (vm: EntryId) => boolean,
+): Member[] {
+  if (count === undefined) return [...relays];
   const answered = (vms: readonly Member[]) =>
-    vms.filter(({ id }) => !hasLostStore(id));
-  const readers = answered(relays).slice(0, count);
+    vms.filter(({ id }) => !hasLostStore(id)).slice(0, count);
+  const readers = answered(relays);
   if (readers.length > 0) return readers;
-  const others = alive.filter((vm) => !relays.includes(vm));
-  const standbys = answered(others)
-    .map((vm) => ({ vm, rank: unitHash(`reader/${vm.id}`) }))
-    .sort((a, b) => a.rank - b.rank)
-    .map(({ vm }) => vm);
+  const others = answered(standbys());
   // Where the store answers none, the first of all find out when it is back.
-  return (standbys.length > 0 ? standbys : relays).slice(0, count);
+  return others.length > 0 ? others : relays.slice(0, count);
 }
 
 /** Relays of all data centres, by turns. */
--- a/src/core/membership/fleet_relays_test.ts
+++ b/src/core/membership/fleet_relays_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { unitHash } from "../../runtime/hashing.ts";
 import type { DataCentreId, EntryId, Revision } from "../ids.ts";
-import { fleetRelays, storeReaders } from "./fleet_relays.ts";
+import { fleetRelays, rankReaders, storeReaders } from "./fleet_relays.ts";
 import type { Member } from "./member.ts";
 
 function fleetOf(count: number, changes: Partial<Member> = {}): Member[] {
@@ -63,7 +63,7 @@
   const readersIn = (
     members: readonly Member[],
     hasLostStore: (vm: EntryId) => boolean = () => false,
-  ) => storeReaders(members, { unitHash, hasLostStore });
+  ) => storeReaders(rankReaders(members, { unitHash }), hasLostStore);
 
   it("should be all VMs of a small fleet", () => {
     assert.equal(readersIn(fleetOf(12)).length, 12);
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -3,6 +3,8 @@
 import {
   fleetRelays,
   isMesh,
+  rankReaders,
+  type ReaderRanks,
   storeReaders,
 } from "../core/membership/fleet_relays.ts";
 import type { Member } from "../core/membership/member.ts";
@@ -60,6 +62,8 @@
   #meshed = true;
   #here: Member[] = [];
   #elsewhere: Member[] = [];
+  /** Kept while members stay: to rank 195 VMs in each round shows in a VM's processor time. */
+  #ranks: ReaderRanks | undefined;
   #readers: Member[] = [];
   #readAtMs = -Infinity;
   #heardAtMs = -Infinity;
@@ -164,6 +168,7 @@
   update(): void {
     const { storeSync, clock, logger } = this.#deps;
     const nowMs = clock.monotonicMs();
+    this.#refresh();
     this.#refreshReaders(nowMs);
     const access = this.#accessAt(nowMs);
     const before = storeSync.access;
@@ -198,16 +203,17 @@
   }
 
   #refreshReaders(nowMs: number): void {
-    const { memberTable, storeSync, unitHash } = this.#deps;
+    const { memberTable, storeSync } = this.#deps;
     const { self } = memberTable;
     if (storeSync.storeLost) this.#lostStoreAtMs.set(self.id, nowMs);
     for (const [vm, atMs] of this.#lostStoreAtMs) {
       if (nowMs - atMs > LOST_STORE_MS) this.#lostStoreAtMs.delete(vm);
     }
-    this.#readers = storeReaders([self, ...memberTable.others()], {
-      unitHash,
-      hasLostStore: (vm) => this.#lostStoreAtMs.has(vm),
-    });
+    if (this.#ranks === undefined) return;
+    this.#readers = storeReaders(
+      this.#ranks,
+      (vm) => this.#lostStoreAtMs.has(vm),
+    );
   }
 
   #refresh(): void {
@@ -223,6 +229,7 @@
     this.#meshed = isMesh(members);
     this.#here = relaysOf(self.data_centre);
     this.#elsewhere = [...dataCentres].flatMap(relaysOf);
+    this.#ranks = rankReaders(members, { unitHash });
     this.#refreshReaders(this.#deps.clock.monotonicMs());
   }
 
