--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -22,6 +22,7 @@
   DigestQuestion,
   VmDigest,
 } from "../protocol/digest_schema.ts";
+import { toldAgeMs } from "../protocol/store_schema.ts";
 import { BurstLog } from "../runtime/burst_log.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -42,9 +43,6 @@
 /** Counts are told with this many steps to one: the rest is noise on the wire. */
 const COUNT_STEPS = 100;
 
-/** Stands for "never", which JSON cannot say. */
-const MAX_AGE_MS = 1_000_000_000;
-
 interface Deps {
   readonly memberTable: MemberTable;
   readonly serverLoads: ServerLoads;
@@ -146,7 +144,7 @@
       storeLost: storeSync.storeLost,
       news,
       configurationVersion: confirmation.version,
-      confirmedAgeMs: Math.min(MAX_AGE_MS, Math.ceil(confirmation.ageMs)),
+      confirmedAgeMs: toldAgeMs(confirmation.ageMs),
       braked: [...releaseGate.brakedReleases()],
       ...told,
     };
--- a/src/fleet/store_feed.ts
+++ b/src/fleet/store_feed.ts
@@ -1,6 +1,10 @@
 /** Tells waiting VMs at once what this VM has read from the platform's store. */
 
-import type { FeedAnswer, FeedQuestion } from "../protocol/store_schema.ts";
+import {
+  type FeedAnswer,
+  type FeedQuestion,
+  toldAgeMs,
+} from "../protocol/store_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
@@ -10,8 +14,6 @@
  * comes as several events. Small beside the seconds in which changes must be in force.
  */
 const GATHER_MS = 25;
-/** Stands for "never", which JSON cannot say. */
-const MAX_AGE_MS = 1_000_000_000;
 
 interface Deps {
   readonly storeSync: StoreSync;
@@ -44,7 +46,7 @@
     return {
       store: storeSync.tell(known),
       configurationVersion: version,
-      confirmedAgeMs: Math.min(MAX_AGE_MS, Math.ceil(ageMs)),
+      confirmedAgeMs: toldAgeMs(ageMs),
       heldMs: Math.floor(clock.monotonicMs() - askedMs),
     };
   }
--- a/src/protocol/store_schema.ts
+++ b/src/protocol/store_schema.ts
@@ -2,6 +2,14 @@
 
 import * as z from "zod";
 
+/** Stands for "never", which JSON cannot say, in milliseconds. */
+const LONGEST_AGE_MS = 1_000_000_000;
+
+/** An age as VMs tell it, in milliseconds: rounded up, so that nothing seems newer than it is. */
+export function toldAgeMs(ageMs: number): number {
+  return Math.min(LONGEST_AGE_MS, Math.ceil(ageMs));
+}
+
 const objectSchema = z.object({
   name: z.string(),
   revision: z.number(),
