Let a reader that is served again read at once

Cause, by reading: a VM kept its own loss for 5 s after the store answered it again, while the others heard at once that it is served, and waited at it for news; its successors gave way after 2 s. For up to 3 s nobody read for them and relays stood in.

Test: fleet_relay_role_test, which waited 6 s and so missed it; now 0.4 s, failed first.

--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -205,7 +205,7 @@
   #refreshReaders(nowMs: number): void {
     const { memberTable, storeSync } = this.#deps;
     const { self } = memberTable;
-    if (storeSync.storeLost) this.#lostStoreAtMs.set(self.id, nowMs);
+    this.heardStore(self.id, { lost: storeSync.storeLost });
     for (const [vm, atMs] of this.#lostStoreAtMs) {
       if (nowMs - atMs > LOST_STORE_MS) this.#lostStoreAtMs.delete(vm);
     }
--- a/src/fleet/fleet_relay_role_test.ts
+++ b/src/fleet/fleet_relay_role_test.ts
@@ -133,8 +133,9 @@
     role.heardReader(nowMs);
     role.update();
     assert.equal(access, "listener");
+    // The others know at once that it is served again, and give way to it.
     storeLost = false;
-    nowMs += 6_000;
+    nowMs += 400;
     role.update();
     assert.equal(access, "reader");
   });
