--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -23,8 +23,8 @@
 /**
  * Addresses of the caller's own data centre for each one elsewhere, which keeps a caller
  * served that has lost its data centre before its answer runs out. Callers draw one by
- * chance: with all that fit, 56 in 100 requests of three data centres with 28 VMs each
- * began in another one, and their bytes crossed.
+ * chance: with all that fit, 36 of 64 addresses were elsewhere in a fleet with 28 VMs in
+ * each of three data centres, worked out, and the bytes of as many requests crossed.
  */
 const NEAR_FOR_EACH_FAR = 8;
 
