Keep one copy of the settings that tests of an entry's parts use

Cause: two tests spelt the same settings out.

Looked at and left: the lists of parts (Deps) and sets of imports that are alike in shape only; the roles in fleet_relay_role.ts (243 lines) want a class of their own for readers; the access that a VM has before it knows others is set at the start of the process, and belongs into StoreSync itself.

--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -16,7 +16,7 @@
 /**
  * VMs for each reader of the store. Each reader pays for every change, as it watches all
  * kinds; a reader too many costs calls, one too few only a rest of the relays that read
- * themselves for a while once all readers are lost.
+ * themselves for a while once all readers are lost. Not measured against other numbers.
  */
 const VMS_PER_READER = 60;
 /** Readers of a large fleet, at least, so that one can be lost without a change being late. */
--- a/src/entry/backend_selector_test.ts
+++ b/src/entry/backend_selector_test.ts
@@ -6,7 +6,7 @@
 import type { BackendId, RequestId, Revision, Sha256 } from "../core/ids.ts";
 import { TwoChoicesChooser } from "../core/routing/server_chooser.ts";
 import { ServerPool } from "../core/routing/server_pool.ts";
-import { settingsSchema } from "../protocol/settings_schema.ts";
+import { entrySettings } from "../../tests/fixtures/entry_settings.ts";
 import { Deadline } from "../runtime/deadline.ts";
 import { BackendSelector } from "./backend_selector.ts";
 
@@ -72,16 +72,7 @@
       freshness,
       serverPool: pool,
       serverChooser: new TwoChoicesChooser(pool, () => 0),
-      settings: settingsSchema.parse({
-        entry: { id: "e", data_centre: "d" },
-        listen: {
-          callers: "127.0.0.1:0",
-          peers: "127.0.0.1:0",
-          operators: "127.0.0.1:0",
-        },
-        platform: { url: "http://127.0.0.1:1" },
-        peers: {},
-      }),
+      settings: entrySettings(),
       clock: { monotonicMs: () => nowMs, wallMs: () => nowMs },
     });
     accept(1);
