Give no new work to evacuated data centres

Change: a follower of the kind, spread by readers and relays like the other kinds; the directory of servers takes no work for servers of the data centre, so first tries, repeats, larger models, continued streams and trials all pass it by; asked once more when a connection is up, before a byte is written. A VM that does not know the orders yet has no servers. Followed only where the settings bound the time, so that other deployments pay no call.

Weighed: filtering in the choice of server (each request pays, and trials and work off a release would have to filter too).

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -34,8 +34,8 @@
 
 /** What happens to a request that was sent. */
 export interface ExchangeListener {
-  /** Bytes of the request are about to be written. */
-  onSending(): void;
+  /** Bytes of the request are about to be written; returns whether they still may be. */
+  onSending(): boolean;
   onHead(status: number, headers: AnswerHeaders): void;
   onData(chunk: Buffer): void;
   /** The whole answer has arrived. */
@@ -200,9 +200,10 @@
       controller.abort(new Error("Request would be sent a second time"));
       return;
     }
-    this.#sent = true;
     this.#hooks.onController(controller);
-    this.#listener.onSending();
+    // Before the answer: an abort reports its error at once.
+    this.#sent = this.#listener.onSending();
+    if (!this.#sent) controller.abort(new Error("Request may not be sent now"));
   }
 
   onResponseStart(
--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -64,6 +64,8 @@
   readonly attempt: string | undefined;
   /** Whether to use a connection that has carried nothing before. */
   readonly fresh: boolean;
+  /** Asked when the connection is up, just before the first byte is written. */
+  readonly maySend: () => boolean;
   readonly sink: AnswerSink;
 }
 
@@ -127,8 +129,9 @@
     this.#connection.setPaused(false);
   }
 
-  onSending(): void {
-    this.#sent = true;
+  onSending(): boolean {
+    this.#sent = !this.#done && this.#input.maySend();
+    return this.#sent;
   }
 
   onHead(status: number, headers: AnswerHeaders): void {
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -29,7 +29,7 @@
 
 async function fixture(
   answer: (req: RawRequest) => void,
-  { verdict = "collect" as HeadVerdict, fresh = false } = {},
+  { verdict = "collect" as HeadVerdict, fresh = false, maySend = true } = {},
 ) {
   server = new RawServer(answer);
   const address = await server.listen();
@@ -50,6 +50,7 @@
       server: record,
       attempt,
       fresh,
+      maySend: () => maySend,
       request: {
         method: "POST",
         path: "/a/b?c=%2e",
@@ -75,6 +76,15 @@
 const WHOLE = `${head({ extra: "Content-Length: 2\r\n" })}\r\nok`;
 
 describe("a try at a backend server", () => {
+  it("should write nothing where the request may no longer go to its server", async () => {
+    const { send, server } = await fixture(
+      ({ socket }) => socket.write(WHOLE),
+      { maySend: false },
+    );
+    assert.equal((await send()).tag, "not_sent");
+    assert.equal(server.requests.length, 0);
+  });
+
   it("should return a whole answer and use the connection again", async () => {
     const { send, server } = await fixture(({ socket }) => socket.write(WHOLE));
     const outcome = await send();
--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -1,6 +1,6 @@
 /** Which backend servers there are, by the lagging list in the platform's store. */
 
-import type { InstanceId, ServiceId } from "../ids.ts";
+import type { DataCentreId, InstanceId, ServiceId } from "../ids.ts";
 import type { ServerRecord } from "./server_record.ts";
 
 /**
@@ -46,6 +46,7 @@
 /** All known servers. */
 export class ServerDirectory {
   readonly #rows = new Map<InstanceId, Row>();
+  readonly #evacuated = new Set<DataCentreId>();
   #byService = new Map<ServiceId, ServerRecord[]>();
 
   /** Servers of a service that take new work. */
@@ -58,6 +59,36 @@
     return this.#rows.get(instance)?.record;
   }
 
+  /** Whether a server takes new work now. */
+  isUsable(instance: InstanceId): boolean {
+    const row = this.#rows.get(instance);
+    return row !== undefined && this.#takesWork(row);
+  }
+
+  /** Data centres whose servers get no new work, whatever their own state. */
+  get evacuated(): ReadonlySet<DataCentreId> {
+    return this.#evacuated;
+  }
+
+  /** Servers of a data centre, whether or not they take new work. */
+  serversIn(dataCentre: DataCentreId): ServerRecord[] {
+    return [...this.#rows.values()]
+      .map(({ record }) => record)
+      .filter((record) => record.dataCentre === dataCentre);
+  }
+
+  /**
+   * Keeps new work from the servers of a data centre, or gives it to them again. What runs
+   * there goes on. Returns whether that is a change.
+   */
+  setEvacuated(dataCentre: DataCentreId, evacuated: boolean): boolean {
+    if (this.#evacuated.has(dataCentre) === evacuated) return false;
+    if (evacuated) this.#evacuated.add(dataCentre);
+    else this.#evacuated.delete(dataCentre);
+    this.#rebuild();
+    return true;
+  }
+
   /** Number of servers that are known. */
   get size(): number {
     return this.#rows.size;
@@ -125,6 +156,11 @@
     return [{ tag: "removed", server: row.record, reason: "misdirected" }];
   }
 
+  #takesWork({ record, misdirected }: Row): boolean {
+    return record.state === "ready" && !misdirected &&
+      !this.#evacuated.has(record.dataCentre);
+  }
+
   #drop(row: Row, reason: RemovalReason): DirectoryChange[] {
     this.#rows.delete(row.record.instance);
     this.#rebuild();
@@ -133,8 +169,9 @@
 
   #rebuild(): void {
     this.#byService = new Map();
-    for (const { record, misdirected } of this.#rows.values()) {
-      if (record.state !== "ready" || misdirected) continue;
+    for (const row of this.#rows.values()) {
+      if (!this.#takesWork(row)) continue;
+      const { record } = row;
       const servers = this.#byService.get(record.service) ?? [];
       servers.push(record);
       this.#byService.set(record.service, servers);
--- a/src/core/servers/server_directory_test.ts
+++ b/src/core/servers/server_directory_test.ts
@@ -80,4 +80,28 @@
     directory.put(record("a"));
     assert.deepEqual(namesOf(directory), ["a"]);
   });
+
+  it("should give no new work to an evacuated data centre until it returns", () => {
+    const south = "south" as DataCentreId;
+    const directory = new ServerDirectory();
+    directory.put(record("a"));
+    directory.put(record("b", { dataCentre: south }));
+    assert.equal(directory.setEvacuated(south, true), true);
+    assert.equal(directory.setEvacuated(south, true), false);
+    // Also a server that comes while the order holds.
+    directory.put(record("c", { dataCentre: south }));
+    assert.deepEqual(namesOf(directory), ["a"]);
+    assert.equal(directory.isUsable("b" as InstanceId), false);
+    assert.deepEqual(directory.serversIn(south).length, 2);
+    directory.setEvacuated(south, false);
+    assert.deepEqual(namesOf(directory), ["a", "b", "c"]);
+  });
+
+  it("should use no server where all data centres are evacuated", () => {
+    const directory = new ServerDirectory();
+    directory.put(record("a"));
+    directory.setEvacuated("north" as DataCentreId, true);
+    assert.deepEqual(namesOf(directory), []);
+    assert.notEqual(directory.get("a" as InstanceId), undefined);
+  });
 });
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -38,6 +38,7 @@
 import { type Clock, SystemClock } from "../runtime/clock.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import type { Logger } from "../runtime/logger.ts";
+import { EvacuationFollower } from "../store/evacuation_follower.ts";
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
 import { ServerFollower } from "../store/server_follower.ts";
@@ -76,6 +77,7 @@
   readonly routingFollower: RoutingFollower;
   readonly serverFollower: ServerFollower;
   readonly rollOutFollower: RollOutFollower;
+  readonly evacuationFollower: EvacuationFollower;
   readonly backendConnections: BackendConnections;
   readonly serverLoads: ServerLoads;
   readonly silenceWatch: SilenceWatch;
@@ -207,6 +209,7 @@
     routingFollower: one(RoutingFollower),
     serverFollower: one(ServerFollower),
     rollOutFollower: one(RollOutFollower),
+    evacuationFollower: one(EvacuationFollower),
     trialFollower: one(TrialFollower),
     trialController: one(TrialController),
     storeSync: one(StoreSync),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -37,6 +37,7 @@
     parts.storeSync.setAccess("reader");
     parts.routingFollower.start();
     parts.rollOutFollower.start();
+    parts.evacuationFollower.start();
     parts.serverFollower.start();
     parts.serverFollower.onRemoved(({ instance }) => {
       parts.backendConnections.drop(instance);
@@ -97,6 +98,7 @@
     const parts = this.#parts;
     parts.trialController.stop();
     parts.trialFollower.stop();
+    parts.evacuationFollower.stop();
     parts.rollOutFollower.stop();
     parts.serverFollower.stop();
     parts.routingFollower.stop();
--- a/src/gateway/readiness.ts
+++ b/src/gateway/readiness.ts
@@ -1,5 +1,6 @@
 /** Whether callers should be sent to this VM. */
 
+import type { EvacuationFollower } from "../store/evacuation_follower.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
 import type { StopState } from "./stop_state.ts";
@@ -7,6 +8,7 @@
 interface Deps {
   readonly routingFollower: RoutingFollower;
   readonly rollOutFollower: RollOutFollower;
+  readonly evacuationFollower: EvacuationFollower;
   readonly stopState: StopState;
 }
 
@@ -20,8 +22,9 @@
 
   /** Whether requests can be served here. */
   isReady(): boolean {
-    const { routingFollower, rollOutFollower, stopState } = this.#deps;
+    const { routingFollower, rollOutFollower, evacuationFollower, stopState } =
+      this.#deps;
     return routingFollower.table !== undefined && rollOutFollower.ready &&
-      !stopState.stopping;
+      evacuationFollower.ready && !stopState.stopping;
   }
 }
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -19,6 +19,7 @@
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { CallerHead } from "../platform/header_wire.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import type { EvacuationFollower } from "../store/evacuation_follower.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
 import type { Clock } from "../runtime/clock.ts";
 
@@ -28,6 +29,7 @@
   readonly releaseGate: ReleaseGate;
   readonly releaseChoice: ReleaseChoice;
   readonly rollOutFollower: RollOutFollower;
+  readonly evacuationFollower: EvacuationFollower;
   readonly affinityChoice: AffinityChoice;
   readonly promptHolders: PromptHolders;
   readonly clock: Clock;
@@ -102,7 +104,8 @@
   /** Sets of servers to choose from, the best set first. */
   #candidates({ service, head }: Selection): (readonly ServerRecord[])[] {
     const { serverDirectory, releaseGate, rollOutFollower } = this.#deps;
-    if (!rollOutFollower.ready) return [];
+    const { evacuationFollower } = this.#deps;
+    if (!rollOutFollower.ready || !evacuationFollower.ready) return [];
     const nowMs = this.#deps.clock.monotonicMs();
     const servers = serverDirectory.usable(service);
     return this.#deps.releaseChoice.choose({
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -12,6 +12,7 @@
 import type { ServerProbe } from "../backends/server_probe.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import { mayRunAgain } from "../core/routes/route.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
@@ -37,6 +38,7 @@
 /** What all senders share. */
 export interface TrySenderDeps {
   readonly serverSelector: ServerSelector;
+  readonly serverDirectory: ServerDirectory;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
@@ -135,7 +137,7 @@
 
   /** Sends the request; resolves when the try has ended. */
   async send(server: ServerRecord, terms: TryTerms): Promise<TryOutcome> {
-    const { backendConnections, tryObserver } = this.#deps;
+    const { backendConnections, tryObserver, serverDirectory } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, terms.admitted);
     this.#tries.push(observed.record);
@@ -147,6 +149,8 @@
       attempt: exchange.head.attempt,
       // What must not run twice is not risked on a connection that may just be closing.
       fresh: !mayRunAgain(terms.admitted.route),
+      // Its server may have been drained or evacuated while the connection came up.
+      maySend: () => serverDirectory.isUsable(server.instance),
       sink: {
         judge: (head) => {
           observed.record.confidence = head.decoded.confidence;
--- a/src/platform/vm_settings_wire.ts
+++ b/src/platform/vm_settings_wire.ts
@@ -77,6 +77,11 @@
   readonly rollbackMs: number;
   /** Pause after which requests no longer belong to the same session. */
   readonly sessionGapMs: number;
+  /**
+   * From the order to evacuate a data centre until its servers get no new work; undefined
+   * where no data centre is ever evacuated.
+   */
+  readonly evacuationMs: number | undefined;
   /** Longest time for which callers keep a list of addresses. */
   readonly maxAddressTtlMs: number;
 }
@@ -100,6 +105,7 @@
   ExposureAllowance: z.number().min(0).default(10),
   RollbackMs: millis(5_000),
   SessionS: seconds(5),
+  EvacuationMs: z.number().min(0).optional(),
   ttl_max_s: seconds(5),
 });
 
@@ -196,6 +202,7 @@
     trialAllowance: wire.ExposureAllowance,
     rollbackMs: wire.RollbackMs,
     sessionGapMs: wire.SessionS,
+    evacuationMs: wire.EvacuationMs,
     maxAddressTtlMs: wire.ttl_max_s,
   };
 }
--- /dev/null
+++ b/src/store/evacuation_follower.ts
@@ -0,0 +1,111 @@
+/** Follows orders to evacuate data centres. */
+
+import type { DataCentreId } from "../core/ids.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import {
+  decodeEvacuation,
+  EVACUATION_KIND,
+} from "../platform/evacuation_wire.ts";
+import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
+import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { KindListener } from "./kind_listener.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+
+/** Called with the servers of a data centre that takes new work again. */
+export type ReturnListener = (servers: readonly ServerRecord[]) => void;
+
+interface Deps {
+  readonly objectStore: ObjectStore;
+  readonly storeHealth: StoreHealthKeeper;
+  readonly serverDirectory: ServerDirectory;
+  readonly bounds: DeploymentBounds;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly chance: () => number;
+}
+
+/**
+ * Keeps new work from the servers of evacuated data centres. An order stays in force until
+ * it is known to be taken back, also while the store is away.
+ */
+export class EvacuationFollower implements KindListener {
+  readonly #deps: Deps;
+  /** Its copy of the kind, to exchange with other VMs. */
+  readonly follower: KindFollower;
+  readonly #listeners: ReturnListener[] = [];
+  #listedOnce = false;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.follower = new KindFollower(deps, {
+      kind: EVACUATION_KIND,
+      listener: this,
+    });
+  }
+
+  /**
+   * Whether data centres are ever evacuated in this deployment. Where they are not, the kind
+   * is not read: each VM's first list of it and each reader's watch would be paid for nothing.
+   */
+  get followed(): boolean {
+    return this.#deps.bounds.evacuationMs !== undefined;
+  }
+
+  /** Whether the orders are known; before that, no server may be given work. */
+  get ready(): boolean {
+    return this.#listedOnce || !this.followed;
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    if (this.followed) this.follower.start();
+  }
+
+  /** Stops to follow. */
+  stop(): void {
+    this.follower.stop();
+  }
+
+  /** Registers a listener for data centres that take new work again. */
+  onReturn(listener: ReturnListener): void {
+    this.#listeners.push(listener);
+  }
+
+  listed(objects: readonly StoredObject[]): void {
+    this.#listedOnce = true;
+    for (const object of objects) this.changed(object);
+  }
+
+  changed({ name, revision }: StoredObject): void {
+    const dataCentre = decodeEvacuation(name);
+    if (!this.#deps.serverDirectory.setEvacuated(dataCentre, true)) return;
+    this.#log("Data centre is evacuated", { dataCentre, revision });
+  }
+
+  deleted({ name, revision }: StoredObject): void {
+    const { serverDirectory } = this.#deps;
+    const dataCentre = decodeEvacuation(name);
+    if (!serverDirectory.setEvacuated(dataCentre, false)) return;
+    this.#log("Data centre takes new work again", { dataCentre, revision });
+    const servers = serverDirectory.serversIn(dataCentre);
+    for (const listener of this.#listeners) listener(servers);
+  }
+
+  #log(
+    message: string,
+    { dataCentre, revision }: { dataCentre: DataCentreId; revision: number },
+  ): void {
+    const { serverDirectory, storeHealth, logger } = this.#deps;
+    logger.info(message, {
+      data_centre: dataCentre,
+      revision,
+      servers: serverDirectory.serversIn(dataCentre).length,
+      evacuated: [...serverDirectory.evacuated].join(","),
+      store_lost_here: storeHealth.lostHere,
+    });
+  }
+}
--- a/src/store/store_sync.ts
+++ b/src/store/store_sync.ts
@@ -3,6 +3,7 @@
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import type { ToldChanges, ToldStore } from "../protocol/store_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { EvacuationFollower } from "./evacuation_follower.ts";
 import type { KindFollower } from "./kind_follower.ts";
 import type { RollOutFollower } from "./roll_out_follower.ts";
 import type { RoutingFollower } from "./routing_follower.ts";
@@ -16,6 +17,7 @@
   readonly serverFollower: ServerFollower;
   readonly rollOutFollower: RollOutFollower;
   readonly trialFollower: TrialFollower;
+  readonly evacuationFollower: EvacuationFollower;
   readonly releaseGate: ReleaseGate;
   readonly storeHealth: StoreHealthKeeper;
   readonly clock: Clock;
@@ -34,6 +36,9 @@
       deps.serverFollower.follower,
       deps.rollOutFollower.follower,
       deps.trialFollower.follower,
+      ...(deps.evacuationFollower.followed
+        ? [deps.evacuationFollower.follower]
+        : []),
     ];
     deps.rollOutFollower.onChange(() => this.#accessTrials());
     this.#accessTrials();
@@ -47,10 +52,16 @@
   /** Begins or ends to ask the store itself. */
   setAccess(access: StoreAccess): void {
     this.#access = access;
-    const { routingFollower, serverFollower, rollOutFollower } = this.#deps;
+    const {
+      routingFollower,
+      serverFollower,
+      rollOutFollower,
+      evacuationFollower,
+    } = this.#deps;
     routingFollower.setAccess(access);
     serverFollower.follower.setAccess(access);
     rollOutFollower.follower.setAccess(access);
+    evacuationFollower.follower.setAccess(access);
     this.#accessTrials();
   }
 
