Keep cold backend servers from more than they bear, over all VMs together

Cause: servers that have started during traffic, or have been evacuated, bear few requests for some seconds and tell so; nothing here read it. Servers with nothing to do looked best to each VM by itself.

Change: what servers tell is decoded, and presumed after an evacuation. Trials begin on warm servers. Callers that find all servers cold are told when one will be warm.

Ruled out: an equal share of each of 65 VMs (0.2 requests a second, so either no first request or 65 at once); counts told in digests (0.8 s late for a bound by the second).

--- a/bench/choice_cost.ts
+++ b/bench/choice_cost.ts
@@ -71,5 +71,6 @@
     release: "v1" as ReleaseId,
     slots: 64,
     state: "ready",
+    coldForMs: 0,
   };
 }
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -42,6 +42,7 @@
     release: "v1" as ReleaseId,
     slots: 6,
     state: "ready",
+    coldForMs: 0,
   };
   const streamed: string[] = [];
   const pool = connections;
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -11,7 +11,11 @@
   | { readonly tag: "malformed"; readonly reason: string }
   | { readonly tag: "stopping" }
   /** No server of the service takes new work. */
-  | { readonly tag: "no_server" }
+  | {
+    readonly tag: "no_server";
+    /** When one that is cold will be warm, in milliseconds, if all that are there are cold. */
+    readonly warmInMs?: number;
+  }
   /** Every server that was asked said that it did not run the request. */
   | { readonly tag: "servers_full"; readonly asked: number }
   /** Nothing was sent, and the time is up. */
@@ -55,7 +59,7 @@
     case "no_server":
       return notRun(
         "No server takes this request now; come back",
-        SERVER_LIST_MS,
+        refusal.warmInMs ?? SERVER_LIST_MS,
       );
     case "servers_full":
       return notRun(
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -37,6 +37,7 @@
     release,
     slots: 8,
     state: "ready",
+    coldForMs: 0,
   };
 }
 
--- a/src/core/routes/route.ts
+++ b/src/core/routes/route.ts
@@ -62,6 +62,14 @@
   readonly models: readonly PricedModel[];
 }
 
+/** How servers begin that have just started, or have turned cold. */
+export interface Warmup {
+  /** How long a server stays cold, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests that a cold server bears from all VMs together. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service behind routes. */
 export interface Service {
   readonly id: ServiceId;
@@ -69,6 +77,8 @@
   readonly maxConnections: number;
   /** Set where the servers run models. */
   readonly engine: EngineProfile | undefined;
+  /** Undefined where servers bear all their work from the start. */
+  readonly warmup: Warmup | undefined;
 }
 
 /** A client account and its keys. */
--- a/src/core/routing/affinity_choice_test.ts
+++ b/src/core/routing/affinity_choice_test.ts
@@ -18,6 +18,7 @@
     release: "v1" as ReleaseId,
     slots: 8,
     state: "ready",
+    coldForMs: 0,
   }),
 );
 
--- a/src/core/routing/hash_ring.ts
+++ b/src/core/routing/hash_ring.ts
@@ -2,7 +2,7 @@
 
 import type { UnitHash } from "./version_choice.ts";
 
-/** Points of each server: the busiest of 13 gets 1.3 times the mean of keys, of 62 1.5 times. */
+/** Points of each server by default: the busiest of 13 gets 1.3 times the mean of keys, of 62 1.5 times. */
 const POINTS = 24;
 /** Servers whose points are kept; more than there are at once. */
 const MOST_SERVERS = 4_096;
@@ -10,10 +10,12 @@
 /** A circle of length 1 on which keys and servers stand. */
 export class HashRing {
   readonly #unitHash: UnitHash;
+  readonly #pointCount: number;
   readonly #points = new Map<string, readonly number[]>();
 
-  constructor(unitHash: UnitHash) {
+  constructor(unitHash: UnitHash, { points = POINTS } = {}) {
     this.#unitHash = unitHash;
+    this.#pointCount = points;
   }
 
   /** The first servers that follow the key, nearest first. */
@@ -50,7 +52,7 @@
     if (known !== undefined) return known;
     if (this.#points.size >= MOST_SERVERS) this.#points.clear();
     const points = Array.from(
-      { length: POINTS },
+      { length: this.#pointCount },
       (_, n) => this.#unitHash(`${id}/${n}`),
     ).sort((a, b) => a - b);
     this.#points.set(id, points);
--- a/src/core/routing/herd_test.ts
+++ b/src/core/routing/herd_test.ts
@@ -26,6 +26,7 @@
     release: "v1" as ReleaseId,
     slots: 64,
     state: "ready",
+    coldForMs: 0,
   }),
 );
 
--- /dev/null
+++ b/src/core/servers/cold_servers_test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { InstanceId } from "../ids.ts";
+import { ColdServers } from "./cold_servers.ts";
+
+const SERVER = "i-1" as InstanceId;
+
+describe("cold servers", () => {
+  it("should take a server as cold for as long as it tells", () => {
+    const servers = new ColdServers();
+    assert.equal(servers.note(SERVER, 3_000, 100), true);
+    assert.equal(servers.leftMs(SERVER, 1_100), 2_000);
+    assert.equal(servers.leftMs(SERVER, 3_100), 0);
+    assert.equal(servers.count(3_100), 0);
+  });
+
+  it("should not take a server as warm by word from before it turned cold", () => {
+    const servers = new ColdServers();
+    servers.note(SERVER, 3_000, 0);
+    assert.equal(servers.note(SERVER, 0, 1_000), false);
+    assert.equal(servers.note(SERVER, 500, 1_000), false);
+    assert.equal(servers.leftMs(SERVER, 1_000), 2_000);
+  });
+
+  it("should take a server as cold anew that has turned cold again", () => {
+    const servers = new ColdServers();
+    servers.note(SERVER, 3_000, 0);
+    assert.equal(servers.note(SERVER, 3_000, 10_000), true);
+    assert.equal(servers.count(10_000), 1);
+  });
+});
--- a/src/core/servers/server_directory_test.ts
+++ b/src/core/servers/server_directory_test.ts
@@ -17,6 +17,7 @@
     release: "v1" as ReleaseId,
     slots: 6,
     state: "ready",
+    coldForMs: 0,
     ...patch,
   };
 }
--- a/src/core/servers/server_record.ts
+++ b/src/core/servers/server_record.ts
@@ -15,4 +15,6 @@
   readonly release: ReleaseId;
   readonly slots: number;
   readonly state: ServerState;
+  /** How long the server stayed cold as it wrote this, in milliseconds; 0 when it was warm. */
+  readonly coldForMs: number;
 }
--- /dev/null
+++ b/src/gateway/cold_server_guard.ts
@@ -0,0 +1,90 @@
+/** Keeps cold backend servers from more work than they bear. */
+
+import type { InstanceId, ServiceId } from "../core/ids.ts";
+import type { Warmup } from "../core/routes/route.ts";
+import type { ColdAdmission } from "../core/routing/cold_admission.ts";
+import type { ColdServers } from "../core/servers/cold_servers.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
+
+interface Deps {
+  readonly coldServers: ColdServers;
+  readonly coldAdmission: ColdAdmission;
+  readonly serverDirectory: ServerDirectory;
+  readonly routingFollower: RoutingFollower;
+  readonly clock: Clock;
+}
+
+/** Joins what servers tell, what services bear, and what this VM may send. */
+export class ColdServerGuard {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /**
+   * Takes servers as cold that are given work again after an evacuation: they may have been
+   * restarted meanwhile, and their own word of it may still be on its way.
+   */
+  presumeCold(servers: readonly ServerRecord[]): void {
+    const { coldServers, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    for (const { instance, service } of servers) {
+      const { durationMs = 0 } = this.#warmup(service) ?? {};
+      coldServers.note(instance, durationMs, nowMs);
+    }
+  }
+
+  /** Servers of a service that bear a request of this VM now. */
+  bearing(
+    service: ServiceId,
+    servers: readonly ServerRecord[],
+  ): readonly ServerRecord[] {
+    const { coldServers, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    const warmup = this.#warmup(service);
+    if (warmup === undefined || coldServers.count(nowMs) === 0) return servers;
+    return servers.filter(({ instance }) =>
+      this.#bears(instance, { warmup, nowMs })
+    );
+  }
+
+  /** Milliseconds until a service has a warm server; undefined if it has one, or none at all. */
+  warmInMs(service: ServiceId): number | undefined {
+    const { serverDirectory, coldServers, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    const leftMs = serverDirectory.usable(service)
+      .map(({ instance }) => coldServers.leftMs(instance, nowMs));
+    const first = Math.min(...leftMs);
+    return first > 0 && first < Infinity ? first : undefined;
+  }
+
+  /** Whether a server is cold now. */
+  isCold({ instance }: ServerRecord): boolean {
+    const { coldServers, clock } = this.#deps;
+    return coldServers.leftMs(instance, clock.monotonicMs()) > 0;
+  }
+
+  /** Counts a request that is about to be sent, if its server is cold. */
+  sending(server: ServerRecord): void {
+    if (!this.isCold(server)) return;
+    const { coldAdmission, clock } = this.#deps;
+    coldAdmission.sent(server.instance, clock.monotonicMs());
+  }
+
+  #bears(
+    instance: InstanceId,
+    { warmup, nowMs }: { warmup: Warmup; nowMs: number },
+  ): boolean {
+    const { coldServers, coldAdmission } = this.#deps;
+    if (coldServers.leftMs(instance, nowMs) === 0) return true;
+    return coldAdmission.mayTake(instance, warmup, nowMs);
+  }
+
+  #warmup(service: ServiceId): Warmup | undefined {
+    return this.#deps.routingFollower.table?.service(service)?.warmup;
+  }
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -20,8 +20,10 @@
 import { TrialJudge } from "../core/rollout/trial_judge.ts";
 import { SessionBook } from "../core/rollout/session_book.ts";
 import { ProbeOrder } from "../core/membership/probe_order.ts";
+import { ColdAdmission } from "../core/routing/cold_admission.ts";
 import { PromptHolders } from "../core/routing/prompt_holders.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
+import { ColdServers } from "../core/servers/cold_servers.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { SilenceWatch } from "../core/servers/silence.ts";
 import { ReadPace } from "../core/servers/read_pace.ts";
@@ -47,6 +49,7 @@
 import { TrialFollower } from "../store/trial_follower.ts";
 import { StoreHealthKeeper } from "../store/store_health.ts";
 import { AddressList } from "./address_list.ts";
+import { ColdServerGuard } from "./cold_server_guard.ts";
 import { ControlServer } from "./control_server.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { Readiness } from "./readiness.ts";
@@ -80,6 +83,8 @@
   readonly evacuationFollower: EvacuationFollower;
   readonly backendConnections: BackendConnections;
   readonly serverLoads: ServerLoads;
+  readonly coldServerGuard: ColdServerGuard;
+  readonly coldAdmission: ColdAdmission;
   readonly silenceWatch: SilenceWatch;
   readonly serverProbe: ServerProbe;
   readonly trialFollower: TrialFollower;
@@ -174,6 +179,8 @@
       new SessionBook(bounds.sessionGapMs + SESSION_MARGIN_MS),
     ),
     probeOrder: asFunction(({ chance }) => new ProbeOrder(chance)).singleton(),
+    coldServers: asFunction(() => new ColdServers()).singleton(),
+    coldAdmission: one(ColdAdmission),
     promptHolders: one(PromptHolders),
     affinityChoice: one(AffinityChoice),
     repeatBudget: asValue(
@@ -231,6 +238,7 @@
     stopState: one(StopState),
     readiness: one(Readiness),
     addressList: one(AddressList),
+    coldServerGuard: one(ColdServerGuard),
     serverSelector: one(ServerSelector),
     requestAdmission: one(RequestAdmission),
     tryObserver: one(TryObserver),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -41,10 +41,14 @@
     parts.serverFollower.start();
     parts.serverFollower.onRemoved(({ instance }) => {
       parts.backendConnections.drop(instance);
+      parts.coldAdmission.forget(instance);
       parts.serverLoads.forget(instance);
       parts.silenceWatch.forgetLongSilent(parts.clock.monotonicMs());
       parts.serverProbe.forget(instance);
     });
+    parts.evacuationFollower.onReturn((servers) =>
+      parts.coldServerGuard.presumeCold(servers)
+    );
     parts.routingFollower.onChange(({ configuration, version }) => {
       parts.requestServer.setLimits(configuration.limits);
       parts.memberTable.setOwnRevision(version as Revision);
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -264,7 +264,8 @@
   async #noServer(reason?: string): Promise<Next> {
     const owed = this.#exchange.state === "begun" || this.#leftRunning;
     if (!owed || !this.#tally.noteWait()) {
-      return this.#finish(this.#tally.noServerRefusal(reason));
+      const warmInMs = this.#deps.coldServerGuard.warmInMs(this.#service);
+      return this.#finish(this.#tally.noServerRefusal({ reason, warmInMs }));
     }
     await pause(PLACE_PAUSE_MS);
     return "again";
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -61,10 +61,19 @@
   }
 
   /** Why the request ends where no server takes it. */
-  noServerRefusal(reason = "no further server takes it"): Refusal {
+  noServerRefusal(
+    { reason = "no further server takes it", warmInMs }: {
+      reason?: string;
+      /** Milliseconds until a server of the service is warm, if all are cold. */
+      warmInMs?: number;
+    } = {},
+  ): Refusal {
     if (this.#mayHaveRun) return { tag: "answer_lost", reason };
     const asked = this.#refusals + this.#unsent;
-    return asked > 0 ? { tag: "servers_full", asked } : { tag: "no_server" };
+    if (asked > 0) return { tag: "servers_full", asked };
+    return warmInMs === undefined
+      ? { tag: "no_server" }
+      : { tag: "no_server", warmInMs };
   }
 
   /** Why the request ends where its time is up. */
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -21,11 +21,13 @@
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { EvacuationFollower } from "../store/evacuation_follower.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
+import type { ColdServerGuard } from "./cold_server_guard.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 interface Deps {
   readonly vmSettings: VmSettings;
   readonly serverDirectory: ServerDirectory;
+  readonly coldServerGuard: ColdServerGuard;
   readonly releaseGate: ReleaseGate;
   readonly releaseChoice: ReleaseChoice;
   readonly rollOutFollower: RollOutFollower;
@@ -104,13 +106,17 @@
   /** Sets of servers to choose from, the best set first. */
   #candidates({ service, head }: Selection): (readonly ServerRecord[])[] {
     const { serverDirectory, releaseGate, rollOutFollower } = this.#deps;
-    const { evacuationFollower } = this.#deps;
+    const { evacuationFollower, coldServerGuard } = this.#deps;
     if (!rollOutFollower.ready || !evacuationFollower.ready) return [];
     const nowMs = this.#deps.clock.monotonicMs();
     const servers = serverDirectory.usable(service);
+    const { stable, trial } = releaseGate.split(service, { servers, nowMs });
     return this.#deps.releaseChoice.choose({
       service,
-      allowed: releaseGate.split(service, { servers, nowMs }),
+      allowed: {
+        stable: coldServerGuard.bearing(service, stable),
+        trial: coldServerGuard.bearing(service, trial),
+      },
       share: releaseGate.trialShare(service),
       session: sessionOf(head),
       requestKey: head.attempt ?? "",
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -22,6 +22,7 @@
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
 import type { TrialFollower } from "../store/trial_follower.ts";
+import type { ColdServerGuard } from "./cold_server_guard.ts";
 import type { StopState } from "./stop_state.ts";
 
 /** Time between looks at the evidence; a bad release answers every few of these. */
@@ -38,6 +39,7 @@
   readonly memberTable: MemberTable;
   readonly serverDirectory: ServerDirectory;
   readonly serverLoads: ServerLoads;
+  readonly coldServerGuard: ColdServerGuard;
   readonly rollOutFollower: RollOutFollower;
   readonly trialFollower: TrialFollower;
   readonly stopState: StopState;
@@ -142,7 +144,8 @@
     order: RollOutOrder,
     { watch, judgement }: { watch: Watch; judgement: Judgement },
   ): PlanStep | { readonly tag: "begin" } {
-    const { releaseGate, serverDirectory, clock, bounds } = this.#deps;
+    const { releaseGate, serverDirectory, coldServerGuard, clock, bounds } =
+      this.#deps;
     const { service, release, limitMs } = order;
     const { verdict, stepVerdict, trialAnswers, allAnswers } = judgement;
     if (releaseGate.isBraked({ service, release })) return { tag: "roll_back" };
@@ -166,7 +169,10 @@
         share: bounds.trialShare,
         allowance: bounds.trialAllowance,
       },
-      hasServers: servers.some((server) => server.release === release),
+      // Cold ones bear little, and their answers would speak of that.
+      hasServers: servers.some((server) =>
+        server.release === release && !coldServerGuard.isCold(server)
+      ),
       oldWorkMs: this.#workOffRelease(order),
     });
   }
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -23,6 +23,7 @@
 import { encodeBackendRequest } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import type { ColdServerGuard } from "./cold_server_guard.ts";
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
 import type { ServerSelector } from "./server_selector.ts";
@@ -39,6 +40,7 @@
 export interface TrySenderDeps {
   readonly serverSelector: ServerSelector;
   readonly serverDirectory: ServerDirectory;
+  readonly coldServerGuard: ColdServerGuard;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
@@ -137,11 +139,17 @@
 
   /** Sends the request; resolves when the try has ended. */
   async send(server: ServerRecord, terms: TryTerms): Promise<TryOutcome> {
-    const { backendConnections, tryObserver, serverDirectory } = this.#deps;
+    const {
+      backendConnections,
+      tryObserver,
+      serverDirectory,
+      coldServerGuard,
+    } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, terms.admitted);
     this.#tries.push(observed.record);
     this.#tried.add(server.instance);
+    coldServerGuard.sending(server);
     tryObserver.began(observed);
     this.#current = new BackendTry(backendConnections, {
       server,
--- a/src/gateway/work_predictor_test.ts
+++ b/src/gateway/work_predictor_test.ts
@@ -11,6 +11,7 @@
 const SERVICE: Service = {
   id: "inspect" as ServiceId,
   maxConnections: 64,
+  warmup: undefined,
   engine: {
     slots: 64,
     cacheTokens: 400_000,
--- a/src/platform/routing_wire.ts
+++ b/src/platform/routing_wire.ts
@@ -22,6 +22,7 @@
 export const CONFIGURATION_NAME = "main";
 
 const DEFAULT_RUNS = 1;
+const MS_PER_SECOND = 1_000;
 /** Limits where a configuration names none; the users' example has these. */
 const DEFAULT_LIMITS = {
   MaxHeaderBytes: 16_384,
@@ -62,6 +63,8 @@
 const serviceSchema = z.object({
   Name: z.string(),
   MaxConnections: z.int().min(1).default(64),
+  WarmupS: z.number().min(0).default(0),
+  WarmupPerS: z.number().min(0).default(0),
   Engine: optional(z.object({
     Slots: z.int().min(1),
     KvCapacityTokens: z.number().min(0).default(0),
@@ -144,6 +147,12 @@
   return {
     id: wire.Name as ServiceId,
     maxConnections: wire.MaxConnections,
+    warmup: wire.WarmupS > 0 && wire.WarmupPerS > 0
+      ? {
+        durationMs: wire.WarmupS * MS_PER_SECOND,
+        requestsPerSecond: wire.WarmupPerS,
+      }
+      : undefined,
     engine: wire.Engine === undefined ? undefined : {
       slots: wire.Engine.Slots,
       cacheTokens: wire.Engine.KvCapacityTokens,
--- a/src/platform/server_wire.ts
+++ b/src/platform/server_wire.ts
@@ -21,6 +21,7 @@
   Version: z.string().default(""),
   Slots: z.number().min(0).default(1),
   State: z.string().default("ready"),
+  WarmupLeftMs: z.number().min(0).default(0),
 });
 
 /** Decodes an entry; the name of its object is the instance. */
@@ -42,5 +43,6 @@
     release: wire.Version as ReleaseId,
     slots: wire.Slots,
     state: wire.State === "ready" ? "ready" : "draining",
+    coldForMs: wire.WarmupLeftMs,
   });
 }
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -1,6 +1,7 @@
 /** Follows the list of backend servers. */
 
 import type { InstanceId } from "../core/ids.ts";
+import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type {
   DirectoryChange,
   ServerDirectory,
@@ -26,6 +27,7 @@
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
   readonly serverDirectory: ServerDirectory;
+  readonly coldServers: ColdServers;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly chance: () => number;
@@ -41,6 +43,10 @@
     one: (change) => this.#logOne(change),
     many: (changes) => this.#logMany(changes),
   });
+  readonly #coldNews = new BurstLog<ServerRecord>({
+    one: (server) => this.#logCold([server]),
+    many: (servers) => this.#logCold(servers),
+  });
   #timer: NodeJS.Timeout | undefined;
 
   constructor(deps: Deps) {
@@ -65,6 +71,7 @@
   stop(): void {
     clearInterval(this.#timer);
     this.#news.flush();
+    this.#coldNews.flush();
     this.follower.stop();
   }
 
@@ -80,12 +87,14 @@
 
   listed(objects: readonly StoredObject[]): void {
     const records = objects.flatMap((object) => this.#decode(object));
+    for (const record of records) this.#noteCold(record);
     const { serverDirectory } = this.#deps;
     this.#note(serverDirectory.replaceAll(records, this.#at()));
   }
 
   changed(object: StoredObject): void {
     for (const record of this.#decode(object)) {
+      this.#noteCold(record);
       this.#note(this.#deps.serverDirectory.put(record));
     }
   }
@@ -95,6 +104,13 @@
     this.#note(this.#deps.serverDirectory.remove(instance, this.#at()));
   }
 
+  #noteCold(record: ServerRecord): void {
+    const { coldServers, clock } = this.#deps;
+    const { instance, coldForMs } = record;
+    if (!coldServers.note(instance, coldForMs, clock.monotonicMs())) return;
+    this.#coldNews.note([record]);
+  }
+
   #at() {
     const { storeHealth, clock } = this.#deps;
     return { health: storeHealth.health, nowMs: clock.monotonicMs() };
@@ -117,6 +133,15 @@
     }
   }
 
+  #logCold(servers: readonly ServerRecord[]): void {
+    this.#deps.logger.info("Servers are cold", {
+      servers: servers.map(({ instance }) => instance).join(","),
+      service: servers[0]?.service,
+      data_centre: servers[0]?.dataCentre,
+      longest_ms: Math.max(...servers.map(({ coldForMs }) => coldForMs)),
+    });
+  }
+
   #logOne(change: DirectoryChange): void {
     this.#deps.logger.info("Server list changed", {
       change: change.tag,
