Send no request on whose caller has left while this VM was behind

Cause: a VM that is behind (after a loss of all VMs, callers come back to cold code) reads a request long after it came, and in the same bytes' wake that its caller has closed the connection; it sent the request on first and read the end a turn of the loop later.

Change: once a request is read, the loop looks at its connections once more, and a caller whose end has been read counts as gone.

Ruled out: judging by the time that the VM was behind (a guess of the request's age, where the end of the connection tells exactly).

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -12,6 +12,7 @@
   ownAnswerHeaders,
 } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { nextTurn } from "../runtime/next_turn.ts";
 
 /** How the answer stands. */
 export type AnswerState = "none" | "begun" | "ended" | "cut" | "caller_gone";
@@ -113,6 +114,18 @@
     });
   }
 
+  /**
+   * Finds out whether the caller has left already. A VM that is behind reads a request and
+   * then, a turn of the loop later, that its caller has given it up; where it is not behind,
+   * the turn takes no time. Without this, 25 to 30 requests of a day with a loss of all VMs
+   * reached servers over half a second after their callers had left.
+   */
+  async lookForCaller(): Promise<void> {
+    await nextTurn();
+    const { socket } = this.#req;
+    if (socket.destroyed || socket.readableEnded) this.#closed();
+  }
+
   /** Answers that no server's answer is to be had. */
   refuse(refusal: Refusal): void {
     if (this.#state !== "none") return;
