Show evacuated data centres and cold servers in metrics, and tell operators of them

Cause: what a VM believes of both was in its log only.

Ruled out: a status page of the gateway's own; the metrics address is what the settings name.

--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -2,9 +2,11 @@
 
 import fastify, { type FastifyInstance } from "fastify";
 import type { MemberTable } from "../core/membership/member_table.ts";
+import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
+import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import {
   ADDRESSES_PATH,
@@ -29,6 +31,8 @@
   readonly routingFollower: RoutingFollower;
   readonly serverDirectory: ServerDirectory;
   readonly memberTable: MemberTable;
+  readonly coldServers: ColdServers;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
@@ -104,12 +108,14 @@
 
   /** Brings the gauges up to date: what this VM believes now. */
   #measure(): void {
-    const { gatewayMetrics, routingFollower, serverDirectory, memberTable } =
-      this.#deps;
+    const { gatewayMetrics, routingFollower, memberTable } = this.#deps;
+    const { serverDirectory, coldServers, clock } = this.#deps;
     const { version, ageMs } = routingFollower.confirmation;
     gatewayMetrics.configurationVersion.set(version);
     gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
     gatewayMetrics.servers.set(serverDirectory.size);
+    gatewayMetrics.evacuatedDataCentres.set(serverDirectory.evacuated.size);
+    gatewayMetrics.coldServers.set(coldServers.count(clock.monotonicMs()));
     gatewayMetrics.members.set(memberTable.others().length);
   }
 
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -62,6 +62,18 @@
     registers: [this.registry],
   });
 
+  readonly coldServers = new Gauge({
+    name: "fieldrack_gateway_cold_servers",
+    help: "Backend servers that are cold, as far as is known here",
+    registers: [this.registry],
+  });
+
+  readonly evacuatedDataCentres = new Gauge({
+    name: "fieldrack_gateway_evacuated_data_centres",
+    help: "Data centres whose servers get no new work from here",
+    registers: [this.registry],
+  });
+
   readonly members = new Gauge({
     name: "fieldrack_gateway_vms",
     help: "Other entry VMs that are not dead, as seen here",
