Log what a trial waits for

Change: the first VM by name logs share, verdicts and counts of answers each 2 s while a trial stays.

--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -29,6 +29,8 @@
 const TICK_MS = 200;
 /** Time before a VM repeats a write that failed: each tick made 30 of a VM in an outage of 8 s. */
 const RETRY_MS = 800;
+/** Time between lines that tell what a trial waits for: a few for each of its steps. */
+const STAY_LOG_MS = 2_000;
 /** A VM acts in place of another that did not for this long. */
 const TAKEOVER_MS = 600;
 
@@ -57,6 +59,8 @@
   wantedSinceMs: number;
   /** Nothing is written before this. */
   notBeforeMs: number;
+  /** When it was last logged what the trial waits for. */
+  loggedMs: number;
 }
 
 /** Looks at all open orders again and again. */
@@ -90,6 +94,7 @@
         if (verdict.tag === "bad") this.#brake(order, verdict);
       }
       const step = this.#plan(order, { watch, judgement });
+      if (step.tag === "stay") this.#logStay(order, { watch, judgement });
       await this.#act(order, { watch, step });
     }
   }
@@ -104,6 +109,7 @@
       wanted: "",
       wantedSinceMs: nowMs,
       notBeforeMs: nowMs,
+      loggedMs: nowMs,
     };
     this.#watches.set(service, watch);
     this.#deps.evidenceBook.forget(service);
@@ -177,6 +183,28 @@
     });
   }
 
+  /** By the first VM alive only, which is the one that would act. */
+  #logStay(
+    { service, release, limitMs }: RollOutOrder,
+    { watch, judgement }: { watch: Watch; judgement: Judgement },
+  ): void {
+    const nowMs = this.#deps.clock.monotonicMs();
+    if (nowMs - watch.loggedMs < STAY_LOG_MS || this.#turn() !== 0) return;
+    watch.loggedMs = nowMs;
+    this.#deps.logger.info("Trial stays", {
+      service,
+      release,
+      share: this.#deps.releaseGate.trialShare(service),
+      elapsed_ms: Math.round(nowMs - watch.seenMs),
+      limit_ms: limitMs,
+      verdict: judgement.verdict.tag,
+      step_verdict: judgement.stepVerdict.tag,
+      step_answers: judgement.stepVerdict.answers,
+      trial_answers: judgement.trialAnswers,
+      all_answers: judgement.allAnswers,
+    });
+  }
+
   #workOffRelease({ service, release }: RollOutOrder): number {
     const { serverDirectory, serverLoads } = this.#deps;
     return serverDirectory.usable(service)
@@ -229,19 +257,23 @@
 
   /** VMs act in the order of their names, each when those before it have not. */
   #isMyTurn(watch: Watch, wanted: string): boolean {
-    const { memberTable, clock, stopState } = this.#deps;
-    const nowMs = clock.monotonicMs();
+    const nowMs = this.#deps.clock.monotonicMs();
     if (watch.wanted !== wanted) {
       watch.wanted = wanted;
       watch.wantedSinceMs = nowMs;
     }
+    return nowMs >= watch.notBeforeMs &&
+      nowMs - watch.wantedSinceMs >= this.#turn() * TAKEOVER_MS;
+  }
+
+  /** Number of VMs that act before this one. */
+  #turn(): number {
+    const { memberTable, stopState } = this.#deps;
     const alive = memberTable.callable().filter(({ state }) =>
       state === "alive"
     );
     const ids = alive.map(({ id }) => id).sort();
     const turn = ids.indexOf(memberTable.self.id);
-    const rank = turn < 0 || stopState.stopping ? ids.length : turn;
-    return nowMs >= watch.notBeforeMs &&
-      nowMs - watch.wantedSinceMs >= rank * TAKEOVER_MS;
+    return turn < 0 || stopState.stopping ? ids.length : turn;
   }
 }
