Check evacuations and cold servers in the soak

Cause: no check of the soak would have shown that evacuated servers get requests, or that cold ones get too many from all gateways together.

Change: after the drawn faults all servers are evacuated for twice the time that news may take, and come back cold; two checks, each with cases of its own. No seed draws it, so that seeds of old stay as they were.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -9,7 +9,7 @@
 import type { History, ServerTrouble, Trouble, Victim } from "./history.ts";
 import type { SoakGateway } from "./soak_gateway.ts";
 import { SoakServer } from "./soak_server.ts";
-import { BOUNDS } from "./soak_settings.ts";
+import { BOUNDS, WARMUP } from "./soak_settings.ts";
 import type { SoakStore } from "./soak_store.ts";
 
 /** Time in which a process that was started serves again. */
@@ -17,6 +17,7 @@
 /** Time after which servers have written themselves down again. */
 const RELIST_MS = 1_500;
 const SLOW_MS = 250;
+const MS_PER_SECOND = 1_000;
 /** A store that is away does not answer watches that wait either. */
 const AWAY: StoreFaults = { down: true, watchesStuck: true };
 
@@ -99,6 +100,8 @@
         return store.configure();
       case "key_removed":
         return store.removeKey();
+      case "evacuation":
+        return await this.#evacuate(forMs);
     }
   }
 
@@ -197,6 +200,14 @@
     if (this.#server(at) === server) await this.startServer(at);
   }
 
+  async #evacuate(forMs: number): Promise<void> {
+    const { store } = this.#fleet;
+    store.evacuate();
+    await pause(forMs);
+    store.takeBack();
+    await pause(MS_PER_SECOND * WARMUP.durationS);
+  }
+
   async #leave(at: number): Promise<void> {
     const { store } = this.#fleet;
     const server = this.#server(at);
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -26,7 +26,8 @@
   | { readonly tag: "server_crash"; readonly server: number }
   | { readonly tag: "server_leaves"; readonly server: number }
   | { readonly tag: "configuration" }
-  | { readonly tag: "key_removed" };
+  | { readonly tag: "key_removed" }
+  | { readonly tag: "evacuation" };
 
 /** A fault in its place and time. */
 export interface PlannedFault {
@@ -156,6 +157,15 @@
   ];
 }
 
+/**
+ * All servers are evacuated for longer than news of it may take, and come back cold. Drawn
+ * for no seed: what seeds of old have shown must stay as it was.
+ */
+export function planEvacuation(): PlannedFault[] {
+  const forMs = 2 * BOUNDS.evacuationMs;
+  return [{ atMs: 0, forMs, fault: { tag: "evacuation" } }];
+}
+
 function drawFault(
   draw: Draw,
   { gateways, servers }: { gateways: number; servers: number },
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -24,6 +24,13 @@
   readonly ending: Ending;
 }
 
+/** An order that no server gets anything new. */
+export interface Evacuation {
+  readonly saidMs: number;
+  /** From then on the servers get work again, and are cold. */
+  takenBackMs: number;
+}
+
 /** One run of a request at a backend server. */
 export interface RunRecord {
   readonly attempt: string;
@@ -93,6 +100,7 @@
   readonly serverTroubles: ServerTrouble[] = [];
   readonly plannedStops: PlannedStop[] = [];
   readonly configurations: ConfigurationRecord[] = [];
+  readonly evacuations: Evacuation[] = [];
   readonly leavings: LeavingRecord[] = [];
   readonly shownVersions: ShownVersion[] = [];
   /** Gateways that served when all faults were over. */
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -3,7 +3,7 @@
 import type { CallerRecord, History, RunRecord } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
-import { ACCOUNT, BOUNDS, CONTACT_MS, ROUTE } from "./soak_settings.ts";
+import { ACCOUNT, BOUNDS, CONTACT_MS, ROUTE, WARMUP } from "./soak_settings.ts";
 
 /** A promise that was broken. */
 export interface Violation {
@@ -29,6 +29,7 @@
  * and may not have come to a single able one by then.
  */
 const ABLE_SERVERS = 2;
+const MS_PER_SECOND = 1_000;
 /** A gateway may end a request this long before its time is up, when it is of no use. */
 const SHORT_TIME_MS = 100;
 
@@ -41,6 +42,8 @@
     ...checkWholeAnswers(history),
     ...checkKeys(history, runs),
     ...checkLeaving(history, runs),
+    ...checkEvacuations(history, runs),
+    ...checkColdServers(history),
     ...checkPlannedStops(history, runs),
     ...checkAccepted(history, runs),
     ...checkVersions(history),
@@ -135,6 +138,54 @@
   });
 }
 
+function checkEvacuations(history: History, runs: Runs): Violation[] {
+  return history.callers
+    .filter(({ attempt }) => runs.has(attempt))
+    .filter(({ gateway, sentMs }) =>
+      history.evacuations.some(({ saidMs, takenBackMs }) =>
+        sentMs > saidMs + BOUNDS.evacuationMs && sentMs < takenBackMs &&
+        !wasTroubled(history, { gateway, fromMs: saidMs, untilMs: sentMs })
+      )
+    )
+    // What is sent just before the servers return may run just after.
+    .filter(({ attempt, sentMs }) =>
+      (runs.get(attempt) ?? []).some(({ atMs }) =>
+        history.evacuations.some(({ saidMs, takenBackMs }) =>
+          atMs > saidMs && atMs < takenBackMs && sentMs < takenBackMs
+        )
+      )
+    )
+    .map((record) => violation("evacuated servers", record, "ran"));
+}
+
+/** Over all gateways together, in touch or not, in any second of the warm-up. */
+function checkColdServers({ evacuations, runs }: History): Violation[] {
+  const { durationS, requestsPerSecond, overshoot, allowance } = WARMUP;
+  const most = requestsPerSecond * overshoot + allowance;
+  return evacuations.flatMap(({ takenBackMs }) => {
+    const untilMs = takenBackMs + durationS * MS_PER_SECOND;
+    const cold = runs.filter(({ atMs }) =>
+      atMs >= takenBackMs && atMs < untilMs
+    );
+    const servers = new Set(cold.map(({ server }) => server));
+    return [...servers].flatMap((server) => {
+      const times = cold.filter((run) => run.server === server)
+        .map(({ atMs }) => atMs);
+      const busiest = Math.max(
+        ...times.map((fromMs) =>
+          times.filter((atMs) =>
+            atMs >= fromMs && atMs < fromMs + MS_PER_SECOND
+          )
+            .length
+        ),
+      );
+      if (busiest <= most) return [];
+      const what = `${server} got ${busiest} in a second`;
+      return [{ promise: "cold servers", what }];
+    });
+  });
+}
+
 function checkPlannedStops(history: History, runs: Runs): Violation[] {
   return history.callers
     .filter(({ ending }) => ending.tag === "cut")
--- a/soak/promise_checker_test.ts
+++ b/soak/promise_checker_test.ts
@@ -9,7 +9,7 @@
 } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { checkPromises } from "./promise_checker.ts";
-import { ACCOUNT, BOUNDS, ROUTE } from "./soak_settings.ts";
+import { ACCOUNT, BOUNDS, ROUTE, WARMUP } from "./soak_settings.ts";
 
 const GATEWAY = "vm-1" as GatewayName;
 const ATTEMPT = "a-1";
@@ -57,6 +57,38 @@
     assert.deepEqual(broken(), []);
   });
 
+  it("should find a request that ran at an evacuated server", () => {
+    const saidMs = SENT_MS - BOUNDS.evacuationMs - 1;
+    history.evacuations.push({ saidMs, takenBackMs: SENT_MS + 5_000 });
+    called();
+    ran();
+    assert.deepEqual(broken(), ["evacuated servers"]);
+  });
+
+  it("should allow a request while news of an evacuation are on their way, and after it", () => {
+    history.evacuations.push({
+      saidMs: SENT_MS - BOUNDS.evacuationMs + 100,
+      takenBackMs: SENT_MS + 5_000,
+    });
+    history.evacuations.push({
+      saidMs: SENT_MS - 60_000,
+      takenBackMs: SENT_MS - 30_000,
+    });
+    called();
+    ran();
+    assert.deepEqual(broken(), []);
+  });
+
+  it("should find a cold server that gets more in a second than it may", () => {
+    const { requestsPerSecond, overshoot, allowance } = WARMUP;
+    const most = requestsPerSecond * overshoot + allowance;
+    history.evacuations.push({ saidMs: 0, takenBackMs: SENT_MS });
+    for (let n = 0; n < most; n++) ran({ attempt: `a-${n}` });
+    assert.deepEqual(broken(), []);
+    ran({ attempt: "one more" });
+    assert.deepEqual(broken(), ["cold servers"]);
+  });
+
   it("should find a request that ran twice", () => {
     called();
     ran();
--- a/soak/soak_gateway.ts
+++ b/soak/soak_gateway.ts
@@ -151,6 +151,7 @@
         RevokeMs: BOUNDS.keyRemovalMs,
         RevokeFailClosed: true,
         DrainMs: BOUNDS.drainMs,
+        EvacuationMs: BOUNDS.evacuationMs,
         GraceS: BOUNDS.stopGraceMs / MS_PER_SECOND,
         RetryBudgetRatio: 0.9,
         RetryAllowance: 50,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -7,6 +7,7 @@
 import {
   planBrokenAnswers,
   planCalmChanges,
+  planEvacuation,
   planFaults,
   type PlannedFault,
   planUnseenRemoval,
@@ -106,6 +107,8 @@
   await injector.run(planCalmChanges(draw, size));
   await injector.run(planBrokenAnswers(size));
   await injector.run(planUnseenRemoval());
+  await pause(CONTACT_MS);
+  await injector.run(planEvacuation());
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
   await Promise.all(callers.map((caller) => caller.close()));
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -6,6 +6,7 @@
   keyRemovalMs: 3_000,
   drainMs: 2_000,
   stopGraceMs: 4_000,
+  evacuationMs: 2_000,
 } as const;
 
 /**
@@ -22,6 +23,15 @@
   timeLimitMs: 3_000,
 } as const;
 
+/** How servers begin that are given work again after an evacuation. */
+export const WARMUP = {
+  durationS: 1,
+  requestsPerSecond: 10,
+  /** Times as many as they bear, and so many more, that all gateways may send in a second. */
+  overshoot: 1.5,
+  allowance: 5,
+} as const;
+
 /** What one run consists of. */
 export interface SoakSize {
   readonly gateways: number;
--- a/soak/soak_store.ts
+++ b/soak/soak_store.ts
@@ -7,11 +7,14 @@
 } from "../src/standins/object_store_standin.ts";
 import type { History } from "./history.ts";
 import type { SoakServer } from "./soak_server.ts";
-import { ACCOUNT, HOST, ROUTE, SERVICE } from "./soak_settings.ts";
+import { ACCOUNT, HOST, ROUTE, SERVICE, WARMUP } from "./soak_settings.ts";
 
 /** Removed keys that callers still try. */
 const REMOVED_KEYS_USED = 1;
 
+/** Where all servers stand. */
+const DATA_CENTRE = "north";
+
 /** Path of the route that only one version has. */
 export function versionPath(version: number): string {
   return `/version-${version}/`;
@@ -88,7 +91,11 @@
             StreamResumption: true,
           },
         ],
-        Services: [{ Name: SERVICE }],
+        Services: [{
+          Name: SERVICE,
+          WarmupS: WARMUP.durationS,
+          WarmupPerS: WARMUP.requestsPerSecond,
+        }],
         Tenants: [{ Name: ACCOUNT, ApiKeys: this.#keys }],
       },
     });
@@ -112,7 +119,7 @@
     const spec = {
       Service: SERVICE,
       Address: address,
-      Zone: "north",
+      Zone: DATA_CENTRE,
       Version: "v1",
       Slots: 16,
       State: "ready",
@@ -121,6 +128,21 @@
     this.#store.kinds.put("servers", { name: server.name, spec });
   }
 
+  /** Orders that the servers' data centre gets nothing new. */
+  evacuate(): void {
+    this.#store.kinds.put("evacuations", { name: DATA_CENTRE, spec: {} });
+    const saidMs = performance.now();
+    this.#history.evacuations.push({ saidMs, takenBackMs: Infinity });
+  }
+
+  /** Takes that order back; the servers are cold. */
+  takeBack(): void {
+    const last = this.#history.evacuations.at(-1);
+    // Before, as news may come to a gateway faster than the call returns.
+    if (last !== undefined) last.takenBackMs = performance.now();
+    this.#store.kinds.remove("evacuations", DATA_CENTRE);
+  }
+
   /** Writes down that a server leaves. */
   leave({ name }: SoakServer): void {
     const spec = { ...this.#servers.get(name), State: "draining" };
