--- a/src/store/evacuation_follower.ts
+++ b/src/store/evacuation_follower.ts
@@ -15,6 +15,12 @@
 import type { KindListener } from "./kind_listener.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
+/**
+ * Age that news of the store may have where they come to a VM last, in milliseconds: 2.1 s
+ * until a relay stands in for readers that are lost, and 0.8 s from a relay to its followers.
+ */
+const NEWS_MS = 2_900;
+
 /** Called with the servers of a data centre that takes new work again. */
 export type ReturnListener = (servers: readonly ServerRecord[]) => void;
 
@@ -62,7 +68,15 @@
 
   /** Starts to follow. */
   start(): void {
-    if (this.followed) this.follower.start();
+    const { bounds, logger } = this.#deps;
+    if (bounds.evacuationMs === undefined) return;
+    if (bounds.evacuationMs < NEWS_MS) {
+      logger.warn("Time allowed for an evacuation is shorter than news take", {
+        allowed_ms: bounds.evacuationMs,
+        news_ms: NEWS_MS,
+      });
+    }
+    this.follower.start();
   }
 
   /** Stops to follow. */
