Let readers of the store act first on roll-outs

The first VM by name asks the store nothing, so it did not know that it was cut off: its write timed out after 1 s, and the next waited 0.6 s at each of two steps.

Change: readers come first in the turn, then the others by name; readers hear of changes first, and notice a lost store by their own calls.

Ruled out: completing by the clock without answers at full load (a release bad only under load would be completed); a shorter wait for others (followers hear of a step 0.8 s late and would write it again).

--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -100,6 +100,12 @@
     else this.#lostStoreAtMs.delete(vm);
   }
 
+  /** VMs that read the store for all others, in order of rank. */
+  get readers(): readonly EntryId[] {
+    this.#refresh();
+    return this.#readers.map(({ id }) => id);
+  }
+
   /** Whether a VM, this one included, tells that the store does not answer it. */
   hasLostStore(vm: EntryId): boolean {
     return vm === this.#deps.memberTable.self.id
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -186,7 +186,7 @@
     });
   }
 
-  /** By the first VM alive only, which is the one that would act. */
+  /** By the VM that would act only. */
   #logStay(
     { service, release, limitMs }: RollOutOrder,
     { watch, judgement }: { watch: Watch; judgement: Judgement },
@@ -279,6 +279,7 @@
     return turnOf({
       self: memberTable.self.id,
       alive,
+      readers: relayRole.readers,
       hasLostStore: (vm) => relayRole.hasLostStore(vm),
     });
   }
