Keep one copy of the servers and of the chance that tests use

Cause: the record of a backend server stood in six tests and benches, and had to be changed in each for a new field; seeded chance stood twice.

Change: tests/fixtures/server_record.ts and seeded_chance.ts. Fields that no case looks at (slots, address) are now alike.

Ruled out: a default for the new field in the type, which would let the decoder forget it.

--- a/bench/choice_cost.ts
+++ b/bench/choice_cost.ts
@@ -1,17 +1,13 @@
 /** Cost of one choice of a server, by the number of servers. */
 
 import { performance } from "node:perf_hooks";
-import type {
-  DataCentreId,
-  InstanceId,
-  ReleaseId,
-  ServiceId,
-} from "../src/core/ids.ts";
+import type { DataCentreId } from "../src/core/ids.ts";
 import { AffinityChoice } from "../src/core/routing/affinity_choice.ts";
 import { PromptHolders } from "../src/core/routing/prompt_holders.ts";
 import { ServerLoads } from "../src/core/servers/server_loads.ts";
 import type { ServerRecord } from "../src/core/servers/server_record.ts";
 import { unitHash } from "../src/runtime/hashing.ts";
+import { serverRecord } from "../tests/fixtures/server_record.ts";
 
 const SIZES: readonly number[] = [8, 100, 550];
 const DATA_CENTRES = 3;
@@ -63,14 +59,8 @@
 }
 
 function server(at: number): ServerRecord {
-  return {
-    instance: `i-${at}` as InstanceId,
-    service: "model" as ServiceId,
-    address: `10.0.0.${at}:8000`,
+  return serverRecord(`i-${at}`, {
     dataCentre: `dc-${at % DATA_CENTRES}` as DataCentreId,
-    release: "v1" as ReleaseId,
     slots: 64,
-    state: "ready",
-    coldForMs: 0,
-  };
+  });
 }
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -1,13 +1,6 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { afterEach, describe, it } from "node:test";
-import type {
-  DataCentreId,
-  InstanceId,
-  ReleaseId,
-  ServiceId,
-} from "../core/ids.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
 import { SystemClock } from "../runtime/clock.ts";
 import { type RawRequest, RawServer } from "../../tests/fixtures/raw_server.ts";
 import { BackendConnections } from "./backend_connections.ts";
@@ -16,6 +9,7 @@
   type HeadVerdict,
   type TryOutcome,
 } from "./backend_try.ts";
+import { serverRecord } from "../../tests/fixtures/server_record.ts";
 
 const ATTEMPT = "9c41d07be2a35f68";
 
@@ -34,16 +28,7 @@
   server = new RawServer(answer);
   const address = await server.listen();
   connections = new BackendConnections({ clock: new SystemClock() });
-  const record: ServerRecord = {
-    instance: "i-1" as InstanceId,
-    service: "tracker" as ServiceId,
-    address,
-    dataCentre: "north" as DataCentreId,
-    release: "v1" as ReleaseId,
-    slots: 6,
-    state: "ready",
-    coldForMs: 0,
-  };
+  const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
   const pool = connections;
   const send = (attempt = ATTEMPT): Promise<TryOutcome> =>
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -1,9 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type {
-  DataCentreId,
   EntryId,
-  InstanceId,
   PromptPartId,
   ReleaseId,
   RouteId,
@@ -16,6 +14,7 @@
 import { ReleaseGate } from "./release_gate.ts";
 import { SessionBook } from "./session_book.ts";
 import { judgeTrial } from "./trial_verdict.ts";
+import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 
 const SERVICE = "inspect" as ServiceId;
 const OLD = "v1" as ReleaseId;
@@ -29,16 +28,7 @@
 };
 
 function server(name: string, release: ReleaseId): ServerRecord {
-  return {
-    instance: name as InstanceId,
-    service: SERVICE,
-    address: "10.0.0.1:80",
-    dataCentre: "north" as DataCentreId,
-    release,
-    slots: 8,
-    state: "ready",
-    coldForMs: 0,
-  };
+  return serverRecord(name, { service: SERVICE, release });
 }
 
 const SERVERS = [server("a", OLD), server("b", OLD), server("c", NEW)];
--- a/src/core/routing/affinity_choice_test.ts
+++ b/src/core/routing/affinity_choice_test.ts
@@ -1,25 +1,20 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { unitHash } from "../../runtime/hashing.ts";
-import type { DataCentreId, InstanceId, ReleaseId, ServiceId } from "../ids.ts";
+import type { DataCentreId, InstanceId } from "../ids.ts";
 import { ServerLoads } from "../servers/server_loads.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
 import { AffinityChoice, type ChoiceInput } from "./affinity_choice.ts";
 import { PromptHolders } from "./prompt_holders.ts";
+import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 
 const NORTH = "north" as DataCentreId;
 const SERVERS: readonly ServerRecord[] = Array.from(
   { length: 30 },
-  (_, at) => ({
-    instance: `i-${at}` as InstanceId,
-    service: "model" as ServiceId,
-    address: "",
-    dataCentre: (at % 2 === 0 ? "north" : "south") as DataCentreId,
-    release: "v1" as ReleaseId,
-    slots: 8,
-    state: "ready",
-    coldForMs: 0,
-  }),
+  (_, at) =>
+    serverRecord(`i-${at}`, {
+      dataCentre: (at % 2 === 0 ? "north" : "south") as DataCentreId,
+    }),
 );
 
 let loads: ServerLoads;
--- a/src/core/routing/cold_admission_test.ts
+++ b/src/core/routing/cold_admission_test.ts
@@ -8,7 +8,7 @@
 
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 import { unitHash } from "../../runtime/hashing.ts";
 import type { EntryId, InstanceId } from "../ids.ts";
 import { ColdAdmission } from "./cold_admission.ts";
@@ -20,7 +20,6 @@
 /** Long enough that VMs know each other; their clocks start there. */
 const SETTLED_MS = 5_000;
 const STEP_MS = 10;
-const TWO_TO_32 = 2 ** 32;
 
 const IDS = Array.from({ length: VMS }, (_, at) => `edge-${at}` as EntryId);
 const INSTANCES = Array.from(
@@ -28,11 +27,6 @@
   (_, at) => `i-${at}` as InstanceId,
 );
 
-function seededChance(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => (generator.next() >>> 0) / TWO_TO_32;
-}
-
 /** A VM that started `ageMs` before the servers turned cold. */
 function vm(
   id: EntryId,
--- a/src/core/routing/herd_test.ts
+++ b/src/core/routing/herd_test.ts
@@ -1,12 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 import { unitHash } from "../../runtime/hashing.ts";
-import type { DataCentreId, InstanceId, ReleaseId, ServiceId } from "../ids.ts";
+import type { DataCentreId, InstanceId } from "../ids.ts";
 import { ServerLoads } from "../servers/server_loads.ts";
 import type { ServerRecord } from "../servers/server_record.ts";
 import { AffinityChoice } from "./affinity_choice.ts";
 import { PromptHolders } from "./prompt_holders.ts";
+import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 
 const VMS = 20;
 const NEWS_EVERY_MS = 1_000;
@@ -14,20 +15,11 @@
 const WORK_MS = 100;
 const SHARED_MS = 60;
 const DURATION_MS = 20_000;
-const TWO_TO_32 = 2 ** 32;
+const SEED = 11;
 
 const SERVERS: readonly ServerRecord[] = Array.from(
   { length: 20 },
-  (_, at) => ({
-    instance: `i-${at}` as InstanceId,
-    service: "model" as ServiceId,
-    address: "",
-    dataCentre: "north" as DataCentreId,
-    release: "v1" as ReleaseId,
-    slots: 64,
-    state: "ready",
-    coldForMs: 0,
-  }),
+  (_, at) => serverRecord(`i-${at}`),
 );
 
 type Choose = (vm: ServerLoads, prompt: string) => InstanceId;
@@ -72,11 +64,6 @@
   }
 }
 
-function newChance(): () => number {
-  const generator = xoroshiro128plus(11);
-  return () => (generator.next() >>> 0) / TWO_TO_32;
-}
-
 function leastBusy(vm: ServerLoads): InstanceId {
   const [first, ...others] = SERVERS.map(({ instance }) => instance);
   return others.reduce(
@@ -87,7 +74,7 @@
 
 describe("choice by many VMs with late news", () => {
   it("should not send all VMs to the server that was least busy", () => {
-    const chance = newChance();
+    const chance = seededChance(SEED);
     const choices = new Map<ServerLoads, AffinityChoice>();
     const longest = play((serverLoads, affinity) => {
       const choice = choices.get(serverLoads) ?? new AffinityChoice({
@@ -108,7 +95,7 @@
       assert.ok(server);
       return server.instance;
     }, chance);
-    const herded = play(leastBusy, newChance());
+    const herded = play(leastBusy, seededChance(SEED));
     assert.ok(longest <= 8 * WORK_MS, `longest queue ${longest} ms`);
     assert.ok(longest < herded / 2, `${longest} ms, herded ${herded} ms`);
   });
--- a/src/core/servers/server_directory_test.ts
+++ b/src/core/servers/server_directory_test.ts
@@ -1,27 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { DataCentreId, InstanceId, ReleaseId, ServiceId } from "../ids.ts";
+import type { DataCentreId, InstanceId, ServiceId } from "../ids.ts";
 import { RELISTING_GRACE_MS, ServerDirectory } from "./server_directory.ts";
-import type { ServerRecord } from "./server_record.ts";
+import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 
 const SERVICE = "tracker" as ServiceId;
 const HEALTHY = { reachable: true, backSinceMs: undefined };
 const AWAY = { reachable: false, backSinceMs: undefined };
 
-function record(name: string, patch: Partial<ServerRecord> = {}): ServerRecord {
-  return {
-    instance: name as InstanceId,
-    service: SERVICE,
-    address: "10.0.0.1:80",
-    dataCentre: "north" as DataCentreId,
-    release: "v1" as ReleaseId,
-    slots: 6,
-    state: "ready",
-    coldForMs: 0,
-    ...patch,
-  };
-}
-
 function namesOf(directory: ServerDirectory): string[] {
   return directory.usable(SERVICE).map(({ instance }) => instance).sort();
 }
@@ -29,28 +15,28 @@
 describe("server directory", () => {
   it("should give no new work to a draining server", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a"));
-    directory.put(record("b"));
-    const changes = directory.put(record("a", { state: "draining" }));
+    directory.put(serverRecord("a"));
+    directory.put(serverRecord("b"));
+    const changes = directory.put(serverRecord("a", { state: "draining" }));
     assert.deepEqual(namesOf(directory), ["b"]);
     assert.equal(changes[0]?.tag, "removed");
   });
 
   it("should drop a server whose entry goes while the store is healthy", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a"));
+    directory.put(serverRecord("a"));
     directory.remove("a" as InstanceId, { health: HEALTHY, nowMs: 10_000 });
     assert.deepEqual(namesOf(directory), []);
   });
 
   it("should keep a server that lapsed with the store until it can be listed again", () => {
     const directory = new ServerDirectory();
-    directory.replaceAll([record("a"), record("b")], {
+    directory.replaceAll([serverRecord("a"), serverRecord("b")], {
       health: HEALTHY,
       nowMs: 0,
     });
     const back = { reachable: true, backSinceMs: 10_000 };
-    directory.replaceAll([record("b")], { health: back, nowMs: 10_000 });
+    directory.replaceAll([serverRecord("b")], { health: back, nowMs: 10_000 });
     assert.deepEqual(namesOf(directory), ["a", "b"]);
     directory.expire({ health: back, nowMs: 10_000 + RELISTING_GRACE_MS - 1 });
     assert.deepEqual(namesOf(directory), ["a", "b"]);
@@ -60,7 +46,7 @@
 
   it("should keep lapsed servers as long as the store is away", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a"));
+    directory.put(serverRecord("a"));
     directory.remove("a" as InstanceId, { health: AWAY, nowMs: 5_000 });
     directory.expire({ health: AWAY, nowMs: 60_000 });
     assert.deepEqual(namesOf(directory), ["a"]);
@@ -68,29 +54,29 @@
 
   it("should drop a draining server whose entry goes even while the store is away", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a", { state: "draining" }));
+    directory.put(serverRecord("a", { state: "draining" }));
     directory.remove("a" as InstanceId, { health: AWAY, nowMs: 5_000 });
     assert.equal(directory.get("a" as InstanceId), undefined);
   });
 
   it("should not use a misdirected server until its entry is renewed", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a"));
+    directory.put(serverRecord("a"));
     directory.misdirected("a" as InstanceId);
     assert.deepEqual(namesOf(directory), []);
-    directory.put(record("a"));
+    directory.put(serverRecord("a"));
     assert.deepEqual(namesOf(directory), ["a"]);
   });
 
   it("should give no new work to an evacuated data centre until it returns", () => {
     const south = "south" as DataCentreId;
     const directory = new ServerDirectory();
-    directory.put(record("a"));
-    directory.put(record("b", { dataCentre: south }));
+    directory.put(serverRecord("a"));
+    directory.put(serverRecord("b", { dataCentre: south }));
     assert.equal(directory.setEvacuated(south, true), true);
     assert.equal(directory.setEvacuated(south, true), false);
     // Also a server that comes while the order holds.
-    directory.put(record("c", { dataCentre: south }));
+    directory.put(serverRecord("c", { dataCentre: south }));
     assert.deepEqual(namesOf(directory), ["a"]);
     assert.equal(directory.isUsable("b" as InstanceId), false);
     assert.deepEqual(directory.serversIn(south).length, 2);
@@ -100,7 +86,7 @@
 
   it("should use no server where all data centres are evacuated", () => {
     const directory = new ServerDirectory();
-    directory.put(record("a"));
+    directory.put(serverRecord("a"));
     directory.setEvacuated("north" as DataCentreId, true);
     assert.deepEqual(namesOf(directory), []);
     assert.notEqual(directory.get("a" as InstanceId), undefined);
