--- a/scripts/gateway_warm_up.ts
+++ b/scripts/gateway_warm_up.ts
@@ -5,7 +5,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { writeFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import process from "node:process";
@@ -30,8 +30,7 @@
 const LISTENERS = 4;
 
 const folder = process.argv[2] ?? "target";
-// Flags that the program runs with: V8 refuses code that was compiled with others.
-const FLAGS = ["--max-old-space-size=120"];
+const DEPLOY_FILE = "deploy/system.toml";
 
 async function main(): Promise<void> {
   const store = new ObjectStoreStandin();
@@ -116,7 +115,7 @@
   writeFileSync(path, settingsOf(store, at));
   return spawn(
     process.execPath,
-    [...FLAGS, `${folder}/gateway.cjs`, "--write-code"],
+    [...deployedFlags(), `${folder}/gateway.cjs`, "--write-code"],
     {
       stdio: ["pipe", "ignore", "inherit"],
       env: { ...process.env, FIELDRACK_SETTINGS: path },
@@ -124,6 +123,17 @@
   );
 }
 
+/** Flags that the program runs with: V8 refuses code that was compiled with others. */
+function deployedFlags(): string[] {
+  const [, flags] = /^run = "node (.*) target\/gateway\.cjs"$/m.exec(
+    readFileSync(DEPLOY_FILE, "utf8"),
+  ) ?? [];
+  if (flags === undefined) {
+    throw new Error(`${DEPLOY_FILE} does not say how the gateway is run`);
+  }
+  return flags.split(" ");
+}
+
 /** A server whose answers are whole, streamed, or not very sure of themselves. */
 async function startBackend(): Promise<Server> {
   let answered = 0;
