--- a/src/core/routing/cold_admission.ts
+++ b/src/core/routing/cold_admission.ts
@@ -66,9 +66,9 @@
   /** Whether this VM may send a cold server one request more. */
   mayTake(
     instance: InstanceId,
-    { requestsPerSecond }: Warmup,
-    nowMs: number,
+    { warmup, nowMs }: { warmup: Warmup; nowMs: number },
   ): boolean {
+    const { requestsPerSecond } = warmup;
     if (nowMs - this.#startedMs < SETTLE_MS) return false;
     const part = Math.max(1, Math.floor(requestsPerSecond / OWNERS));
     if (this.#sentLately(instance, nowMs).length >= part) return false;
--- a/src/core/routing/cold_admission_test.ts
+++ b/src/core/routing/cold_admission_test.ts
@@ -60,7 +60,7 @@
       for (const offset of INSTANCES.keys()) {
         const server = (at + offset) % SERVERS;
         const instance = INSTANCES[server] as InstanceId;
-        if (!admission.mayTake(instance, WARMUP, nowMs)) continue;
+        if (!admission.mayTake(instance, { warmup: WARMUP, nowMs })) continue;
         admission.sent(instance, nowMs);
         sent[server]?.push(nowMs);
         break;
@@ -134,7 +134,7 @@
   it("should give at least one request to a server that bears less than there are owners", () => {
     const slow = { durationMs: 3_000, requestsPerSecond: 2 };
     const takers = IDS.map((id) => vm(id)).filter((admission) =>
-      admission.mayTake(INSTANCES[0] as InstanceId, slow, 0)
+      admission.mayTake(INSTANCES[0] as InstanceId, { warmup: slow, nowMs: 0 })
     );
     assert.equal(takers.length, 2);
   });
--- a/src/core/servers/cold_servers.ts
+++ b/src/core/servers/cold_servers.ts
@@ -11,7 +11,10 @@
    * that is latest holds: a server is taken as cold for too long rather than for too short.
    * Returns whether it was taken as warm before.
    */
-  note(instance: InstanceId, leftMs: number, nowMs: number): boolean {
+  note(
+    instance: InstanceId,
+    { leftMs, nowMs }: { leftMs: number; nowMs: number },
+  ): boolean {
     const known = this.#untilMs.get(instance) ?? 0;
     if (leftMs <= 0 || nowMs + leftMs <= known) return false;
     this.#untilMs.set(instance, nowMs + leftMs);
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -66,7 +66,7 @@
   #ranks: ReaderRanks | undefined;
   /**
    * Other relays by rank, and followers of this one, kept as well: worked out anew in each
-   * round, they took a relay 220 hashes a second among 65 VMs and 1,950 among 195, by count.
+   * round, they took a relay 220 hashes a second among 65 VMs and 1,950 among 195 (worked out).
    */
   #byRank: readonly Member[] | undefined;
   #followers: ReadonlySet<EntryId> | undefined;
--- a/src/gateway/cold_server_guard.ts
+++ b/src/gateway/cold_server_guard.ts
@@ -34,7 +34,7 @@
     const nowMs = clock.monotonicMs();
     for (const { instance, service } of servers) {
       const { durationMs = 0 } = this.#warmup(service) ?? {};
-      coldServers.note(instance, durationMs, nowMs);
+      coldServers.note(instance, { leftMs: durationMs, nowMs });
     }
   }
 
@@ -81,7 +81,7 @@
   ): boolean {
     const { coldServers, coldAdmission } = this.#deps;
     if (coldServers.leftMs(instance, nowMs) === 0) return true;
-    return coldAdmission.mayTake(instance, warmup, nowMs);
+    return coldAdmission.mayTake(instance, { warmup, nowMs });
   }
 
   #warmup(service: ServiceId): Warmup | undefined {
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -106,8 +106,9 @@
 
   #noteCold(record: ServerRecord): void {
     const { coldServers, clock } = this.#deps;
-    const { instance, coldForMs } = record;
-    if (!coldServers.note(instance, coldForMs, clock.monotonicMs())) return;
+    const { instance, coldForMs: leftMs } = record;
+    const nowMs = clock.monotonicMs();
+    if (!coldServers.note(instance, { leftMs, nowMs })) return;
     this.#coldNews.note([record]);
   }
 
