Take word of others for a return of the store only if they saw one

Cause: a relay that the store turned away by itself lost it every 1.7 s and heard each time from others that it answers, which counted as a return: around an outage servers whose entries are missing are used for 2 s more.

Change: only an own call that is answered, or a return that others tell of, dates a return.

Ruled out: late news (all relays knew within 0.15 s, followers within 0.5 s).

--- a/src/store/store_health.ts
+++ b/src/store/store_health.ts
@@ -49,6 +49,7 @@
   /** Notes that an own call was answered. */
   answered(): void {
     this.#lostHere = false;
+    if (!this.#reachable) this.#backSinceMs = this.#clock.monotonicMs();
     this.#isBack();
   }
 
@@ -56,7 +57,6 @@
     if (this.#reachable) return;
     const nowMs = this.#clock.monotonicMs();
     this.#reachable = true;
-    this.#backSinceMs = nowMs;
     this.#logger.info("Store is back", {
       away_ms: Math.round(nowMs - this.#lostAtMs),
     });
@@ -65,7 +65,10 @@
 
   /**
    * Takes in what a VM has told that the store answers; `backAgeMs` is how long ago it
-   * came back there, if it was away.
+   * came back there, if it was away. A store that was lost here only has not been away: the
+   * entries that are missing from its lists have left. A relay that was cut off by itself
+   * took each such word for a return of the store, every 1.7 s, and it and its followers
+   * kept servers that had left for up to 4.9 s.
    */
   heard(backAgeMs: number | undefined): void {
     this.#isBack();
