Log which requests were running where a server has ended

Change: after a try that broke off, the server is asked for a connection, once for all tries that broke off with it; where it is refused, a line names the request's key (digest of method, host, path, account and body), the server, whether an answer had begun and for how long it had run. Lines of requests whose tries failed carry the key as well. Nothing is decided by it.

Ruled out: the key on every line; it costs a digest of the body each.

--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -27,6 +27,8 @@
 export type SessionId = Branded<"SessionId">;
 /** Id of one attempt of a caller at a request; the caller chooses it. */
 export type AttemptId = Branded<"AttemptId">;
+/** What all attempts of callers at one and the same request have in common. */
+export type RequestKey = Branded<"RequestKey">;
 /** Name of a route of callers' requests, as declared. */
 export type RouteId = Branded<"RouteId">;
 /** Secret by which a caller shows which client account it belongs to. */
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -9,6 +9,7 @@
   type Resolver,
 } from "awilix";
 import { BackendConnections } from "../backends/backend_connections.ts";
+import { ServerEndCheck } from "../backends/server_end_check.ts";
 import { ServerProbe } from "../backends/server_probe.ts";
 import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
@@ -51,6 +52,7 @@
 import { AddressList } from "./address_list.ts";
 import { ColdServerGuard } from "./cold_server_guard.ts";
 import { ControlServer } from "./control_server.ts";
+import { CrashWatch } from "./crash_watch.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { Readiness } from "./readiness.ts";
 import { RequestAdmission } from "./request_admission.ts";
@@ -235,6 +237,8 @@
     () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
     backendConnections: one(BackendConnections),
     serverProbe: one(ServerProbe),
+    serverEndCheck: asFunction(() => new ServerEndCheck()).singleton(),
+    crashWatch: one(CrashWatch),
     stopState: one(StopState),
     readiness: one(Readiness),
     addressList: one(AddressList),
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -12,6 +12,13 @@
 /** One in so many requests that went well is logged. */
 const SAMPLE = 50;
 
+/** Outcomes of tries that leave open what became of the request. */
+const FAILED_TRIES: ReadonlySet<string> = new Set([
+  "broken",
+  "stream_broken",
+  "given_up",
+]);
+
 /** Writes one line for each request that an engineer may be asked about. */
 export class RequestLog {
   readonly #logger: Logger;
@@ -71,6 +78,10 @@
     this.#logger.info("Request ended", {
       attempt: exchange.head.attempt,
       path: exchange.path,
+      // Worked out only where a try failed: those are looked for at other VMs.
+      request: run.tries.some(({ outcome }) => FAILED_TRIES.has(outcome))
+        ? run.request.key
+        : undefined,
       service: run.service,
       route: run.route,
       account: run.account,
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -14,8 +14,10 @@
 import { pause } from "../runtime/pause.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import { type CrashWatch, endedByConnection } from "./crash_watch.ts";
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
+import { RequestIdentity } from "./request_identity.ts";
 import type { RequestLog } from "./request_log.ts";
 import { RepeatReservation } from "./repeat_reservation.ts";
 import { RunTally } from "./run_tally.ts";
@@ -37,6 +39,7 @@
   readonly serverFollower: ServerFollower;
   readonly repeatBudget: RepeatBudget;
   readonly modelPace: ModelPace;
+  readonly crashWatch: CrashWatch;
   readonly requestLog: RequestLog;
 }
 
@@ -57,6 +60,7 @@
    * of which callers have a part.
    */
   readonly #admitted: Admitted;
+  readonly #identity: RequestIdentity;
   readonly #tally = new RunTally();
   readonly #repeats: RepeatReservation;
   #expired = false;
@@ -77,8 +81,9 @@
     this.#admitted = admitted;
     this.#service = deps.serverSelector.serviceFor(admitted.route);
     this.#repeats = new RepeatReservation(deps, this.#service);
-    const { head } = exchange;
-    const { route } = admitted;
+    const { head, method, host, url } = exchange;
+    const { account, route } = admitted;
+    this.#identity = new RequestIdentity({ method, host, url, account, body });
     this.#limitMs = Math.min(
       head.waitMs ?? DEFAULT_WAIT_MS,
       route.timeLimitMs ?? Infinity,
@@ -100,6 +105,7 @@
     return {
       service: this.#service,
       route: route.id,
+      request: this.#identity,
       account,
       configurationVersion: table.version,
       confirmedAgeMs,
@@ -128,6 +134,7 @@
     if (server === undefined) return this.#noServer();
     if (!this.#takeRepeat()) return this.#noServer(NO_REPEAT);
     const outcome = await this.#try(server);
+    if (endedByConnection(outcome)) void this.#noteCrash(server);
     return await this.#after(outcome, server);
   }
 
@@ -149,6 +156,17 @@
     });
   }
 
+  /** Has it found out whether the server of the last try has ended. */
+  async #noteCrash(server: ServerRecord): Promise<void> {
+    const record = this.#sender.tries.at(-1);
+    if (record === undefined) return;
+    const { attempt } = this.#exchange.head;
+    const service = this.#service;
+    const identity = this.#identity;
+    const broken = { identity, attempt, service, server, record };
+    await this.#deps.crashWatch.brokeOff(broken);
+  }
+
   /** Called again and again while the request runs, to leave silent servers. */
   checkSilence(nowMs: number): void {
     // The run under way counts as well.
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -1,12 +1,15 @@
 /** What decided a request, for the log. */
 
 import type { AccountId, RouteId, ServiceId } from "../core/ids.ts";
+import type { RequestIdentity } from "./request_identity.ts";
 import type { TryRecord } from "./try_record.ts";
 
 /** Inputs and tries of one request. */
 export interface RunSummary {
   readonly service: ServiceId;
   readonly route: RouteId;
+  /** What all attempts at the request have in common. */
+  readonly request: RequestIdentity;
   /** Undefined where the route needs no key. */
   readonly account: AccountId | undefined;
   /** Version of the configuration by which the request was admitted. */
