Keep requests that crash the servers that run them from more of these

Cause: nothing of a request outlived its run. Each attempt of its caller began with as many runs as the route allows, at every VM; each run ended a server, and the avoidance of that server sent the next run to a sound one.

Change: a request is known by what callers repeat. Where a try breaks off and its server then refuses connections, and the request had just begun there, that is a crash under it; a book of crashes on each VM, told to all at once from the second on, kept in the store from the third on, tells the culprit from those beside: each end needs one culprit only. After three the request is refused at once, in every attempt, at every VM.

Not measured yet: what it costs.

--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -36,8 +36,11 @@
     readonly head: AnswerHead;
     readonly body: Buffer;
   }
-  /** All of the answer went to the sink. */
-  | { readonly tag: "streamed" }
+  /**
+   * All of the answer went to the sink. Without a `framed` body, its end is only that of the
+   * connection.
+   */
+  | { readonly tag: "streamed"; readonly framed: boolean }
   /** Part of the answer went to the sink. */
   | { readonly tag: "stream_broken"; readonly reason: string }
   /** The head was turned down, and the rest is not wanted. */
@@ -188,7 +191,9 @@
     if (head === undefined) return { tag: "broken", reason: "no head" };
     if (head.status === MISDIRECTED) return { tag: "misdirected" };
     if (isNotRun(head)) return { tag: "not_run", status: head.status };
-    if (this.#verdict === "stream") return { tag: "streamed" };
+    if (this.#verdict === "stream") {
+      return { tag: "streamed", framed: head.decoded.framed };
+    }
     return { tag: "answered", head, body: Buffer.concat(this.#chunks) };
   }
 
--- /dev/null
+++ b/src/backends/server_end_check_test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import type { InstanceId } from "../core/ids.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import { ServerEndCheck } from "./server_end_check.ts";
+
+let server: Server;
+let connections: number;
+let record: ServerRecord;
+const check = new ServerEndCheck();
+
+beforeEach(async () => {
+  connections = 0;
+  server = createServer((socket) => {
+    connections += 1;
+    socket.on("error", () => {});
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  record = {
+    instance: "i-1" as InstanceId,
+    address: `127.0.0.1:${port}`,
+  } as ServerRecord;
+});
+
+afterEach(() => {
+  server.close();
+});
+
+describe("check whether a server has ended", () => {
+  it("should tell a server that takes connections from one that has ended", async () => {
+    assert.equal(await check.hasEnded(record), false);
+    await new Promise((resolve) => server.close(resolve));
+    assert.equal(await check.hasEnded(record), true);
+  });
+
+  it("should ask once for all tries that broke off together", async () => {
+    const answers = await Promise.all(
+      Array.from({ length: 5 }, () => check.hasEnded(record)),
+    );
+    assert.deepEqual(answers, [false, false, false, false, false]);
+    assert.ok(connections <= 1);
+  });
+});
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -18,6 +18,13 @@
   }
   /** Every server that was asked said that it did not run the request. */
   | { readonly tag: "servers_full"; readonly asked: number }
+  /** Servers have ended under each run of the request, at whatever VM; it is not sent to more. */
+  | {
+    readonly tag: "crashes_servers";
+    readonly crashes: number;
+    /** Until it may run again, in milliseconds. */
+    readonly leftMs: number;
+  }
   /** Nothing was sent, and the time is up. */
   | { readonly tag: "expired_unsent" }
   /** The time is up, and a server may have run the request. */
@@ -66,6 +73,12 @@
         `${refusal.asked} servers were full; come back`,
         FULL_MS,
       );
+    case "crashes_servers":
+      return notRun(
+        `${refusal.crashes} servers have ended while they ran this request; ` +
+          "it was not sent to another",
+        refusal.leftMs,
+      );
     case "expired_unsent":
       return notRun("No server took the request in time; come back", FULL_MS);
     case "stopping":
--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -54,6 +54,14 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Number of addresses at which a service has servers, whether or not they take new work. */
+  addressesOf(service: ServiceId): number {
+    const addresses = [...this.#rows.values()]
+      .filter(({ record }) => record.service === service)
+      .map(({ record }) => record.address);
+    return new Set(addresses).size;
+  }
+
   /** Returns a server whether or not it takes new work. */
   get(instance: InstanceId): ServerRecord | undefined {
     return this.#rows.get(instance)?.record;
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -8,7 +8,9 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
+import type { CrashRegistry } from "../store/crash_registry.ts";
 import type { VmRegistry } from "../store/vm_registry.ts";
+import type { CrashNews } from "./crash_news.ts";
 import type { DigestKeeper } from "./digest_keeper.ts";
 import type { Asked, FleetRelayRole } from "./fleet_relay_role.ts";
 import type { StoreSubscriber } from "./store_subscriber.ts";
@@ -49,16 +51,26 @@
 /** Every so many rounds a seed is asked, so that fleets that were apart join again. */
 const SEED_EVERY_ROUNDS = 12;
 
+/** VMs that keep requests that crash servers in the store. */
+const CRASH_KEEPERS = 2;
+/**
+ * News that cannot wait is gathered for this long before it is told: requests that ran beside
+ * each other are all known to have lost their server within some milliseconds.
+ */
+const URGENT_DELAY_MS = 20;
+
 interface Deps {
   readonly memberTable: MemberTable;
   readonly probeOrder: ProbeOrder;
   readonly digestKeeper: DigestKeeper;
+  readonly crashNews: CrashNews;
   readonly repeatBudget: RepeatBudget;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Addresses of VMs that may be there, from settings and store. */
   readonly seedAddresses: () => readonly string[];
   readonly vmRegistry: VmRegistry;
+  readonly crashRegistry: CrashRegistry;
   readonly relayRole: FleetRelayRole;
   readonly storeSubscriber: StoreSubscriber;
   readonly vmClients: VmClients;
@@ -72,9 +84,11 @@
     run: () => this.#round(),
   });
   #rounds = 0;
+  #urgent: NodeJS.Timeout | undefined;
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    deps.crashNews.onUrgent((here) => this.#tellUrgent(here));
   }
 
   /** Starts to talk. */
@@ -85,6 +99,7 @@
   /** Stops to talk. */
   async stop(): Promise<void> {
     this.#task.stop();
+    clearTimeout(this.#urgent);
     this.#deps.storeSubscriber.stop();
     await this.#deps.vmClients.close();
   }
@@ -95,6 +110,34 @@
     await Promise.all(relays.map(({ peers }) => this.#ask(peers)));
   }
 
+  /**
+   * Tells at once what cannot wait for the next round: the VM that is first to know tells all
+   * relays, and each relay those that follow it. News that comes meanwhile goes along.
+   */
+  #tellUrgent(here: boolean): void {
+    if (!here && !this.#deps.relayRole.held) return;
+    this.#urgent ??= setTimeout(() => {
+      this.#urgent = undefined;
+      const { memberTable, relayRole } = this.#deps;
+      const followers = relayRole.held
+        ? memberTable.others().filter((member) => relayRole.isFollower(member))
+        : [];
+      const told = here ? [...relayRole.others(), ...followers] : followers;
+      for (const { peers } of told) void this.#ask(peers);
+    }, URGENT_DELAY_MS);
+  }
+
+  /** Two VMs of the fleet, so that one may fail, keep in the store what must outlast all of them. */
+  async #keepCrashes(): Promise<void> {
+    const { relayRole, memberTable, crashRegistry, crashNews } = this.#deps;
+    const keepers = relayRole.readers
+      .filter((vm) => !relayRole.hasLostStore(vm))
+      .sort()
+      .slice(0, CRASH_KEEPERS);
+    if (!keepers.includes(memberTable.self.id)) return;
+    crashNews.read(await crashRegistry.update());
+  }
+
   async #round(): Promise<void> {
     const { memberTable, digestKeeper, relayRole, clock, logger } = this.#deps;
     this.#rounds += 1;
@@ -108,6 +151,7 @@
     const settled = members.length === 0 ? ALONE_WRITE_ROUNDS : SETTLED_ROUNDS;
     if (relayRole.reads && this.#rounds > settled) {
       void this.#deps.vmRegistry.write();
+      void this.#keepCrashes();
     }
     for (const member of this.#chosen()) void this.#probe(member);
     if (members.length === 0 && this.#rounds > ALONE_ROUNDS) {
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -28,6 +28,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
+import type { CrashNews } from "./crash_news.ts";
 import type { DigestExchange } from "./digest_router.ts";
 import type { FleetRelayRole } from "./fleet_relay_role.ts";
 import { ToldDigests } from "./told_digests.ts";
@@ -47,6 +48,7 @@
   readonly memberTable: MemberTable;
   readonly serverLoads: ServerLoads;
   readonly promptHolders: PromptHolders;
+  readonly crashNews: CrashNews;
   readonly evidenceBook: EvidenceBook;
   readonly sessionBook: SessionBook;
   readonly releaseGate: ReleaseGate;
@@ -87,7 +89,7 @@
 
   /** Answers the question of another VM. */
   exchange({ digest: asked, known }: DigestQuestion): DigestAnswer {
-    const { memberTable, storeSync, relayRole } = this.#deps;
+    const { memberTable, storeSync, relayRole, crashNews } = this.#deps;
     const { id } = asked.self;
     const isNew = memberTable.get(id) === undefined || !this.#told.has(id);
     this.#hear(asked);
@@ -99,7 +101,11 @@
     const news = isNew
       ? memberTable.everyone()
       : [...digest.news, ...memberTable.misjudged(id)];
-    return { digest: { ...digest, news }, store: storeSync.tell(known) };
+    const crashes = crashNews.newsFor(id, asked.life);
+    return {
+      digest: { ...digest, news, crashes },
+      store: storeSync.tell(known),
+    };
   }
 
   /**
@@ -124,7 +130,9 @@
 
   /** Forgets what has grown old. */
   expire(): void {
-    const { clock, evidenceBook, promptHolders, relayRole } = this.#deps;
+    const { clock, evidenceBook, promptHolders, relayRole, crashNews } =
+      this.#deps;
+    crashNews.expire();
     promptHolders.setShared(relayRole.meshed);
     for (const { self, relay } of this.#told.expire(clock.monotonicMs())) {
       // Who has gone to another relay is counted there, and must not be counted twice.
@@ -145,6 +153,7 @@
       news,
       configurationVersion: confirmation.version,
       confirmedAgeMs: toldAgeMs(confirmation.ageMs),
+      crashes: this.#deps.crashNews.news(),
       braked: [...releaseGate.brakedReleases()],
       ...told,
     };
@@ -205,6 +214,7 @@
       this.#deps;
     const nowMs = clock.monotonicMs();
     promptHolders.told(told.holders, nowMs);
+    this.#deps.crashNews.hear(told.crashes, told.self.id);
     this.#memberNews.note(memberTable.merge([told.self, ...told.news], nowMs));
     this.#noteSessions(told, nowMs);
     for (const key of told.braked) this.#brake(key, told.self.id);
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -6,10 +6,13 @@
   InstanceId,
   PromptPartId,
   ReleaseId,
+  RequestKey,
   RouteId,
   ServiceId,
 } from "../core/ids.ts";
 import { NO_REVISION } from "../core/ids.ts";
+import type { Crash } from "../core/crashes/crash.ts";
+import { CrashBook } from "../core/crashes/crash_book.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import { EvidenceBook } from "../core/rollout/evidence.ts";
 import { ReleaseGate } from "../core/rollout/release_gate.ts";
@@ -21,6 +24,7 @@
 import { SilentLogger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
+import { CrashNews } from "./crash_news.ts";
 import { DigestKeeper } from "./digest_keeper.ts";
 import type { FleetRelayRole } from "./fleet_relay_role.ts";
 
@@ -37,6 +41,7 @@
 class Vm {
   readonly loads = new ServerLoads();
   readonly holders = new PromptHolders();
+  readonly crashes = new CrashBook();
   readonly evidence = new EvidenceBook();
   readonly sessions = new SessionBook(GAP_MS);
   readonly #keeper: DigestKeeper;
@@ -62,6 +67,11 @@
       }),
       serverLoads: this.loads,
       promptHolders: this.holders,
+      crashNews: new CrashNews({
+        crashBook: this.crashes,
+        clock: { wallMs: () => nowMs, monotonicMs: () => nowMs },
+        logger: new SilentLogger(),
+      }),
       evidenceBook: this.evidence,
       sessionBook: this.sessions,
       releaseGate,
@@ -205,3 +215,67 @@
     assert.equal(hearer.sessions.releaseOf(session, nowMs), NEW);
   });
 });
+
+describe("digests that tell of crashes", () => {
+  const request = "poison" as RequestKey;
+
+  function crash(n: number): Crash {
+    return {
+      request,
+      account: undefined,
+      instance: `i-${n}` as InstanceId,
+      address: `10.0.0.${n}:1`,
+      after: Array.from(
+        { length: n - 1 },
+        (_, at) => `i-${at + 1}` as InstanceId,
+      ),
+      beganMs: nowMs - 10,
+      endedMs: nowMs,
+      serviceSize: 8,
+    };
+  }
+
+  function endThree(vm: Vm | undefined): void {
+    for (const n of [1, 2, 3]) vm?.crashes.note(crash(n), nowMs);
+  }
+
+  it("should tell all VMs, over relays", () => {
+    endThree(followers[0]);
+    for (let n = 0; n < 2; n++) round();
+    const all = [...relays, ...followers];
+    assert.deepEqual(
+      all.map(({ crashes }) => crashes.poison.has(request)),
+      all.map(() => true),
+    );
+  });
+
+  it("should tell a VM that starts, however long ago it was", () => {
+    endThree(followers[0]);
+    round();
+    nowMs += 60_000;
+    const started = new Vm("vm-9", { relay: false });
+    started.ask(relays[0] as Vm);
+    assert.ok(started.crashes.poison.has(request));
+  });
+
+  it("should tell a VM that was frozen while others heard of it", () => {
+    round();
+    const frozen = followers.pop();
+    endThree(followers[0]);
+    for (let n = 0; n < 10; n++) {
+      nowMs += 1_000;
+      round();
+    }
+    frozen?.ask(relays[0] as Vm);
+    assert.ok(frozen?.crashes.poison.has(request));
+  });
+
+  it("should tell that a request has ended well", () => {
+    followers[0]?.crashes.note(crash(1), nowMs);
+    round();
+    nowMs += 500;
+    followers[1]?.crashes.noteGoodEnd({ request, atMs: nowMs }, nowMs);
+    for (let n = 0; n < 2; n++) round();
+    assert.equal(followers[0]?.crashes.crashesOf(request).length, 0);
+  });
+});
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -1,6 +1,7 @@
 /** Small HTTP servers: readiness for the platform, addresses for callers, metrics. */
 
 import fastify, { type FastifyInstance } from "fastify";
+import type { CrashBook } from "../core/crashes/crash_book.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
@@ -32,6 +33,7 @@
   readonly serverDirectory: ServerDirectory;
   readonly memberTable: MemberTable;
   readonly coldServers: ColdServers;
+  readonly crashBook: CrashBook;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -109,13 +111,15 @@
   /** Brings the gauges up to date: what this VM believes now. */
   #measure(): void {
     const { gatewayMetrics, routingFollower, memberTable } = this.#deps;
-    const { serverDirectory, coldServers, clock } = this.#deps;
+    const { serverDirectory, coldServers, crashBook, clock } = this.#deps;
     const { version, ageMs } = routingFollower.confirmation;
     gatewayMetrics.configurationVersion.set(version);
     gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
     gatewayMetrics.servers.set(serverDirectory.size);
     gatewayMetrics.evacuatedDataCentres.set(serverDirectory.evacuated.size);
     gatewayMetrics.coldServers.set(coldServers.count(clock.monotonicMs()));
+    gatewayMetrics.suspectedRequests.set(crashBook.size);
+    gatewayMetrics.poisonRequests.set(crashBook.poison.size);
     gatewayMetrics.members.set(memberTable.others().length);
   }
 
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -1,30 +1,49 @@
-/** Finds out which requests were running where servers ended. */
+/** Finds out which requests were beginning to run where servers ended, and keeps them back. */
 
-import type { TryOutcome } from "../backends/backend_try.ts";
 import type { ServerEndCheck } from "../backends/server_end_check.ts";
-import type { ServiceId } from "../core/ids.ts";
+import { type Crash, mayHaveCrashed } from "../core/crashes/crash.ts";
+import type { CrashBook, Standing } from "../core/crashes/crash_book.ts";
+import type { AccountId, InstanceId, ServiceId } from "../core/ids.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { CrashNews } from "../fleet/crash_news.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { TryRecord } from "./try_record.ts";
 
 interface Deps {
   readonly serverEndCheck: ServerEndCheck;
+  readonly serverDirectory: ServerDirectory;
+  readonly crashBook: CrashBook;
+  readonly crashNews: CrashNews;
+  readonly gatewayMetrics: GatewayMetrics;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
-/** A try whose connection broke off. */
-export interface BrokenTry {
+/** A request, as far as its crashes go. */
+export interface WatchedRequest {
   readonly identity: RequestIdentity;
   readonly attempt: string | undefined;
+  readonly account: AccountId | undefined;
   readonly service: ServiceId;
+  /** Whether the first byte of an answer shows that a run has begun. */
+  readonly streaming: boolean;
+}
+
+/** A try whose connection broke off. */
+export interface BrokenTry {
   readonly server: ServerRecord;
   readonly record: TryRecord;
+  /** Servers that were known to have ended under the request when it was sent. */
+  readonly after: readonly InstanceId[];
 }
 
-/** Asks after each try that broke off whether its server has ended. */
+const FREE: Standing = { tag: "free" };
+
+/** Watches over the requests of this VM. */
 export class CrashWatch {
   readonly #deps: Deps;
 
@@ -32,29 +51,93 @@
     this.#deps = deps;
   }
 
-  /** Notes a try that broke off; resolves when it is known whether its server has ended. */
-  async brokeOff(
-    { identity, attempt, service, server, record }: BrokenTry,
-  ): Promise<void> {
-    const { serverEndCheck, clock, logger } = this.#deps;
+  /** How a request stands. Its key is worked out only where some request is suspected. */
+  standing({ identity }: WatchedRequest): Standing {
+    const { crashBook, clock } = this.#deps;
+    if (crashBook.isEmpty) return FREE;
+    return crashBook.standing(identity.key, clock.monotonicMs());
+  }
+
+  /** Servers that are known to have ended under a request. */
+  endedUnder({ identity }: WatchedRequest): readonly InstanceId[] {
+    const { crashBook } = this.#deps;
+    if (crashBook.isEmpty) return [];
+    return crashBook.crashesOf(identity.key).map(({ instance }) => instance);
+  }
+
+  /** Notes that a request has run to a good end, whatever it was suspected of. */
+  endedWell({ identity, attempt }: WatchedRequest): void {
+    const { crashBook, clock, logger } = this.#deps;
+    if (crashBook.isEmpty) return;
+    const nowMs = clock.monotonicMs();
+    const request = identity.key;
+    const crashes = crashBook.crashesOf(request).length;
+    if (!crashBook.noteGoodEnd({ request, atMs: nowMs }, nowMs)) return;
+    logger.info("Request is cleared by a good end", {
+      request,
+      attempt,
+      crashes,
+    });
+  }
+
+  /**
+   * Notes a try that broke off; resolves when it is known whether its server has ended. Not a
+   * link that was reset, which says nothing about the request.
+   */
+  async brokeOff(watched: WatchedRequest, broken: BrokenTry): Promise<void> {
+    const { serverEndCheck, clock, gatewayMetrics } = this.#deps;
+    const { server, record } = broken;
     const endedMs = clock.monotonicMs();
+    const suspected = mayHaveCrashed({
+      streaming: watched.streaming,
+      firstByteMs: record.firstByteMs,
+      endedMs: endedMs - record.startedMs,
+    });
     if (!await serverEndCheck.hasEnded(server)) return;
-    const beganMs = record.startedMs + (record.firstByteMs ?? 0);
-    logger.info("Server ended under a request", {
+    gatewayMetrics.serverEnds.inc({ service: watched.service });
+    const crash = this.#crashOf(watched, { broken, endedMs });
+    this.#log(crash, { watched, broken, suspected });
+    if (suspected) this.#deps.crashNews.seen(crash);
+  }
+
+  #crashOf(
+    { identity, account, service }: WatchedRequest,
+    { broken, endedMs }: { broken: BrokenTry; endedMs: number },
+  ): Crash {
+    const { server, record, after } = broken;
+    return {
       request: identity.key,
-      attempt,
-      service,
-      server: server.instance,
+      account,
+      instance: server.instance,
       address: server.address,
+      after,
+      beganMs: record.startedMs + (record.firstByteMs ?? 0),
+      endedMs,
+      serviceSize: this.#deps.serverDirectory.addressesOf(service),
+    };
+  }
+
+  #log(
+    { request, instance, address, beganMs, endedMs }: Crash,
+    { watched, broken, suspected }: {
+      watched: WatchedRequest;
+      broken: BrokenTry;
+      suspected: boolean;
+    },
+  ): void {
+    const { server, record } = broken;
+    this.#deps.logger.info("Server ended under a request", {
+      request,
+      attempt: watched.attempt,
+      service: watched.service,
+      server: instance,
+      address,
       release: server.release,
       model: record.model,
       begun: record.firstByteMs !== undefined,
       ran_ms: Math.round(endedMs - beganMs),
+      suspected,
+      ended_before: this.#deps.crashBook.crashesOf(request).length,
     });
   }
 }
-
-/** Whether a try ended by its connection, and not by what its server said. */
-export function endedByConnection(outcome: TryOutcome): boolean {
-  return outcome.tag === "broken" || outcome.tag === "stream_broken";
-}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -11,6 +11,7 @@
 import { BackendConnections } from "../backends/backend_connections.ts";
 import { ServerEndCheck } from "../backends/server_end_check.ts";
 import { ServerProbe } from "../backends/server_probe.ts";
+import { CrashBook } from "../core/crashes/crash_book.ts";
 import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { RepeatBudget } from "../core/limits/repeat_budget.ts";
@@ -29,6 +30,7 @@
 import { SilenceWatch } from "../core/servers/silence.ts";
 import { ReadPace } from "../core/servers/read_pace.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { CrashNews } from "../fleet/crash_news.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
 import { FleetRelayRole } from "../fleet/fleet_relay_role.ts";
@@ -41,6 +43,7 @@
 import { type Clock, SystemClock } from "../runtime/clock.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import type { Logger } from "../runtime/logger.ts";
+import { CrashRegistry } from "../store/crash_registry.ts";
 import { EvacuationFollower } from "../store/evacuation_follower.ts";
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
@@ -181,6 +184,7 @@
       new SessionBook(bounds.sessionGapMs + SESSION_MARGIN_MS),
     ),
     probeOrder: asFunction(({ chance }) => new ProbeOrder(chance)).singleton(),
+    crashBook: asFunction(() => new CrashBook()).singleton(),
     coldServers: asFunction(() => new ColdServers()).singleton(),
     coldAdmission: one(ColdAdmission),
     promptHolders: one(PromptHolders),
@@ -224,6 +228,7 @@
     storeSync: one(StoreSync),
     relayRole: one(FleetRelayRole),
     digestKeeper: one(DigestKeeper),
+    crashNews: one(CrashNews),
     digestServer: one(DigestServer),
     vmClients: asFunction(() => new VmClients()).singleton(),
     storeFeed: one(StoreFeed),
@@ -231,6 +236,7 @@
     digestExchanger: one(DigestExchanger),
     seedList: asValue(new SeedList(vmSettings.seeds)),
     vmRegistry: one(VmRegistry),
+    crashRegistry: one(CrashRegistry),
     seedAddresses: asFunction((
       { seedList, vmRegistry }: { seedList: SeedList; vmRegistry: VmRegistry },
     ) =>
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -36,6 +36,25 @@
     registers: [this.registry],
   });
 
+  readonly serverEnds = new Counter({
+    name: "fieldrack_gateway_server_ends_total",
+    help: "Tries that broke off as their server had ended, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
+  readonly suspectedRequests = new Gauge({
+    name: "fieldrack_gateway_suspected_requests",
+    help: "Requests under which servers have ended lately, as known here",
+    registers: [this.registry],
+  });
+
+  readonly poisonRequests = new Gauge({
+    name: "fieldrack_gateway_poison_requests",
+    help: "Requests that are taken to crash servers, as known here",
+    registers: [this.registry],
+  });
+
   readonly duration = new Histogram({
     name: "fieldrack_gateway_request_seconds",
     help: "Time to the whole answer, in seconds, by service",
--- /dev/null
+++ b/src/gateway/request_crashes.ts
@@ -0,0 +1,63 @@
+/** What one request has to do with servers that end. */
+
+import type { TryOutcome } from "../backends/backend_try.ts";
+import type { Standing } from "../core/crashes/crash_book.ts";
+import type { InstanceId } from "../core/ids.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import { pause } from "../runtime/pause.ts";
+import type { CrashWatch, WatchedRequest } from "./crash_watch.ts";
+import type { TryRecord } from "./try_record.ts";
+
+/**
+ * Longest wait before a request is sent again for word whether its last server has ended. Most
+ * servers refuse a connection within a millisecond, across regions within twenty; a server that
+ * has fallen silent must not hold up what is innocent.
+ */
+const END_WAIT_MS = 100;
+/** Pause before a request asks again whether it may be sent, while verdicts settle. */
+const SETTLE_PAUSE_MS = 50;
+
+/** Keeps the book of crashes for one request. */
+export class RequestCrashes {
+  readonly #watch: CrashWatch;
+  readonly #watched: WatchedRequest;
+  #after: readonly InstanceId[] = [];
+
+  constructor(watch: CrashWatch, watched: WatchedRequest) {
+    this.#watch = watch;
+    this.#watched = watched;
+  }
+
+  /** Waits until verdicts have settled, or `isOver`; returns how the request stands before a try. */
+  async settled(isOver: () => boolean): Promise<Standing> {
+    let standing = this.#watch.standing(this.#watched);
+    while (standing.tag === "settling" && !isOver()) {
+      await pause(SETTLE_PAUSE_MS);
+      standing = this.#watch.standing(this.#watched);
+    }
+    this.#after = this.#watch.endedUnder(this.#watched);
+    return standing;
+  }
+
+  /** Whether the request must not go on, wherever it is. */
+  get isQuarantined(): boolean {
+    return this.#watch.standing(this.#watched).tag === "quarantined";
+  }
+
+  /** Finds out what the end of a try says, before another one is made. */
+  async tryEnded(
+    outcome: TryOutcome,
+    { server, record }: { server: ServerRecord; record: TryRecord | undefined },
+  ): Promise<void> {
+    if (outcome.tag !== "broken" && outcome.tag !== "stream_broken") return;
+    if (record === undefined) return;
+    const broken = { server, record, after: this.#after };
+    const known = this.#watch.brokeOff(this.#watched, broken);
+    await Promise.race([known, pause(END_WAIT_MS)]);
+  }
+
+  /** Notes that the request has run to a good end. */
+  endedWell(): void {
+    this.#watch.endedWell(this.#watched);
+  }
+}
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -123,6 +123,10 @@
       return refusal.reason;
     case "unconfirmed_keys":
       return `confirmed ${Math.round(refusal.ageMs)} ms ago`;
+    case "crashes_servers":
+      return `${refusal.crashes} servers ended, kept back for ${
+        Math.round(refusal.leftMs)
+      } ms more`;
     case "servers_full":
       return `${refusal.asked} servers asked`;
     default:
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -14,9 +14,10 @@
 import { pause } from "../runtime/pause.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import { type CrashWatch, endedByConnection } from "./crash_watch.ts";
+import type { CrashWatch } from "./crash_watch.ts";
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
+import { RequestCrashes } from "./request_crashes.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { RequestLog } from "./request_log.ts";
 import { RepeatReservation } from "./repeat_reservation.ts";
@@ -31,6 +32,8 @@
 const MIN_WAIT_MS = 20;
 /** Pause before a request that waits for a place asks for one again, in milliseconds. */
 const PLACE_PAUSE_MS = 250;
+/** Statuses from here on tell of errors. */
+const FIRST_ERROR_STATUS = 400;
 /** Why a request ends that may not be sent again. */
 const NO_REPEAT = "the service has no repeats left";
 
@@ -61,6 +64,7 @@
    */
   readonly #admitted: Admitted;
   readonly #identity: RequestIdentity;
+  readonly #crashes: RequestCrashes;
   readonly #tally = new RunTally();
   readonly #repeats: RepeatReservation;
   #expired = false;
@@ -84,6 +88,13 @@
     const { head, method, host, url } = exchange;
     const { account, route } = admitted;
     this.#identity = new RequestIdentity({ method, host, url, account, body });
+    this.#crashes = new RequestCrashes(deps.crashWatch, {
+      identity: this.#identity,
+      attempt: head.attempt,
+      account,
+      service: this.#service,
+      streaming: route.kind === "stream",
+    });
     this.#limitMs = Math.min(
       head.waitMs ?? DEFAULT_WAIT_MS,
       route.timeLimitMs ?? Infinity,
@@ -130,14 +141,25 @@
   async #step(): Promise<Next> {
     if (this.#exchange.isOver) return "done";
     if (this.#expired || this.#leftMs() < MIN_WAIT_MS) return this.#timeUp();
+    const standing = await this.#crashes.settled(() => this.#isOver);
+    if (standing.tag === "quarantined") {
+      return this.#finish(this.#tally.crashRefusal(standing));
+    }
+    if (this.#isOver) return "again";
     const server = this.#sender.choose(this.#admitted, this.#choice);
     if (server === undefined) return this.#noServer();
     if (!this.#takeRepeat()) return this.#noServer(NO_REPEAT);
     const outcome = await this.#try(server);
-    if (endedByConnection(outcome)) void this.#noteCrash(server);
+    const record = this.#sender.tries.at(-1);
+    await this.#crashes.tryEnded(outcome, { server, record });
     return await this.#after(outcome, server);
   }
 
+  /** Whether there is nothing more to be done for the caller. */
+  get #isOver(): boolean {
+    return this.#exchange.isOver || this.#expired;
+  }
+
   get #choice() {
     return { mayComeBack: this.#tally.runs > 0 };
   }
@@ -156,19 +178,14 @@
     });
   }
 
-  /** Has it found out whether the server of the last try has ended. */
-  async #noteCrash(server: ServerRecord): Promise<void> {
-    const record = this.#sender.tries.at(-1);
-    if (record === undefined) return;
-    const { attempt } = this.#exchange.head;
-    const service = this.#service;
-    const identity = this.#identity;
-    const broken = { identity, attempt, service, server, record };
-    await this.#deps.crashWatch.brokeOff(broken);
+  /** Called again and again while the request runs, to leave servers that it may not run at. */
+  check(nowMs: number): void {
+    // Its server may not have begun it, and then outlives it.
+    if (this.#crashes.isQuarantined) this.#sender.giveUp();
+    else this.#checkSilence(nowMs);
   }
 
-  /** Called again and again while the request runs, to leave silent servers. */
-  checkSilence(nowMs: number): void {
+  #checkSilence(nowMs: number): void {
     // The run under way counts as well.
     if (!this.#mayRepeat(1)) return;
     const reason = this.#sender.silence(this.#admitted, nowMs);
@@ -218,7 +235,7 @@
       case "answered":
         return this.#answered(outcome);
       case "streamed":
-        return this.#streamed();
+        return this.#streamed(outcome);
       case "broken":
         return this.#brokenOff(outcome.reason);
       case "stream_broken":
@@ -241,12 +258,17 @@
     if (head.status >= 500 && this.#mayRepeat() && this.#hasOther()) {
       return "again";
     }
+    const whole = head.status < FIRST_ERROR_STATUS && head.decoded.framed;
+    if (whole) this.#crashes.endedWell();
     this.#exchange.answer(head, body);
     return "done";
   }
 
-  #streamed(): Next {
-    if (this.#stream.end()) return "done";
+  #streamed({ framed }: { framed: boolean }): Next {
+    if (this.#stream.end()) {
+      if (framed) this.#crashes.endedWell();
+      return "done";
+    }
     return this.#resume("stream ended within an event");
   }
 
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -100,7 +100,7 @@
 
   #look(): Promise<void> {
     const nowMs = this.#deps.clock.monotonicMs();
-    for (const run of this.#runs) run.checkSilence(nowMs);
+    for (const run of this.#runs) run.check(nowMs);
     return Promise.resolve();
   }
 
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -76,6 +76,15 @@
       : { tag: "no_server", warmInMs };
   }
 
+  /** Why the request ends that crashes the servers that run it. */
+  crashRefusal(
+    { crashes, leftMs }: { crashes: number; leftMs: number },
+  ): Refusal {
+    if (!this.#mayHaveRun) return { tag: "crashes_servers", crashes, leftMs };
+    const reason = `${crashes} servers have ended while they ran it`;
+    return { tag: "answer_lost", reason };
+  }
+
   /** Why the request ends where its time is up. */
   timeUpRefusal(): Refusal {
     return this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" };
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -2,10 +2,12 @@
 
 import * as z from "zod";
 import type {
+  AccountId,
   InstanceId,
   ModelId,
   PromptPartId,
   ReleaseId,
+  RequestKey,
   RouteId,
   ServiceId,
 } from "../core/ids.ts";
@@ -41,6 +43,26 @@
   ageMs: z.number(),
 });
 
+/** The end of a server under a request that had just begun to run there. */
+const crashSchema = z.object({
+  request: id<RequestKey>(),
+  account: id<AccountId>().optional(),
+  instance: id<InstanceId>(),
+  address: z.string(),
+  after: z.array(id<InstanceId>()).max(100).readonly(),
+  beganAgeMs: z.number(),
+  endedAgeMs: z.number(),
+  serviceSize: z.number(),
+});
+
+/** Requests that may crash servers, as far as the asked VM may not have heard of them. */
+const crashesSchema = z.object({
+  ends: z.array(crashSchema).max(1_000),
+  /** Requests that have run to a good end after they were suspected. */
+  goodEnds: z.array(z.object({ request: id<RequestKey>(), ageMs: z.number() }))
+    .max(1_000),
+});
+
 /** What one VM tells of itself and what it has heard. */
 export const digestSchema = z.object({
   self: memberSchema,
@@ -65,6 +87,7 @@
   /** Prompts that the VM has lately begun to send to servers. */
   holders: z.array(z.object({ key: z.string(), instance: id<InstanceId>() }))
     .max(1_000),
+  crashes: crashesSchema,
   /** Releases that were found bad. */
   braked: z.array(z.object({
     service: id<ServiceId>(),
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -36,10 +36,14 @@
   await fleet.start(VMS);
   servers = new CrashingServers(fleet.store);
   await servers.start(SERVERS);
+  await untilServed();
+});
+
+async function untilServed(): Promise<void> {
   for (const vm of fleet.vms) {
     await until(async () => (await fleet.call(vm, "/stock/1")).status === 200);
   }
-});
+}
 
 afterEach(async () => {
   await servers.stop();
@@ -62,6 +66,32 @@
     assert.equal(servers.ended.length, ended);
   });
 
+  it("should be sent to no server after all VMs have ended and started again", async () => {
+    await untilEnded(ALLOWED);
+    await until(() =>
+      Promise.resolve(fleet.store.kinds.list("fieldrack-crashes").length > 0)
+    );
+    const ended = servers.ended.length;
+    await fleet.restart();
+    await untilServed();
+    await pause(CONTACT_MS);
+    for (const vm of fleet.vms) await fleet.call(vm, PATH);
+    assert.equal(servers.ended.length, ended);
+  });
+
+  it("should not be taken for one that many callers make as servers fail together", async () => {
+    const hot = fleet.vms.flatMap((vm) =>
+      Array.from({ length: 6 }, () => fleet.call(vm, "/stock/hot"))
+    );
+    await until(() => Promise.resolve(servers.runsOf("hot").length >= 12));
+    servers.crash(SERVERS / 2);
+    const first = await Promise.all(hot);
+    assert.deepEqual(first.filter(({ body }) => body !== WHOLE_BODY), []);
+    for (const vm of fleet.vms) {
+      assert.equal((await fleet.call(vm, "/stock/hot")).body, WHOLE_BODY);
+    }
+  });
+
   it("should leave other requests their servers", async () => {
     await untilEnded(ALLOWED);
     await pause(CONTACT_MS);
