Keep requests that lost a server together apart from each other

Cause: requests that run beside a culprit share its prompt more often than not, so that affinity sends them on to the next server with it. In the record of the incident a stream of another account was at all three servers of the first attempt, and was cut, as its route allows three runs.

Change: a request under which a server has ended goes to servers where no other such request of this VM runs, as long as there is one. The servers of the fleet that tests use have an engine, so that prompts draw requests together.

Ruled out: keeping all requests from suspects; new ones would lose their shared prompts for what ends after three crashes.

--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -64,6 +64,7 @@
 import { SeedList } from "./seed_list.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
+import { SuspectPlaces } from "./suspect_places.ts";
 import { TryObserver } from "./try_observer.ts";
 import { TrialController } from "./trial_controller.ts";
 import { WorkPredictor } from "./work_predictor.ts";
@@ -245,6 +246,7 @@
     serverProbe: one(ServerProbe),
     serverEndCheck: asFunction(() => new ServerEndCheck()).singleton(),
     crashWatch: one(CrashWatch),
+    suspectPlaces: asFunction(() => new SuspectPlaces()).singleton(),
     stopState: one(StopState),
     readiness: one(Readiness),
     addressList: one(AddressList),
--- a/src/gateway/request_crashes.ts
+++ b/src/gateway/request_crashes.ts
@@ -39,6 +39,11 @@
     return standing;
   }
 
+  /** Whether servers were known to have ended under the request before this try. */
+  get isSuspected(): boolean {
+    return this.#after.length > 0;
+  }
+
   /** Whether the request must not go on, wherever it is. */
   get isQuarantined(): boolean {
     return this.#watch.standing(this.#watched).tag === "quarantined";
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -161,7 +161,10 @@
   }
 
   get #choice() {
-    return { mayComeBack: this.#tally.runs > 0 };
+    return {
+      mayComeBack: this.#tally.runs > 0,
+      apart: this.#crashes.isSuspected,
+    };
   }
 
   /** Whether the shared budget lets the request be sent once more. */
@@ -172,6 +175,7 @@
   #try(server: ServerRecord): Promise<TryOutcome> {
     return this.#sender.send(server, {
       admitted: this.#admitted,
+      apart: this.#crashes.isSuspected,
       leftMs: this.#leftMs(),
       judge: (head) => this.#judge(head),
       isExpired: () => this.#expired,
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -27,6 +27,7 @@
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
 import type { ServerSelector } from "./server_selector.ts";
+import type { SuspectPlaces } from "./suspect_places.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import type { ObservedTry, TryObserver } from "./try_observer.ts";
 import { endTryRecord, newTryRecord, type TryRecord } from "./try_record.ts";
@@ -41,6 +42,7 @@
   readonly serverSelector: ServerSelector;
   readonly serverDirectory: ServerDirectory;
   readonly coldServerGuard: ColdServerGuard;
+  readonly suspectPlaces: SuspectPlaces;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
@@ -59,6 +61,14 @@
   readonly stream: StreamRelay;
 }
 
+/** What a server is chosen by, besides the request. */
+export interface ChoiceTerms {
+  /** Whether a server may be chosen again that was tried. */
+  readonly mayComeBack: boolean;
+  /** Whether the request keeps away from others under which servers have ended. */
+  readonly apart: boolean;
+}
+
 /** What holds for one try. */
 export interface TryTerms {
   readonly admitted: Admitted;
@@ -66,6 +76,8 @@
   readonly leftMs: number;
   /** Decides by the head of an answer. */
   readonly judge: (head: AnswerHead) => HeadVerdict;
+  /** Whether others under which servers have ended keep away from this one. */
+  readonly apart: boolean;
   /** Whether the time of the request is up, asked when the try has ended. */
   readonly isExpired: () => boolean;
 }
@@ -97,12 +109,9 @@
    * Returns the server for the next try. One that was tried already comes only where no
    * other is left and the request `mayComeBack` to it.
    */
-  choose(
-    admitted: Admitted,
-    { mayComeBack }: { mayComeBack: boolean },
-  ): ServerRecord | undefined {
-    const other = this.chooseOther(admitted, { mayComeBack });
-    if (other !== undefined || !mayComeBack) return other;
+  choose(admitted: Admitted, terms: ChoiceTerms): ServerRecord | undefined {
+    const other = this.chooseOther(admitted, terms);
+    if (other !== undefined || !terms.mayComeBack) return other;
     const { model } = this.#request.models;
     return this.#select(admitted, { tried: NONE, model });
   }
@@ -110,9 +119,15 @@
   /** The same, but never the server that was tried last. */
   chooseOther(
     admitted: Admitted,
-    { mayComeBack }: { mayComeBack: boolean },
+    { mayComeBack, apart }: ChoiceTerms,
   ): ServerRecord | undefined {
     const { model } = this.#request.models;
+    if (apart) {
+      const { taken } = this.#deps.suspectPlaces;
+      const tried = new Set([...this.#tried, ...taken]);
+      const alone = this.#select(admitted, { tried, model });
+      if (alone !== undefined) return alone;
+    }
     const untried = this.#select(admitted, { tried: this.#tried, model });
     if (untried !== undefined || !mayComeBack) return untried;
     const last = this.#tries.at(-1)?.server;
@@ -144,12 +159,14 @@
       tryObserver,
       serverDirectory,
       coldServerGuard,
+      suspectPlaces,
     } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, terms.admitted);
     this.#tries.push(observed.record);
     this.#tried.add(server.instance);
     coldServerGuard.sending(server);
+    if (terms.apart) suspectPlaces.begin(server.instance);
     tryObserver.began(observed);
     this.#current = new BackendTry(backendConnections, {
       server,
@@ -170,6 +187,7 @@
     });
     const outcome = await this.#current.run();
     this.#current = undefined;
+    if (terms.apart) suspectPlaces.end(server.instance);
     endTryRecord(observed.record, outcome);
     tryObserver.ended(observed, { outcome, expired: terms.isExpired() });
     return outcome;
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -13,6 +13,8 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
   CrashingServers,
+  LONG,
+  LONG_BODY,
   POISON,
   WHOLE_BODY,
 } from "./fixtures/crashing_servers.ts";
@@ -28,11 +30,23 @@
 const CONTACT_MS = 3_000;
 const PATH = `/stock/${POISON}/1`;
 
+const ENGINE = {
+  Slots: 16,
+  KvCapacityTokens: 1_000_000,
+  Models: [{ Name: "model", Cost: 1 }],
+};
+/** A prompt of which most is shared, so that requests with it go to one server. */
+const SHARED_PROMPT = {
+  "fieldrack-model": "model",
+  "fieldrack-token-usage": "8010,10",
+  "fieldrack-prefix-hash": "5c1e07a2:8000,91bd3f06:10",
+};
+
 let fleet: GatewayFleet;
 let servers: CrashingServers;
 
 beforeEach(async () => {
-  fleet = new GatewayFleet([STREAM_ROUTE]);
+  fleet = new GatewayFleet([STREAM_ROUTE], { Engine: ENGINE });
   await fleet.start(VMS);
   servers = new CrashingServers(fleet.store);
   await servers.start(SERVERS);
@@ -92,6 +106,22 @@
     }
   });
 
+  it("should not meet the same requests at one server after the other", async () => {
+    // Seen: a stream that shared its prompt with the culprit went on beside it twice, and was
+    // cut as its route allowed no fourth run.
+    const vm = fleet.vms[0] ?? "";
+    const paths = [1, 2, 3, 4].map((n) => `/stock/${LONG}/${n}`);
+    const others = paths.map((path) => fleet.call(vm, path, SHARED_PROMPT));
+    await until(() =>
+      Promise.resolve(servers.runsOf(LONG).length >= paths.length)
+    );
+    await fleet.call(vm, PATH, SHARED_PROMPT);
+    const bodies = (await Promise.all(others)).map(({ body }) => body);
+    assert.deepEqual(bodies.filter((body) => body !== LONG_BODY), []);
+    const runs = paths.map((path) => servers.runsOf(path).length);
+    assert.ok(Math.max(...runs) <= 2, `runs of each: ${runs}`);
+  });
+
   it("should leave other requests their servers", async () => {
     await untilEnded(ALLOWED);
     await pause(CONTACT_MS);
