Check in the soak that requests which crash servers are kept from them

Change: after the other phases a request that ends each server that begins to run it comes again and again at any gateway, while one gateway is killed and another frozen.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -46,6 +46,10 @@
     // Runs beside each other may get each other's ports, but never each other's names.
     const name = `s-${process.pid}-${this.#serverNumber}`;
     const server = new SoakServer(name, history);
+    server.onPoisoned = () => {
+      // It may have crashed otherwise meanwhile, and been replaced.
+      if (servers[at] === server) void this.#crash(at);
+    };
     servers[at] = server;
     store.list(server, await server.listen());
   }
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -2,7 +2,7 @@
 
 import type { Draw } from "./draw.ts";
 import type { ServerMode } from "./soak_server.ts";
-import { BOUNDS } from "./soak_settings.ts";
+import { BOUNDS, CONTACT_MS } from "./soak_settings.ts";
 
 /** One fault. Gateways and servers are told by their number. */
 export type Fault =
@@ -166,6 +166,24 @@
   return [{ atMs: 0, forMs, fault: { tag: "evacuation" } }];
 }
 
+/**
+ * Beside a request that ends servers: a gateway that is killed, and one that is frozen, once
+ * all gateways know of it. Drawn for no seed, as above.
+ */
+export function planPoison(
+  { gateways }: { gateways: number },
+): PlannedFault[] {
+  const frozen = gateways - 1;
+  return [
+    { atMs: CONTACT_MS, forMs: 0, fault: { tag: "kill", gateways: [0] } },
+    {
+      atMs: CONTACT_MS,
+      forMs: LEAST_TIME_MS,
+      fault: { tag: "freeze", gateway: frozen },
+    },
+  ];
+}
+
 function drawFault(
   draw: Draw,
   { gateways, servers }: { gateways: number; servers: number },
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -42,6 +42,14 @@
   readonly keyShown: boolean;
   /** The server left the request without a whole answer. */
   broken: boolean;
+  /** Whether the request ends each server that begins to run it. */
+  readonly poison: boolean;
+}
+
+/** The end of a server by the request that it had begun to run. */
+export interface PoisonedServer {
+  readonly server: string;
+  readonly atMs: number;
 }
 
 /** Whom trouble hit: one gateway, or all. */
@@ -96,6 +104,9 @@
 export class History {
   readonly callers: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
+  /** Attempts at the request that ends servers. */
+  readonly poisonCallers: CallerRecord[] = [];
+  readonly poisonedServers: PoisonedServer[] = [];
   readonly troubles: Trouble[] = [];
   readonly serverTroubles: ServerTrouble[] = [];
   readonly plannedStops: PlannedStop[] = [];
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -3,7 +3,14 @@
 import type { CallerRecord, History, RunRecord } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
-import { ACCOUNT, BOUNDS, CONTACT_MS, ROUTE, WARMUP } from "./soak_settings.ts";
+import {
+  ACCOUNT,
+  BOUNDS,
+  CONTACT_MS,
+  POISON_LIMIT,
+  ROUTE,
+  WARMUP,
+} from "./soak_settings.ts";
 
 /** A promise that was broken. */
 export interface Violation {
@@ -30,6 +37,8 @@
  */
 const ABLE_SERVERS = 2;
 const MS_PER_SECOND = 1_000;
+/** How a gateway refuses a request that crashes servers, before or after a run of its own. */
+const POISON_REFUSAL = /"crashes_servers"|servers have ended while they ran it/;
 /** A gateway may end a request this long before its time is up, when it is of no use. */
 const SHORT_TIME_MS = 100;
 
@@ -47,6 +56,8 @@
     ...checkPlannedStops(history, runs),
     ...checkAccepted(history, runs),
     ...checkVersions(history),
+    ...checkPoison(history),
+    ...checkInnocents(history),
   ];
 }
 
@@ -290,6 +301,36 @@
   return new Set(able).size;
 }
 
+/** Once three servers have ended under a request and all gateways know, none sends it. */
+function checkPoison(
+  { poisonedServers, poisonCallers, runs, ...history }: History,
+): Violation[] {
+  const third = poisonedServers[POISON_LIMIT - 1];
+  if (third === undefined) return [];
+  const callers = new Map(poisonCallers.map((one) => [one.attempt, one]));
+  return runs
+    .filter(({ poison, atMs }) => poison && atMs > third.atMs + CONTACT_MS)
+    .flatMap(({ attempt, server, atMs }) => {
+      const record = callers.get(attempt);
+      if (record === undefined) return [];
+      const { gateway, sentMs } = record;
+      const span = { gateway, fromMs: sentMs, untilMs: atMs };
+      if (wasTroubled(history, span)) return [];
+      return [violation("crashing requests", record, `ran at ${server}`)];
+    });
+}
+
+/** Only the request that ends servers is taken for it. */
+function checkInnocents({ callers }: History): Violation[] {
+  return callers
+    .filter(({ ending }) =>
+      ending.tag === "answered" && POISON_REFUSAL.test(ending.body)
+    )
+    .map((record) =>
+      violation("innocent requests", record, "was taken to crash servers")
+    );
+}
+
 /** A gateway that has shown a version in one life must go on to do so. */
 function checkVersions({ shownVersions }: History): Violation[] {
   const first = new Map<string, number>();
@@ -313,7 +354,7 @@
 
 /** Whether a gateway, or all, had trouble in a span of time or shortly before it. */
 function wasTroubled(
-  { troubles }: History,
+  { troubles }: Pick<History, "troubles">,
   { gateway, fromMs, untilMs, names }: {
     gateway: GatewayName;
     fromMs: number;
--- a/soak/promise_checker_test.ts
+++ b/soak/promise_checker_test.ts
@@ -9,7 +9,7 @@
 } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { checkPromises } from "./promise_checker.ts";
-import { ACCOUNT, BOUNDS, ROUTE, WARMUP } from "./soak_settings.ts";
+import { ACCOUNT, BOUNDS, CONTACT_MS, ROUTE, WARMUP } from "./soak_settings.ts";
 
 const GATEWAY = "vm-1" as GatewayName;
 const ATTEMPT = "a-1";
@@ -42,6 +42,7 @@
     account: ACCOUNT,
     keyShown: false,
     broken: false,
+    poison: false,
     ...patch,
   });
 }
@@ -293,4 +294,38 @@
     );
     assert.deepEqual(broken(), ["configuration never goes back"]);
   });
+
+  describe("for a request that crashes servers", () => {
+    /** Three servers have ended so long before, and the request reaches another. */
+    function ranAfter(sinceMs: number): void {
+      for (const n of [1, 2, 3]) {
+        const atMs = SENT_MS - sinceMs + n;
+        history.poisonedServers.push({ server: `s-${n}`, atMs });
+      }
+      called();
+      history.poisonCallers.push(...history.callers.splice(0));
+      ran({ poison: true, broken: true, server: "s-4" });
+    }
+
+    it("should find that it was sent after all had time to know", () => {
+      ranAfter(CONTACT_MS + 100);
+      assert.deepEqual(broken(), ["crashing requests"]);
+    });
+
+    it("should allow it while news is on its way, or to a gateway that was frozen", () => {
+      ranAfter(CONTACT_MS - 100);
+      assert.deepEqual(broken(), []);
+      history = new History();
+      ranAfter(CONTACT_MS + 100);
+      const span = { fromMs: 0, untilMs: SENT_MS - 100 };
+      history.troubles.push({ name: "freeze", victim: GATEWAY, ...span });
+      assert.deepEqual(broken(), []);
+    });
+
+    it("should find another request that was taken for it", () => {
+      const body = '{"code":"crashes_servers"}';
+      called({ ending: { tag: "answered", status: 503, body } });
+      assert.deepEqual(broken(), ["innocent requests"]);
+    });
+  });
 });
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -10,10 +10,12 @@
   planEvacuation,
   planFaults,
   type PlannedFault,
+  planPoison,
   planUnseenRemoval,
 } from "./fault_plan.ts";
 import { History } from "./history.ts";
 import { checkPromises, type Violation } from "./promise_checker.ts";
+import { PoisonCaller } from "./poison_caller.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakGateway } from "./soak_gateway.ts";
 import { CONTACT_MS, type SoakSize } from "./soak_settings.ts";
@@ -109,6 +111,15 @@
   await injector.run(planUnseenRemoval());
   await pause(CONTACT_MS);
   await injector.run(planEvacuation());
+  const poison = new PoisonCaller(`p${process.pid}-${seed}`, {
+    history,
+    gateways,
+    draw: new Draw(seed),
+    keys: () => store.usedKeys,
+  });
+  working.push(poison.run(() => stopped));
+  await injector.run(planPoison(size));
+  await pause(CONTACT_MS);
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
   await Promise.all(callers.map((caller) => caller.close()));
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -12,6 +12,7 @@
 import { pause } from "../src/runtime/pause.ts";
 import { eventOf, EVENTS, wholeBody } from "./answer_bodies.ts";
 import type { History, RunRecord } from "./history.ts";
+import { POISON_PATH } from "./soak_settings.ts";
 
 /** How a server behaves. */
 export type ServerMode =
@@ -46,6 +47,8 @@
   readonly #history: History;
   readonly #server: Server;
   mode: ServerMode = "sound";
+  /** Called when a request ends the server. */
+  onPoisoned: () => void = () => {};
 
   constructor(name: string, history: History) {
     this.name = name;
@@ -79,7 +82,8 @@
       res.writeHead(503, { "fieldrack-not-processed": "1" }).end();
       return;
     }
-    const run = this.#note(req, attempt);
+    const poison = req.url === POISON_PATH;
+    const run = this.#note(req, { attempt, poison });
     res.setHeader("fieldrack-server-seal", this.name);
     await pause(WORK_MS);
     const isStream = req.url?.startsWith("/stream/") ?? false;
@@ -88,14 +92,18 @@
     else res.end(wholeBody(attempt));
   }
 
-  #note(req: IncomingMessage, attempt: string): RunRecord {
+  #note(
+    req: IncomingMessage,
+    { attempt, poison }: { attempt: string; poison: boolean },
+  ): RunRecord {
     const run: RunRecord = {
       attempt,
       server: this.name,
       atMs: performance.now(),
       account: headerOf(req, "fieldrack-tenant"),
       keyShown: req.headers.authorization !== undefined,
-      broken: false,
+      broken: poison,
+      poison,
     };
     this.#history.runs.push(run);
     return run;
@@ -149,6 +157,7 @@
     res.setHeader("content-type", "text/event-stream");
     const after = Number(headerOf(req, "last-event-id") ?? 0);
     for (let event = after + 1; event <= EVENTS; event++) {
+      if (run.poison && event > after + 1) return this.#poisoned();
       if (await this.#breaksOff(event)) {
         run.broken = true;
         res.write(eventOf(run.attempt, event).slice(0, -4));
@@ -161,6 +170,12 @@
     res.end();
   }
 
+  #poisoned(): void {
+    const atMs = performance.now();
+    this.#history.poisonedServers.push({ server: this.name, atMs });
+    this.onPoisoned();
+  }
+
   /** Whether a stream ends with a part of this event; one that stalls keeps its caller waiting. */
   async #breaksOff(event: number): Promise<boolean> {
     if (this.mode !== "stalls") return this.mode !== "sound";
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -43,6 +43,10 @@
 
 /** Host of all routes. */
 export const HOST = "soak.example";
+/** Path of the request that ends each server that begins to run it. */
+export const POISON_PATH = "/stream/poison";
+/** Servers that may end under it. */
+export const POISON_LIMIT = 3;
 /** Name of the one client account. */
 export const ACCOUNT = "garden";
 /** The one service. */
