Tell lives of a server that starts again under its id

Cause: everything believed of a server was kept under its id, which it may now keep when it starts again. Two crashes of such a server counted as one: before a service of two a request that crashes servers was never kept back.

Change: the birth of a server is decoded where it is told; a crash names the life. In the directory a later birth is another server (removed as restarted, then added, so that connections, loads and probes of the old one go), and an earlier one that comes late changes nothing.

Ruled out: births against a clock here; they are the server's own time.

What else ends with a life is not gone through: runs under way, paces, holders of prompts, evidence.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -1,6 +1,6 @@
 /** The end of a backend server under a request that had just begun to run there. */
 
-import type { AccountId, InstanceId, RequestKey } from "../ids.ts";
+import type { AccountId, RequestKey, ServerLife } from "../ids.ts";
 
 /** One request and one server that ended under it. Times are of the monotonic clock. */
 export interface Crash {
@@ -8,11 +8,11 @@
   /** Undefined where the route needs no key. */
   readonly account: AccountId | undefined;
   /** The life of the server that ended; two VMs that saw it end name the same one. */
-  readonly instance: InstanceId;
+  readonly life: ServerLife;
   /** `IP:port` of the server. */
   readonly address: string;
   /** Servers that were known to have ended under the request before it was sent to this one. */
-  readonly after: readonly InstanceId[];
+  readonly after: readonly ServerLife[];
   readonly beganMs: number;
   readonly endedMs: number;
   /** Servers of the service that were known then, this one included. */
--- a/src/core/crashes/crash_book.ts
+++ b/src/core/crashes/crash_book.ts
@@ -3,7 +3,7 @@
  * a union: news that comes twice, late or in another order leads to the same.
  */
 
-import type { AccountId, InstanceId, RequestKey } from "../ids.ts";
+import type { AccountId, RequestKey, ServerLife } from "../ids.ts";
 import type { Crash } from "./crash.ts";
 import { CRASH_LIMIT, findPoison, type Suspect } from "./crash_verdict.ts";
 
@@ -49,7 +49,7 @@
 interface Row {
   readonly request: RequestKey;
   readonly account: AccountId | undefined;
-  readonly crashes: Map<InstanceId, Crash>;
+  readonly crashes: Map<ServerLife, Crash>;
   /** When the request last ended well; servers that ended before do not count. */
   goodMs: number;
   /** When this VM last learnt anything of it. */
@@ -79,10 +79,10 @@
   /** Takes in the end of a server; returns whether it is news. */
   note(crash: Crash, nowMs: number): boolean {
     const row = this.#row(crash, nowMs);
-    const known = row.crashes.get(crash.instance);
+    const known = row.crashes.get(crash.life);
     if (known === undefined && crash.endedMs <= row.goodMs) return false;
     const merged = known === undefined ? crash : union(known, crash);
-    row.crashes.set(crash.instance, merged);
+    row.crashes.set(crash.life, merged);
     // What is told again may still put servers in order that ended one after the other.
     if (known === undefined) this.#trim(row);
     if (known === undefined || merged.after.length > known.after.length) {
@@ -101,7 +101,7 @@
     const outlived = [...row.crashes.values()]
       .filter(({ endedMs }) => endedMs <= atMs);
     if (outlived.length === 0) return false;
-    for (const { instance } of outlived) row.crashes.delete(instance);
+    for (const { life } of outlived) row.crashes.delete(life);
     row.learntMs = nowMs;
     this.#judge();
     return true;
@@ -186,7 +186,7 @@
     if (crashes.size <= MOST_CRASHES) return;
     const oldest = [...crashes.values()]
       .sort((a, b) => a.endedMs - b.endedMs)[0];
-    if (oldest !== undefined) crashes.delete(oldest.instance);
+    if (oldest !== undefined) crashes.delete(oldest.life);
   }
 
   #judge(): void {
--- a/src/core/crashes/crash_verdict.ts
+++ b/src/core/crashes/crash_verdict.ts
@@ -5,7 +5,7 @@
  * 48 of 49 servers that ended, and 20 others, all innocent, on three to six of them.
  */
 
-import type { InstanceId, RequestKey } from "../ids.ts";
+import type { RequestKey, ServerLife } from "../ids.ts";
 import type { Crash } from "./crash.ts";
 
 /** Servers that may end under one request: the bound that the users set. */
@@ -25,19 +25,19 @@
   suspects: readonly Suspect[],
 ): ReadonlySet<RequestKey> {
   const found = new Set<RequestKey>();
-  const explained = new Set<InstanceId>();
+  const explained = new Set<ServerLife>();
   for (;;) {
     const open = suspects
       .filter(({ request }) => !found.has(request))
       .map(({ request, crashes }) => ({
         request,
-        crashes: crashes.filter(({ instance }) => !explained.has(instance)),
+        crashes: crashes.filter(({ life }) => !explained.has(life)),
       }))
       .sort((a, b) => b.crashes.length - a.crashes.length);
     const next = open.find((suspect) => isPoison(suspect, open));
     if (next === undefined) return found;
     found.add(next.request);
-    for (const { instance } of next.crashes) explained.add(instance);
+    for (const { life } of next.crashes) explained.add(life);
   }
 }
 
@@ -49,9 +49,9 @@
     other.request !== request && other.crashes.length >= crashes.length
   );
   const shared = new Set(
-    rivals.flatMap((other) => other.crashes.map(({ instance }) => instance)),
+    rivals.flatMap((other) => other.crashes.map(({ life }) => life)),
   );
-  const own = crashes.filter(({ instance }) => !shared.has(instance));
+  const own = crashes.filter(({ life }) => !shared.has(life));
   return longestSequence(own) >= CRASH_LIMIT;
 }
 
@@ -81,6 +81,6 @@
  * that what news took on its way to this VM cannot have turned their order round.
  */
 function cameAfter(crash: Crash, earlier: Crash): boolean {
-  return crash.after.includes(earlier.instance) ||
+  return crash.after.includes(earlier.life) ||
     crash.beganMs - earlier.endedMs >= NEWS_MS;
 }
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -33,8 +33,10 @@
 export type RouteId = Branded<"RouteId">;
 /** Secret by which a caller shows which client account it belongs to. */
 export type ApiKey = Branded<"ApiKey">;
-/** Id of one life of a backend server; a restart brings a new one. */
+/** Id that a backend server has given itself; it may keep it when it starts again. */
 export type InstanceId = Branded<"InstanceId">;
+/** One life of a backend server, from its start to its end. */
+export type ServerLife = Branded<"ServerLife">;
 /** Version of the software or weights that the servers of a service run. */
 export type ReleaseId = Branded<"ReleaseId">;
 /** Id of a part of a prompt that requests may share. */
--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -1,7 +1,7 @@
 /** Which backend servers there are, by the lagging list in the platform's store. */
 
 import type { DataCentreId, InstanceId, ServiceId } from "../ids.ts";
-import type { ServerRecord } from "./server_record.ts";
+import { isLaterLife, type ServerRecord } from "./server_record.ts";
 
 /**
  * How long a server that vanished from the list around an outage of the store is still
@@ -13,6 +13,8 @@
 /** Why a server gets no new work any more. */
 export type RemovalReason =
   | "draining"
+  /** Its process has started again under the same id. */
+  | "restarted"
   | "left"
   | "not_listed_again"
   | "misdirected";
@@ -103,8 +105,11 @@
   }
 
   /** Takes in the entry of one server. */
-  put(record: ServerRecord): DirectoryChange[] {
-    const row = this.#rows.get(record.instance);
+  put(told: ServerRecord): DirectoryChange[] {
+    const row = this.#rows.get(told.instance);
+    // News of an earlier life may come late, by a stale read or another VM.
+    if (row !== undefined && isLaterLife(row.record, told)) return [];
+    const record = { ...told, bornMs: told.bornMs ?? row?.record.bornMs };
     this.#rows.set(record.instance, {
       record,
       lapsed: false,
@@ -112,6 +117,12 @@
     });
     this.#rebuild();
     if (row === undefined) return [{ tag: "added", server: record }];
+    if (isLaterLife(record, row.record)) {
+      return [
+        { tag: "removed", server: row.record, reason: "restarted" },
+        { tag: "added", server: record },
+      ];
+    }
     if (row.record.state === "ready" && record.state === "draining") {
       return [{ tag: "removed", server: record, reason: "draining" }];
     }
--- a/src/core/servers/server_directory_test.ts
+++ b/src/core/servers/server_directory_test.ts
@@ -91,4 +91,42 @@
     assert.deepEqual(namesOf(directory), []);
     assert.notEqual(directory.get("a" as InstanceId), undefined);
   });
+
+  it("should take a server that started again under its id for another life", () => {
+    const directory = new ServerDirectory();
+    directory.put(serverRecord("a", { bornMs: 1_000 }));
+    const address = "10.0.0.9:1";
+    const changes = directory.put(
+      serverRecord("a", { bornMs: 2_000, address }),
+    );
+    assert.deepEqual(
+      changes.map((change) =>
+        change.tag === "removed" ? change.reason : change.tag
+      ),
+      ["restarted", "added"],
+    );
+    assert.equal(directory.usable(SERVICE)[0]?.address, address);
+  });
+
+  it("should not go back to an earlier life of which it learns late", () => {
+    const directory = new ServerDirectory();
+    directory.put(serverRecord("a", { bornMs: 2_000 }));
+    directory.put(serverRecord("a", { bornMs: 1_000, state: "draining" }));
+    assert.deepEqual(namesOf(directory), ["a"]);
+  });
+
+  it("should use a server that was misdirected once it tells of a new life", () => {
+    const directory = new ServerDirectory();
+    directory.put(serverRecord("a", { bornMs: 1_000 }));
+    directory.misdirected("a" as InstanceId);
+    directory.put(serverRecord("a", { bornMs: 2_000 }));
+    assert.deepEqual(namesOf(directory), ["a"]);
+  });
+
+  it("should take entries without a birth for the life that is known", () => {
+    const directory = new ServerDirectory();
+    directory.put(serverRecord("a", { bornMs: 1_000 }));
+    assert.deepEqual(directory.put(serverRecord("a")), []);
+    assert.equal(directory.get("a" as InstanceId)?.bornMs, 1_000);
+  });
 });
--- a/src/fleet/crash_news.ts
+++ b/src/fleet/crash_news.ts
@@ -161,8 +161,8 @@
       account: crashes[0]?.account,
       told_by: from,
       crashes: crashes.length,
-      servers: crashes.map(({ instance, address, endedMs }) =>
-        `${instance} ${address} ${Math.round(nowMs - endedMs)} ms ago`
+      servers: crashes.map(({ life, address, endedMs }) =>
+        `${life} ${address} ${Math.round(nowMs - endedMs)} ms ago`
       ).join(","),
     });
   }
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -8,6 +8,7 @@
   ReleaseId,
   RequestKey,
   RouteId,
+  ServerLife,
   ServiceId,
 } from "../core/ids.ts";
 import { NO_REVISION } from "../core/ids.ts";
@@ -223,11 +224,11 @@
     return {
       request,
       account: undefined,
-      instance: `i-${n}` as InstanceId,
+      life: `i-${n}` as ServerLife,
       address: `10.0.0.${n}:1`,
       after: Array.from(
         { length: n - 1 },
-        (_, at) => `i-${at + 1}` as InstanceId,
+        (_, at) => `i-${at + 1}` as ServerLife,
       ),
       beganMs: nowMs - 10,
       endedMs: nowMs,
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -3,9 +3,9 @@
 import type { ServerEndCheck } from "../backends/server_end_check.ts";
 import { type Crash, mayHaveCrashed } from "../core/crashes/crash.ts";
 import type { CrashBook, Standing } from "../core/crashes/crash_book.ts";
-import type { AccountId, InstanceId, ServiceId } from "../core/ids.ts";
+import type { AccountId, ServerLife, ServiceId } from "../core/ids.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
+import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
 import type { CrashNews } from "../fleet/crash_news.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -38,7 +38,7 @@
   readonly server: ServerRecord;
   readonly record: TryRecord;
   /** Servers that were known to have ended under the request when it was sent. */
-  readonly after: readonly InstanceId[];
+  readonly after: readonly ServerLife[];
 }
 
 const FREE: Standing = { tag: "free" };
@@ -59,10 +59,10 @@
   }
 
   /** Servers that are known to have ended under a request. */
-  endedUnder({ identity }: WatchedRequest): readonly InstanceId[] {
+  endedUnder({ identity }: WatchedRequest): readonly ServerLife[] {
     const { crashBook } = this.#deps;
     if (crashBook.isEmpty) return [];
-    return crashBook.crashesOf(identity.key).map(({ instance }) => instance);
+    return crashBook.crashesOf(identity.key).map(({ life }) => life);
   }
 
   /** Notes that a request has run to a good end, whatever it was suspected of. */
@@ -108,7 +108,7 @@
     return {
       request: identity.key,
       account,
-      instance: server.instance,
+      life: lifeOf(server),
       address: server.address,
       after,
       beganMs: record.startedMs + (record.firstByteMs ?? 0),
@@ -118,7 +118,7 @@
   }
 
   #log(
-    { request, instance, address, beganMs, endedMs }: Crash,
+    { request, life, address, beganMs, endedMs }: Crash,
     { watched, broken, suspected }: {
       watched: WatchedRequest;
       broken: BrokenTry;
@@ -130,7 +130,7 @@
       request,
       attempt: watched.attempt,
       service: watched.service,
-      server: instance,
+      server: life,
       address,
       release: server.release,
       model: record.model,
--- a/src/gateway/request_crashes.ts
+++ b/src/gateway/request_crashes.ts
@@ -2,7 +2,7 @@
 
 import type { TryOutcome } from "../backends/backend_try.ts";
 import type { Standing } from "../core/crashes/crash_book.ts";
-import type { InstanceId } from "../core/ids.ts";
+import type { ServerLife } from "../core/ids.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import { pause } from "../runtime/pause.ts";
 import type { CrashWatch, WatchedRequest } from "./crash_watch.ts";
@@ -21,7 +21,7 @@
 export class RequestCrashes {
   readonly #watch: CrashWatch;
   readonly #watched: WatchedRequest;
-  #after: readonly InstanceId[] = [];
+  #after: readonly ServerLife[] = [];
 
   constructor(watch: CrashWatch, watched: WatchedRequest) {
     this.#watch = watch;
--- a/src/platform/server_wire.ts
+++ b/src/platform/server_wire.ts
@@ -22,6 +22,8 @@
   Slots: z.number().min(0).default(1),
   State: z.string().default("ready"),
   WarmupLeftMs: z.number().min(0).default(0),
+  // One that is missing or wrong names no life, and does not make the entry wrong.
+  born: z.int().min(0).optional().catch(undefined),
 });
 
 /** Decodes an entry; the name of its object is the instance. */
@@ -44,5 +46,6 @@
     slots: wire.Slots,
     state: wire.State === "ready" ? "ready" : "draining",
     coldForMs: wire.WarmupLeftMs,
+    bornMs: wire.born,
   });
 }
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -9,6 +9,7 @@
   ReleaseId,
   RequestKey,
   RouteId,
+  ServerLife,
   ServiceId,
 } from "../core/ids.ts";
 import type { Evidence } from "../core/rollout/evidence.ts";
@@ -47,9 +48,9 @@
 const crashSchema = z.object({
   request: id<RequestKey>(),
   account: id<AccountId>().optional(),
-  instance: id<InstanceId>(),
+  life: id<ServerLife>(),
   address: z.string(),
-  after: z.array(id<InstanceId>()).max(100).readonly(),
+  after: z.array(id<ServerLife>()).max(100).readonly(),
   beganAgeMs: z.number(),
   endedAgeMs: z.number(),
   serviceSize: z.number(),
--- a/src/store/crash_registry.ts
+++ b/src/store/crash_registry.ts
@@ -6,7 +6,7 @@
 import * as z from "zod";
 import type { Crash } from "../core/crashes/crash.ts";
 import type { CrashBook } from "../core/crashes/crash_book.ts";
-import type { AccountId, InstanceId, RequestKey } from "../core/ids.ts";
+import type { AccountId, RequestKey, ServerLife } from "../core/ids.ts";
 import {
   describeStoreError,
   type ObjectStore,
@@ -31,7 +31,7 @@
 const MOST_WRITTEN = 200;
 
 const crashSchema = z.object({
-  instance: z.string(),
+  life: z.string(),
   address: z.string(),
   after: z.array(z.string()),
   /** By the time of day of the VM that wrote it. */
@@ -125,8 +125,8 @@
       ...crash,
       request,
       account: account as AccountId | undefined,
-      instance: crash.instance as InstanceId,
-      after: crash.after as InstanceId[],
+      life: crash.life as ServerLife,
+      after: crash.after as ServerLife[],
       beganMs: nowMs - ageMs(beganAtMs),
       endedMs: nowMs - ageMs(endedAtMs),
     }));
@@ -160,7 +160,7 @@
     return {
       account: crashes[0]?.account,
       crashes: crashes.map((crash) => ({
-        instance: crash.instance,
+        life: crash.life,
         address: crash.address,
         after: [...crash.after],
         beganAtMs: Math.round(crash.beganMs + offsetMs),
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -93,6 +93,21 @@
     assert.equal(servers.ended.length, ended);
   });
 
+  it("should be counted for each life of servers that come back under their ids", async () => {
+    await servers.stop();
+    for (const { name } of fleet.store.kinds.list("servers")) {
+      fleet.store.kinds.remove("servers", name);
+    }
+    servers = new CrashingServers(fleet.store, { keepIds: true });
+    await servers.start(ALLOWED - 1);
+    await untilServed();
+    await untilEnded(ALLOWED);
+    await pause(CONTACT_MS);
+    const ended = servers.ended.length;
+    for (const vm of fleet.vms) await fleet.call(vm, PATH);
+    assert.equal(servers.ended.length, ended);
+  });
+
   it("should not be taken for one that many callers make as servers fail together", async () => {
     const hot = fleet.vms.flatMap((vm) =>
       Array.from({ length: 6 }, () => fleet.call(vm, "/stock/hot"))
