Let entries of other writers name no server, and the others hold

Cause: a list or change of the store was refused as a whole where one object in it could not be read. An entry with an unknown state counted as draining, one without data centre, release, slots or state as good, one with a host name or an impossible port as a server; and a server whose entry turned unreadable was used on, as its last good entry stayed in force.

Change: objects are read one by one. An entry names a server only with service, IP number and port, data centre, release, slots and a known state; one that turns unreadable takes its server out of the directory at once, also shortly after an outage. One line when it turns so, a gauge.

Ruled out: refusing entries without a warm-up time; it has a meaning when it is missing.

An answer that is no JSON as a whole still counts as a failed call.

--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -16,6 +16,8 @@
   /** Its process has started again under the same id. */
   | "restarted"
   | "left"
+  /** Its entry no longer names a server. */
+  | "unreadable"
   | "not_listed_again"
   | "misdirected";
 
@@ -143,6 +145,15 @@
     return this.#drop(row, "left");
   }
 
+  /**
+   * Notes that the entry of a server is there, but no longer names one. Unlike one that is
+   * missing after an outage, it is not waited for.
+   */
+  unreadable(instance: InstanceId): DirectoryChange[] {
+    const row = this.#rows.get(instance);
+    return row === undefined ? [] : this.#drop(row, "unreadable");
+  }
+
   /** Takes in the whole list. */
   replaceAll(
     records: readonly ServerRecord[],
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -17,6 +17,7 @@
 } from "../platform/caller_wire.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { ServerFollower } from "../store/server_follower.ts";
 import type { AddressList } from "./address_list.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Readiness } from "./readiness.ts";
@@ -31,6 +32,7 @@
   readonly gatewayMetrics: GatewayMetrics;
   readonly routingFollower: RoutingFollower;
   readonly serverDirectory: ServerDirectory;
+  readonly serverFollower: ServerFollower;
   readonly memberTable: MemberTable;
   readonly coldServers: ColdServers;
   readonly crashBook: CrashBook;
@@ -116,6 +118,7 @@
     gatewayMetrics.configurationVersion.set(version);
     gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
     gatewayMetrics.servers.set(serverDirectory.size);
+    gatewayMetrics.unreadableServers.set(this.#deps.serverFollower.unreadable);
     gatewayMetrics.evacuatedDataCentres.set(serverDirectory.evacuated.size);
     gatewayMetrics.coldServers.set(coldServers.count(clock.monotonicMs()));
     gatewayMetrics.suspectedRequests.set(crashBook.size);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -81,6 +81,12 @@
     registers: [this.registry],
   });
 
+  readonly unreadableServers = new Gauge({
+    name: "fieldrack_gateway_unreadable_servers",
+    help: "Entries in the list of backend servers that name none",
+    registers: [this.registry],
+  });
+
   readonly coldServers = new Gauge({
     name: "fieldrack_gateway_cold_servers",
     help: "Backend servers that are cold, as far as is known here",
--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -35,26 +35,40 @@
   status: Status,
 }));
 
+/** Name of an object of which nothing else may be readable; for going on after it. */
+const nameSchema = z.object({ Metadata: z.object({ Name: z.string() }) })
+  .transform(({ Metadata }) => Metadata.Name);
+
 const listSchema = z.object({
-  Entries: z.array(objectSchema),
+  Entries: z.array(z.unknown()),
   HasMore: z.boolean().default(false),
   StoreRevision: z.number(),
-});
+}).transform(({ Entries, HasMore, StoreRevision }) => ({
+  objects: Entries.flatMap((entry) => readable(objectSchema, entry)),
+  lastName: Entries.flatMap((entry) => readable(nameSchema, entry)).at(-1),
+  hasMore: HasMore,
+  revision: StoreRevision,
+}));
+
+const eventSchema = z.object({
+  Object: objectSchema,
+  Deleted: z.boolean().default(false),
+}).transform(({ Object, Deleted }) => ({ object: Object, deleted: Deleted }));
 
 const changesSchema = z.object({
-  events: z.array(z.object({
-    Object: objectSchema,
-    Deleted: z.boolean().default(false),
-  })).default([]),
+  events: z.array(z.unknown()).default([]),
   StoreRevision: z.number(),
 }).transform(({ events, StoreRevision }): StoreChanges => ({
-  events: events.map((event) => ({
-    object: event.Object,
-    deleted: event.Deleted,
-  })),
+  events: events.flatMap((event) => readable(eventSchema, event)),
   revision: StoreRevision,
 }));
 
+/** What is not an object as the store keeps them is passed over; the others hold. */
+function readable<T>(schema: z.ZodType<T>, value: unknown): T[] {
+  const parsed = schema.safeParse(value);
+  return parsed.success ? [parsed.data] : [];
+}
+
 interface Exchange extends StoreCall {
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
@@ -113,11 +127,11 @@
         listSchema,
       );
       if (!answer.ok) return answer;
-      objects.push(...answer.value.Entries);
-      revision ??= answer.value.StoreRevision;
-      const last = answer.value.Entries.at(-1);
-      if (!answer.value.HasMore || last === undefined) break;
-      after = last.name;
+      const { lastName, hasMore } = answer.value;
+      objects.push(...answer.value.objects);
+      revision ??= answer.value.revision;
+      if (!hasMore || lastName === undefined) break;
+      after = lastName;
     }
     return ok({ objects, revision: revision ?? 0 });
   }
--- a/src/platform/http_object_store_test.ts
+++ b/src/platform/http_object_store_test.ts
@@ -63,6 +63,31 @@
     );
   });
 
+  // A list that holds one such object was refused as a whole: no server was known then.
+  it("should pass over objects that cannot be read, in lists and changes", async () => {
+    const revision = standin.kinds.revision;
+    standin.kinds.put("things", { name: "a", spec: {} });
+    standin.kinds.put("things", {
+      name: 7 as unknown as string,
+      spec: {},
+    });
+    standin.kinds.put("things", { name: "z", spec: {} });
+    const listing = await store.list("things", CALL);
+    assert.deepEqual(
+      listing.ok && listing.value.objects.map(({ name }) => name),
+      ["a", "z"],
+    );
+    const changes = await store.watch("things", {
+      ...CALL,
+      revision,
+      waitMs: 10,
+    });
+    assert.deepEqual(
+      changes.ok && changes.value.events.map(({ object }) => object.name),
+      ["a", "z"],
+    );
+  });
+
   it("should hear of changes and removals, and that history is lost", async () => {
     const listing = await store.list("things", CALL);
     assert.ok(listing.ok);
--- a/src/platform/server_wire.ts
+++ b/src/platform/server_wire.ts
@@ -14,13 +14,26 @@
 /** Kind of the entries of backend servers in the store. */
 export const SERVER_KIND = "servers";
 
+/** `IP:port`; servers are reached by their numbers only. */
+const ADDRESS = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
+const MOST_PORT = 65_535;
+
+function isAddress(text: string): boolean {
+  const port = Number(ADDRESS.exec(text)?.[1] ?? 0);
+  return port > 0 && port <= MOST_PORT;
+}
+
+/**
+ * An entry may come from another writer than a server. Whatever lacks a field that is needed to
+ * use a server, or has another type or state than a server writes, names none.
+ */
 const serverSchema = z.object({
-  Service: z.string(),
-  Address: z.string(),
-  Zone: z.string().default(""),
-  Version: z.string().default(""),
-  Slots: z.number().min(0).default(1),
-  State: z.string().default("ready"),
+  Service: z.string().min(1),
+  Address: z.string().refine(isAddress, "not an IP number and port"),
+  Zone: z.string().min(1),
+  Version: z.string(),
+  Slots: z.number().min(0),
+  State: z.enum(["ready", "draining"]),
   WarmupLeftMs: z.number().min(0).default(0),
   // One that is missing or wrong names no life, and does not make the entry wrong.
   born: z.int().min(0).optional().catch(undefined),
@@ -44,7 +57,7 @@
     // Of its software; unlike the version of a model's weights.
     release: wire.Version as ReleaseId,
     slots: wire.Slots,
-    state: wire.State === "ready" ? "ready" : "draining",
+    state: wire.State,
     coldForMs: wire.WarmupLeftMs,
     bornMs: wire.born,
   });
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -47,6 +47,8 @@
     one: (server) => this.#logCold([server]),
     many: (servers) => this.#logCold(servers),
   });
+  /** Servers whose entries name none at present. */
+  readonly #unreadable = new Set<InstanceId>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(deps: Deps) {
@@ -80,12 +82,21 @@
     this.#listeners.push(listener);
   }
 
+  /** Number of entries that name no server. */
+  get unreadable(): number {
+    return this.#unreadable.size;
+  }
+
   /** Notes that another server answers at the address of this one. */
   misdirected(instance: InstanceId): void {
     this.#note(this.#deps.serverDirectory.misdirected(instance));
   }
 
   listed(objects: readonly StoredObject[]): void {
+    const listed = new Set(objects.map(({ name }) => name as InstanceId));
+    for (const instance of this.#unreadable) {
+      if (!listed.has(instance)) this.#unreadable.delete(instance);
+    }
     const records = objects.flatMap((object) => this.#decode(object));
     for (const record of records) this.#noteCold(record);
     const { serverDirectory } = this.#deps;
@@ -101,6 +112,7 @@
 
   deleted(object: StoredObject): void {
     const instance = object.name as InstanceId;
+    this.#unreadable.delete(instance);
     this.#note(this.#deps.serverDirectory.remove(instance, this.#at()));
   }
 
@@ -118,9 +130,18 @@
   }
 
   #decode(object: StoredObject): ServerRecord[] {
+    const instance = object.name as InstanceId;
     const decoded = decodeServer(object.name, object.spec);
-    if (decoded.ok) return [decoded.value];
-    this.#deps.logger.warn("Entry of a server is not understood", {
+    if (decoded.ok) {
+      this.#unreadable.delete(instance);
+      return [decoded.value];
+    }
+    this.#note(this.#deps.serverDirectory.unreadable(instance));
+    // Another writer may write it again and again.
+    if (this.#unreadable.has(instance)) return [];
+    this.#unreadable.add(instance);
+    this.#deps.logger.warn("Entry names no server", {
+      entry: object.name,
       reason: describeDecodeError(decoded.error),
     });
     return [];
--- /dev/null
+++ b/src/store/server_follower_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { ServiceId } from "../core/ids.ts";
+import { ColdServers } from "../core/servers/cold_servers.ts";
+import { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import { ServerFollower } from "./server_follower.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+
+const SERVICE = "tracker" as ServiceId;
+
+/** Counts lines instead of writing them. */
+class CountingLogger extends SilentLogger {
+  warnings = 0;
+
+  override warn(): void {
+    this.warnings += 1;
+  }
+}
+
+let directory: ServerDirectory;
+let logger: CountingLogger;
+let follower: ServerFollower;
+
+beforeEach(() => {
+  directory = new ServerDirectory();
+  logger = new CountingLogger();
+  follower = new ServerFollower({
+    objectStore: {} as ObjectStore,
+    storeHealth: {
+      // As shortly after an outage, when entries may be missing for a while.
+      health: { reachable: true, backSinceMs: 0 },
+      onBack: () => {},
+    } as unknown as StoreHealthKeeper,
+    serverDirectory: directory,
+    coldServers: new ColdServers(),
+    clock: { monotonicMs: () => 1, wallMs: () => 1 },
+    logger,
+    chance: () => 0.5,
+  });
+});
+
+function entry(name: string, patch: object = {}): StoredObject {
+  const spec = {
+    Service: SERVICE,
+    Address: "10.0.0.1:80",
+    Zone: "north",
+    Version: "v1",
+    Slots: 6,
+    State: "ready",
+    ...patch,
+  };
+  return { name, revision: 1, spec, status: null };
+}
+
+function namesOf(): string[] {
+  return directory.usable(SERVICE).map(({ instance }) => instance).sort();
+}
+
+describe("follower of servers", () => {
+  it("should give no new work to a server whose entry turns unreadable, and keep the others", () => {
+    follower.listed([entry("a"), entry("b")]);
+    follower.changed(entry("a", { State: "resting" }));
+    assert.deepEqual(namesOf(), ["b"]);
+    follower.changed(entry("a"));
+    assert.deepEqual(namesOf(), ["a", "b"]);
+  });
+
+  it("should do so also where a list shows it, shortly after an outage", () => {
+    follower.listed([entry("a"), entry("b")]);
+    follower.listed([entry("a", { Address: 5 }), entry("b")]);
+    assert.deepEqual(namesOf(), ["b"]);
+  });
+
+  it("should log once that an entry has turned unreadable, however often it is read", () => {
+    follower.listed([entry("a")]);
+    for (let n = 0; n < 5; n++) follower.changed(entry("a", { Slots: "n" }));
+    assert.equal(logger.warnings, 1);
+    assert.equal(follower.unreadable, 1);
+    follower.deleted(entry("a"));
+    assert.equal(follower.unreadable, 0);
+  });
+});
