Count the time for which a VM was suspended in the age of confirmations

Cause: the steady clock does not count a suspension. A configuration confirmed before it looked fresh after it, so that keys withdrawn meanwhile opened what they had opened; this binds a VM in touch or not.

Change: confirmations are dated by a clock that counts jumps ahead of the time of day as time that has passed: own reads, lists, and what others tell, from when they were asked. It never makes an age shorter.

Ruled out: os.uptime(), whole seconds or a file read for each request; one clock for everything, as a time of day that is set would end requests early.

A time of day set ahead makes ages too long until the next confirmation. Other ages (leases, turns, orders) are not moved to that clock yet.

--- a/src/fleet/store_subscriber.ts
+++ b/src/fleet/store_subscriber.ts
@@ -5,6 +5,7 @@
 import { feedAnswerSchema } from "../protocol/store_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { TrustClock } from "../runtime/trust_clock.ts";
 import { pause } from "../runtime/pause.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
@@ -33,6 +34,7 @@
   readonly routingFollower: RoutingFollower;
   readonly vmClients: VmClients;
   readonly clock: Clock;
+  readonly trustClock: TrustClock;
   readonly logger: Logger;
 }
 
@@ -81,9 +83,10 @@
 
   /** Returns whether the reader answered. */
   async #ask({ id, peers }: Member, waitMs: number): Promise<boolean> {
-    const { storeSync, relayRole, vmClients, clock } = this.#deps;
+    const { storeSync, relayRole, vmClients, clock, trustClock } = this.#deps;
     const question = { known: storeSync.known(), waitMs };
     const askedMs = clock.monotonicMs();
+    const datedMs = trustClock.nowMs();
     const answer = await vmClients.call(peers, {
       timeoutMs: waitMs + GRACE_MS,
       ask: async (client, signal) =>
@@ -94,10 +97,12 @@
       answer.value;
     storeSync.hear(store);
     // The answer was made no earlier than this, however long it was on its way.
-    const atMs = askedMs + heldMs - confirmedAgeMs;
-    const version = configurationVersion;
-    this.#deps.routingFollower.hearConfirmation({ version, atMs });
-    if (store.reads) relayRole.heardReader(atMs);
+    const sinceAskedMs = heldMs - confirmedAgeMs;
+    this.#deps.routingFollower.hearConfirmation({
+      version: configurationVersion,
+      atMs: datedMs + sinceAskedMs,
+    });
+    if (store.reads) relayRole.heardReader(askedMs + sinceAskedMs);
     relayRole.heardStore(id, { lost: store.lost });
     return true;
   }
--- a/src/fleet/store_subscriber_test.ts
+++ b/src/fleet/store_subscriber_test.ts
@@ -5,12 +5,14 @@
 import { fail, ok } from "../core/result.ts";
 import type { FeedAnswer, FeedQuestion } from "../protocol/store_schema.ts";
 import { SilentLogger } from "../runtime/logger.ts";
+import { TrustClock } from "../runtime/trust_clock.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import type { FleetRelayRole } from "./fleet_relay_role.ts";
 import { StoreSubscriber } from "./store_subscriber.ts";
 import type { VmClients } from "./vm_clients.ts";
 
+const CLOCK = { monotonicMs: () => 5_000, wallMs: () => 0 };
 const READER = { id: "vm-1" as EntryId, peers: "10.0.0.1:1" } as Member;
 const ANSWER: FeedAnswer = {
   store: { reads: true, lost: false, inTouch: true, known: [], changes: [] },
@@ -67,7 +69,8 @@
         }
       },
     } as unknown as VmClients,
-    clock: { monotonicMs: () => 5_000, wallMs: () => 0 },
+    clock: CLOCK,
+    trustClock: new TrustClock({ clock: CLOCK }),
     logger: new SilentLogger(),
   });
 });
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -43,6 +43,7 @@
 import { type Clock, SystemClock } from "../runtime/clock.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import type { Logger } from "../runtime/logger.ts";
+import { TrustClock } from "../runtime/trust_clock.ts";
 import { CrashRegistry } from "../store/crash_registry.ts";
 import { EvacuationFollower } from "../store/evacuation_follower.ts";
 import { RollOutFollower } from "../store/roll_out_follower.ts";
@@ -124,6 +125,7 @@
     clock: asFunction(() => new SystemClock()).singleton(),
   });
   const parts = {} as GatewayParts;
+  container.register({ trustClock: singletonsOf(parts)(TrustClock) });
   const registering = { vmSettings, one: singletonsOf(parts) };
   registerDecisions(container, registering);
   registerEdges(container, registering);
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -49,6 +49,7 @@
   readonly #deps: KindFollowerDeps;
   readonly #listener: KindListener;
   readonly #copy: KindCopy;
+  readonly #dateMs: () => number;
   #watch = new AbortController();
   #access: StoreAccess = "reader";
   #mustList = true;
@@ -60,9 +61,15 @@
 
   constructor(
     deps: KindFollowerDeps,
-    { kind, listener }: { kind: string; listener: KindListener },
+    { kind, listener, dateMs }: {
+      kind: string;
+      listener: KindListener;
+      /** Dates whole reads; by the steady clock where it is left out. */
+      dateMs?: () => number;
+    },
   ) {
     this.#deps = deps;
+    this.#dateMs = dateMs ?? (() => deps.clock.monotonicMs());
     this.kind = kind;
     this.#listener = listener;
     this.#copy = new KindCopy(kind);
@@ -139,7 +146,7 @@
     this.#watch = new AbortController();
     this.#mustList = false;
     const { signal } = this.#watch;
-    const startedMs = this.#deps.clock.monotonicMs();
+    const startedMs = this.#dateMs();
     const listing = await this.#deps.objectStore.list(this.kind, {
       timeoutMs: LIST_TIMEOUT_MS,
       signal,
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -17,6 +17,7 @@
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { LogContext, Logger } from "../runtime/logger.ts";
+import type { TrustClock } from "../runtime/trust_clock.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
 import { asksStore, retryPauseMs, type StoreAccess } from "./store_access.ts";
@@ -50,6 +51,8 @@
   readonly storeHealth: StoreHealthKeeper;
   readonly bounds: DeploymentBounds;
   readonly clock: Clock;
+  /** By which confirmations are dated: they bind a VM also after it was suspended. */
+  readonly trustClock: TrustClock;
   readonly logger: Logger;
   readonly chance: () => number;
 }
@@ -73,6 +76,7 @@
     this.follower = new KindFollower(deps, {
       kind: CONFIGURATION_KIND,
       listener: this,
+      dateMs: () => deps.trustClock.nowMs(),
     });
   }
 
@@ -83,7 +87,7 @@
 
   /** Milliseconds since a read showed that no later configuration was accepted. */
   confirmedAgeMs(): number {
-    return this.#deps.clock.monotonicMs() - this.#confirmedAtMs;
+    return this.#deps.trustClock.nowMs() - this.#confirmedAtMs;
   }
 
   /** Registers a listener for configurations that come into force. */
@@ -102,7 +106,8 @@
   }
 
   /**
-   * Takes in what another VM has confirmed: `atMs` is when its read began, or earlier.
+   * Takes in what another VM has confirmed: `atMs` is when its read began, or earlier, by the
+   * clock for ages.
    * A later version there is read from the store at once.
    */
   hearConfirmation(
@@ -182,8 +187,9 @@
   }
 
   async #confirm(): Promise<void> {
-    const { objectStore, storeHealth, clock } = this.#deps;
+    const { objectStore, storeHealth, clock, trustClock } = this.#deps;
     const startedMs = clock.monotonicMs();
+    const datedMs = trustClock.nowMs();
     this.#reading = true;
     const read = await objectStore.get(
       { kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME },
@@ -193,7 +199,7 @@
     if (this.#stopped) return;
     if (read.ok) {
       storeHealth.answered();
-      if (this.#apply(read.value)) this.#confirmedBy(startedMs);
+      if (this.#apply(read.value)) this.#confirmedBy(datedMs);
     } else if (read.error.tag === "missing") {
       storeHealth.answered();
     } else {
