Let a run go on that has begun, whatever its request is suspected of

Cause: read in the change: a copy that was getting its answer at a sound server was given up once its request was taken to crash servers, though a run that goes on is what a culprit never has.

Change: only streams without a first byte are given up for it.

Ruled out: giving up none; a copy that waits would end its server as well.

--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -109,9 +109,9 @@
   }
 
   /**
-   * Takes in the answer to a question that was asked at `askedMs`, by the clock for ages. Only answers date a
-   * confirmation: a digest that comes unasked may have been on its way for long. Returns
-   * whether the other VM is a relay that is in touch with the store.
+   * Takes in the answer to a question that was asked at `askedMs`, by the clock for ages. Only
+   * answers date a confirmation: a digest that comes unasked may have been on its way for long.
+   * Returns whether the other VM is a relay that is in touch with the store.
    */
   hearAnswer({ digest, store }: DigestAnswer, askedMs: number): boolean {
     this.#hear(digest);
--- a/src/gateway/request_crashes.ts
+++ b/src/gateway/request_crashes.ts
@@ -44,7 +44,12 @@
     return this.#after.length > 0;
   }
 
-  /** Whether the request must not go on, wherever it is. */
+  /** Whether the first byte of an answer shows that a run has begun. */
+  get isStream(): boolean {
+    return this.#watched.streaming;
+  }
+
+  /** Whether the request must not begin to run, wherever it is. */
   get isQuarantined(): boolean {
     return this.#watch.standing(this.#watched).tag === "quarantined";
   }
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -184,8 +184,9 @@
 
   /** Called again and again while the request runs, to leave servers that it may not run at. */
   check(nowMs: number): void {
-    // Its server may not have begun it, and then outlives it.
-    if (this.#crashes.isQuarantined) this.#sender.giveUp();
+    // A stream that has begun, and goes on, shows that the request does not crash its server.
+    const begun = this.#sender.hasBegun || !this.#crashes.isStream;
+    if (!begun && this.#crashes.isQuarantined) this.#sender.giveUp();
     else this.#checkSilence(nowMs);
   }
 
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -105,6 +105,11 @@
     return this.#current?.sent ?? false;
   }
 
+  /** Whether a byte of the answer has come in the last try. */
+  get hasBegun(): boolean {
+    return this.#tries.at(-1)?.firstByteMs !== undefined;
+  }
+
   /**
    * Returns the server for the next try. One that was tried already comes only where no
    * other is left and the request `mayComeBack` to it.
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -16,6 +16,7 @@
   LONG,
   LONG_BODY,
   POISON,
+  type ServedRun,
   WHOLE_BODY,
 } from "./fixtures/crashing_servers.ts";
 import { GatewayFleet } from "./fixtures/gateway_fleet.ts";
@@ -137,6 +138,26 @@
     assert.ok(Math.max(...runs) <= 2, `runs of each: ${runs}`);
   });
 
+  it("should not lose an answer that another copy of it is getting", async () => {
+    // A run that has gone on for longer than the culprit's would clears the request.
+    const path = `/stock/${LONG}/copies`;
+    const untilRuns = (count: number) =>
+      until(() => Promise.resolve(servers.runsOf(path).length >= count));
+    const [first = "", second = ""] = fleet.vms;
+    const crashing = fleet.call(first, path);
+    await untilRuns(1);
+    servers.crashUnder(servers.runsOf(path)[0] as ServedRun);
+    await untilRuns(2);
+    const going = fleet.call(second, path);
+    await untilRuns(3);
+    servers.crashUnder(servers.runsOf(path)[1] as ServedRun);
+    await untilRuns(4);
+    servers.crashUnder(servers.runsOf(path)[3] as ServedRun);
+    await crashing;
+    assert.equal((await going).body, LONG_BODY);
+    assert.equal((await fleet.call(second, path)).body, LONG_BODY);
+  });
+
   it("should leave other requests their servers", async () => {
     await untilEnded(ALLOWED);
     await pause(CONTACT_MS);
