Take runs of one attempt in order, also where word of an end comes late

Cause: a run counted as later than a crash only if that crash was known as it was sent. Where a VM is behind, word that a server has ended comes after the 0.1 s for which the request waits, and runs that one attempt made one after the other counted as simultaneous: no verdict after the third end.

Change: an attempt knows itself which servers have lost it before.

Ruled out: a longer wait, which innocent requests would pay.

Result: request_crashes_test failed before and passes now.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -11,7 +11,7 @@
   readonly life: ServerLife;
   /** `IP:port` of the server. */
   readonly address: string;
-  /** Servers that were known to have ended under the request before it was sent to this one. */
+  /** Servers that were known to have ended under the request, or had lost it, before this one got it. */
   readonly after: readonly ServerLife[];
   readonly beganMs: number;
   readonly endedMs: number;
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -37,7 +37,7 @@
 export interface BrokenTry {
   readonly server: ServerRecord;
   readonly record: TryRecord;
-  /** Servers that were known to have ended under the request when it was sent. */
+  /** Servers that had ended under the request when it was sent, or broken it off before. */
   readonly after: readonly ServerLife[];
 }
 
--- a/src/gateway/request_crashes.ts
+++ b/src/gateway/request_crashes.ts
@@ -3,7 +3,7 @@
 import type { TryOutcome } from "../backends/backend_try.ts";
 import type { Standing } from "../core/crashes/crash_book.ts";
 import type { ServerLife } from "../core/ids.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
+import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
 import { pause } from "../runtime/pause.ts";
 import type { CrashWatch, WatchedRequest } from "./crash_watch.ts";
 import type { TryRecord } from "./try_record.ts";
@@ -21,7 +21,10 @@
 export class RequestCrashes {
   readonly #watch: CrashWatch;
   readonly #watched: WatchedRequest;
-  #after: readonly ServerLife[] = [];
+  /** Servers that are known to have ended under the request. */
+  #ended: readonly ServerLife[] = [];
+  /** Servers at which a try of this attempt broke off, whether or not they have ended. */
+  readonly #lost: ServerLife[] = [];
 
   constructor(watch: CrashWatch, watched: WatchedRequest) {
     this.#watch = watch;
@@ -35,13 +38,13 @@
       await pause(SETTLE_PAUSE_MS);
       standing = this.#watch.standing(this.#watched);
     }
-    this.#after = this.#watch.endedUnder(this.#watched);
+    this.#ended = this.#watch.endedUnder(this.#watched);
     return standing;
   }
 
   /** Whether servers were known to have ended under the request before this try. */
   get isSuspected(): boolean {
-    return this.#after.length > 0;
+    return this.#ended.length > 0;
   }
 
   /** Whether the first byte of an answer shows that a run has begun. */
@@ -61,7 +64,10 @@
   ): Promise<void> {
     if (outcome.tag !== "broken" && outcome.tag !== "stream_broken") return;
     if (record === undefined) return;
-    const broken = { server, record, after: this.#after };
+    // What this attempt has lost came before, also where word of its end is still to come.
+    const after = [...new Set([...this.#ended, ...this.#lost])];
+    const broken = { server, record, after };
+    this.#lost.push(lifeOf(server));
     const known = this.#watch.brokeOff(this.#watched, broken);
     await Promise.race([known, pause(END_WAIT_MS)]);
   }
