--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -1,22 +1,10 @@
 /** Checks what must always hold against the history of a run. */
 
 import type { CallerRecord, History, RunRecord } from "./history.ts";
-import type { GatewayName } from "./ids.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
-import {
-  ACCOUNT,
-  BOUNDS,
-  CONTACT_MS,
-  POISON_LIMIT,
-  ROUTE,
-  WARMUP,
-} from "./soak_settings.ts";
-
-/** A promise that was broken. */
-export interface Violation {
-  readonly promise: string;
-  readonly what: string;
-}
+import { checkInnocents, checkPoison } from "./poison_check.ts";
+import { ACCOUNT, BOUNDS, ROUTE, WARMUP } from "./soak_settings.ts";
+import { type Violation, violation, wasTroubled } from "./violation.ts";
 
 /** Statuses by which a gateway says that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -37,8 +25,6 @@
  */
 const ABLE_SERVERS = 2;
 const MS_PER_SECOND = 1_000;
-/** How a gateway refuses a request that crashes servers, before or after a run of its own. */
-const POISON_REFUSAL = /"crashes_servers"|servers have ended while they ran it/;
 /** A gateway may end a request this long before its time is up, when it is of no use. */
 const SHORT_TIME_MS = 100;
 
@@ -301,36 +287,6 @@
   return new Set(able).size;
 }
 
-/** Once three servers have ended under a request and all gateways know, none sends it. */
-function checkPoison(
-  { poisonedServers, poisonCallers, runs, ...history }: History,
-): Violation[] {
-  const third = poisonedServers[POISON_LIMIT - 1];
-  if (third === undefined) return [];
-  const callers = new Map(poisonCallers.map((one) => [one.attempt, one]));
-  return runs
-    .filter(({ poison, atMs }) => poison && atMs > third.atMs + CONTACT_MS)
-    .flatMap(({ attempt, server, atMs }) => {
-      const record = callers.get(attempt);
-      if (record === undefined) return [];
-      const { gateway, sentMs } = record;
-      const span = { gateway, fromMs: sentMs, untilMs: atMs };
-      if (wasTroubled(history, span)) return [];
-      return [violation("crashing requests", record, `ran at ${server}`)];
-    });
-}
-
-/** Only the request that ends servers is taken for it. */
-function checkInnocents({ callers }: History): Violation[] {
-  return callers
-    .filter(({ ending }) =>
-      ending.tag === "answered" && POISON_REFUSAL.test(ending.body)
-    )
-    .map((record) =>
-      violation("innocent requests", record, "was taken to crash servers")
-    );
-}
-
 /** A gateway that has shown a version in one life must go on to do so. */
 function checkVersions({ shownVersions }: History): Violation[] {
   const first = new Map<string, number>();
@@ -351,34 +307,3 @@
   }
   return violations;
 }
-
-/** Whether a gateway, or all, had trouble in a span of time or shortly before it. */
-function wasTroubled(
-  { troubles }: Pick<History, "troubles">,
-  { gateway, fromMs, untilMs, names }: {
-    gateway: GatewayName;
-    fromMs: number;
-    untilMs: number;
-    /** Kinds of trouble that count; all where left out. */
-    names?: ReadonlySet<string>;
-  },
-): boolean {
-  return troubles.some((trouble) =>
-    (names?.has(trouble.name) ?? true) &&
-    (trouble.victim === "all" || trouble.victim === gateway) &&
-    trouble.fromMs <= untilMs && trouble.untilMs >= fromMs - CONTACT_MS
-  );
-}
-
-function violation(
-  promise: string,
-  { attempt, kind, gateway, sentMs }: CallerRecord,
-  what: string,
-): Violation {
-  return {
-    promise,
-    what: `${kind} ${attempt} by ${gateway} at ${
-      Math.round(sentMs)
-    } ms ${what}`,
-  };
-}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -14,13 +14,14 @@
   planUnseenRemoval,
 } from "./fault_plan.ts";
 import { History } from "./history.ts";
-import { checkPromises, type Violation } from "./promise_checker.ts";
+import { checkPromises } from "./promise_checker.ts";
 import { PoisonCaller } from "./poison_caller.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakGateway } from "./soak_gateway.ts";
 import { CONTACT_MS, type SoakSize } from "./soak_settings.ts";
 import { SoakStore } from "./soak_store.ts";
 import { shows, VersionWatch } from "./version_watch.ts";
+import type { Violation } from "./violation.ts";
 
 /** Longest wait for all gateways to serve, at the start and after the last fault. */
 const SERVE_LIMIT_MS = 20_000;
