Log what servers ask for and say of themselves

Cause: no log line and no metric said that a server had asked for rest, nor for how long, so that the hypotheses of the incident could be told apart by their timing only. Change: notices are decoded at the head of every answer (seconds, fractions, moments, several values, nonsense: a table and a property test); lines "Server asks for rest" and "Server says that it leaves", the rest that was asked for in the tries of "Request ended", a counter. No decision reads them. Ruled out: reading them from whole answers only; a 503 whose body is cut says as much.

--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -1,11 +1,13 @@
 /** One try of a request at one backend server. */
 
 import { Buffer } from "node:buffer";
+import type { ServerNotice } from "../core/servers/server_notice.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
   type BackendHead,
   decodeBackendHead,
 } from "../platform/header_wire.ts";
+import { decodeServerNotice } from "../platform/server_notice_wire.ts";
 import type {
   AnswerHeaders,
   BackendConnection,
@@ -20,13 +22,20 @@
   readonly status: number;
   readonly headers: AnswerHeaders;
   readonly decoded: BackendHead;
+  /** What the server says of itself. */
+  readonly notice: ServerNotice;
 }
 
 /** How a try ended. */
 export type TryOutcome =
   | { readonly tag: "not_sent"; readonly reason: string }
   /** The server says that it did not run the request and never will. */
-  | { readonly tag: "not_run"; readonly status: number }
+  | {
+    readonly tag: "not_run";
+    readonly status: number;
+    /** Rest that the server asks for, in milliseconds; 0 where it asks for none. */
+    readonly restMs: number;
+  }
   /** Another server answers at the address; nothing ran. */
   | { readonly tag: "misdirected" }
   /** The server may have run the request, but no whole answer came. */
@@ -55,6 +64,11 @@
   judge(head: AnswerHead): HeadVerdict;
   /** Returns false while no more bytes are wanted; `onDrain` ends that. */
   write(chunk: Buffer): boolean;
+  /**
+   * Called with each head that the server sends, of whatever use its answer is otherwise; not
+   * where another server answers at the address.
+   */
+  onNotice(notice: ServerNotice): void;
   /** Any byte of the answer came; for watching over silent servers. */
   onProgress(): void;
 }
@@ -141,7 +155,9 @@
     if (this.#done) return;
     this.#input.sink.onProgress();
     const decoded = decodeBackendHead(headers);
-    this.#head = { status, headers, decoded };
+    const notice = decodeServerNotice(status, headers);
+    this.#head = { status, headers, decoded, notice };
+    if (status !== MISDIRECTED) this.#input.sink.onNotice(notice);
     const flaw = this.#flawOf(this.#head);
     if (flaw !== undefined) {
       // What else comes on this connection belongs to nobody that we know of.
@@ -190,7 +206,10 @@
     const head = this.#head;
     if (head === undefined) return { tag: "broken", reason: "no head" };
     if (head.status === MISDIRECTED) return { tag: "misdirected" };
-    if (isNotRun(head)) return { tag: "not_run", status: head.status };
+    if (isNotRun(head)) {
+      const { status, notice } = head;
+      return { tag: "not_run", status, restMs: notice.restMs };
+    }
     if (this.#verdict === "stream") {
       return { tag: "streamed", framed: head.decoded.framed };
     }
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -46,6 +46,7 @@
       sink: {
         judge: () => verdict,
         write: (chunk) => streamed.push(chunk.toString()) > 0,
+        onNotice: () => {},
         onProgress: () => {},
       },
     }).run();
--- /dev/null
+++ b/src/core/servers/server_notice.ts
@@ -0,0 +1,12 @@
+/** What a backend server says of itself beside an answer. */
+
+/** A server's own words, which go before what a VM has guessed of it. */
+export interface ServerNotice {
+  /** How long it wants nothing from this VM, in milliseconds; 0 where it asks for no rest. */
+  readonly restMs: number;
+  /** Whether it is about to leave. It says so in all its answers from then on. */
+  readonly leaves: boolean;
+}
+
+/** Of a server that has nothing to say of itself. */
+export const NO_NOTICE: ServerNotice = { restMs: 0, leaves: false };
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -63,6 +63,7 @@
 import { RequestLog } from "./request_log.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
+import { ServerNotices } from "./server_notices.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
 import { SuspectPlaces } from "./suspect_places.ts";
@@ -253,6 +254,7 @@
     readiness: one(Readiness),
     addressList: one(AddressList),
     coldServerGuard: one(ColdServerGuard),
+    serverNotices: one(ServerNotices),
     serverSelector: one(ServerSelector),
     requestAdmission: one(RequestAdmission),
     tryObserver: one(TryObserver),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -43,6 +43,14 @@
     registers: [this.registry],
   });
 
+  readonly restsAsked = new Counter({
+    name: "fieldrack_gateway_rests_asked_total",
+    help: "Requests turned away by servers that want nothing from this VM " +
+      "for a while, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
   readonly suspectedRequests = new Gauge({
     name: "fieldrack_gateway_suspected_requests",
     help: "Requests under which servers have ended lately, as known here",
--- a/src/gateway/try_record.ts
+++ b/src/gateway/try_record.ts
@@ -81,7 +81,9 @@
     case "stream_broken":
       return outcome.reason;
     case "not_run":
-      return `status ${outcome.status}`;
+      return outcome.restMs > 0
+        ? `status ${outcome.status}, asks for ${outcome.restMs} ms of rest`
+        : `status ${outcome.status}`;
     case "answered":
       return `status ${outcome.head.status}`;
     default:
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -26,6 +26,7 @@
 import type { ColdServerGuard } from "./cold_server_guard.ts";
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
+import type { ServerNotices } from "./server_notices.ts";
 import type { ServerSelector } from "./server_selector.ts";
 import type { SuspectPlaces } from "./suspect_places.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -47,6 +48,7 @@
   readonly tryObserver: TryObserver;
   readonly silenceWatch: SilenceWatch;
   readonly serverProbe: ServerProbe;
+  readonly serverNotices: ServerNotices;
   readonly serverLoads: ServerLoads;
   readonly workPredictor: WorkPredictor;
   readonly clock: Clock;
@@ -164,6 +166,7 @@
       tryObserver,
       serverDirectory,
       coldServerGuard,
+      serverNotices,
       suspectPlaces,
     } = this.#deps;
     const { exchange, stream } = this.#request;
@@ -187,6 +190,7 @@
           return terms.judge(head);
         },
         write: (chunk) => stream.write(chunk, () => this.#readOn(observed)),
+        onNotice: (notice) => serverNotices.heard(server, notice),
         onProgress: () => tryObserver.byteCame(observed),
       },
     });
