Give servers the rest they ask for, and no work to those that say they leave

Cause: what a server says of itself was not read; a VM went by its own guess of the server's health, as a preference that fell back to it where no other was left. Change: rests are kept by life (ServerRests) and asked at one gate that first tries, repeats, continued streams, larger models and predictions pass, once more just before the first byte, with no way past it. Nothing else is guessed of a server that has said for how long. After a rest one request goes each 250 ms until one is taken. A request that was withheld at its last moment has used up neither a try nor a repeat, and is not held against its server. A stream that has begun waits for the end of a rest if it has the time; others are refused at once and told when, spread over a quarter of the wait. A session keeps its release where all servers of that rest. Silence of a server that rests is not judged, as it may not be asked. A server that says that it leaves gets no new work in this life, whatever the list says. The outcome of a try that the VM withholds has a name of its own now: its test asks for "withheld" in place of "not_sent", and for no byte as before. Ruled out: telling rests to other VMs, as a server asks each of them for its own; a guess beside the server's word.

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -29,6 +29,8 @@
 export type ExchangeFailure =
   /** No byte of the request was written. */
   | { readonly tag: "not_sent"; readonly reason: string }
+  /** The same, as the listener did not want it sent any more. */
+  | { readonly tag: "withheld" }
   /** The server may have run the request. */
   | { readonly tag: "broken"; readonly reason: string };
 
@@ -188,6 +190,7 @@
   readonly #listener: ExchangeListener;
   readonly #hooks: HandlerHooks;
   #sent = false;
+  #withheld = false;
   #ended = false;
 
   constructor(listener: ExchangeListener, hooks: HandlerHooks) {
@@ -203,7 +206,10 @@
     this.#hooks.onController(controller);
     // Before the answer: an abort reports its error at once.
     this.#sent = this.#listener.onSending();
-    if (!this.#sent) controller.abort(new Error("Request may not be sent now"));
+    this.#withheld = !this.#sent;
+    if (this.#withheld) {
+      controller.abort(new Error("Request may not be sent now"));
+    }
   }
 
   onResponseStart(
@@ -239,6 +245,10 @@
     if (this.#ended) return;
     this.#ended = true;
     this.#hooks.onDone(false);
+    if (this.#withheld) {
+      this.#listener.onFailure({ tag: "withheld" });
+      return;
+    }
     const { code, message } = err as NodeJS.ErrnoException;
     const reason = code ?? message;
     this.#listener.onFailure({
--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -29,6 +29,8 @@
 /** How a try ended. */
 export type TryOutcome =
   | { readonly tag: "not_sent"; readonly reason: string }
+  /** Nothing was sent, as the server was no longer to be used when the connection was up. */
+  | { readonly tag: "withheld" }
   /** The server says that it did not run the request and never will. */
   | {
     readonly tag: "not_run";
@@ -193,7 +195,7 @@
     if (this.#done) return;
     this.#done = true;
     this.#connection.destroy();
-    if (this.#verdict === "stream") {
+    if (this.#verdict === "stream" && failure.tag !== "withheld") {
       this.#resolve({ tag: "stream_broken", reason: failure.reason });
     } else if (this.#head !== undefined && isNotRun(this.#head)) {
       this.#resolve(this.#wholeOutcome());
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { afterEach, describe, it } from "node:test";
+import type { ServerNotice } from "../core/servers/server_notice.ts";
 import { SystemClock } from "../runtime/clock.ts";
 import { type RawRequest, RawServer } from "../../tests/fixtures/raw_server.ts";
 import { BackendConnections } from "./backend_connections.ts";
@@ -30,6 +31,7 @@
   connections = new BackendConnections({ clock: new SystemClock() });
   const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
+  const notices: ServerNotice[] = [];
   const pool = connections;
   const send = (attempt = ATTEMPT): Promise<TryOutcome> =>
     new BackendTry(pool, {
@@ -46,11 +48,11 @@
       sink: {
         judge: () => verdict,
         write: (chunk) => streamed.push(chunk.toString()) > 0,
-        onNotice: () => {},
+        onNotice: (notice) => notices.push(notice),
         onProgress: () => {},
       },
     }).run();
-  return { send, streamed, server, record, connections };
+  return { send, streamed, notices, server, record, connections };
 }
 
 function head(
@@ -68,10 +70,40 @@
       ({ socket }) => socket.write(WHOLE),
       { maySend: false },
     );
-    assert.equal((await send()).tag, "not_sent");
+    assert.equal((await send()).tag, "withheld");
     assert.equal(server.requests.length, 0);
   });
 
+  it("should pass on what the server says of itself, whatever its answer is worth", async () => {
+    const rest = "Fieldrack-Not-Processed: 1\r\nRetry-After: 2\r\n" +
+      "Server-Leaving: 1\r\nContent-Length: 5\r\n\r\n";
+    const status = "503 Service Unavailable";
+    const cut = ({ socket }: RawRequest) => {
+      socket.end(`${head({ status, extra: rest })}ab`);
+    };
+    const another = ({ socket }: RawRequest) => {
+      socket.write(head({ status, attempt: "another", extra: rest }));
+    };
+    for (const answer of [cut, another]) {
+      const { send, notices } = await fixture(answer);
+      await send();
+      assert.deepEqual(notices, [{ restMs: 2_000, leaves: true }]);
+      connections?.close();
+      await server?.close();
+    }
+  });
+
+  it("should not take another server's word for that of the server", async () => {
+    const { send, notices } = await fixture(({ socket }) => {
+      socket.write(
+        "HTTP/1.1 421 Misdirected Request\r\nServer-Leaving: 1\r\n" +
+          "Content-Length: 0\r\n\r\n",
+      );
+    });
+    assert.equal((await send()).tag, "misdirected");
+    assert.deepEqual(notices, []);
+  });
+
   it("should return a whole answer and use the connection again", async () => {
     const { send, server } = await fixture(({ socket }) => socket.write(WHOLE));
     const outcome = await send();
--- a/src/backends/server_probe.ts
+++ b/src/backends/server_probe.ts
@@ -2,7 +2,10 @@
 
 import { request } from "undici";
 import type { InstanceId } from "../core/ids.ts";
+import type { ServerNotice } from "../core/servers/server_notice.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { SilenceWatch } from "../core/servers/silence.ts";
+import { decodeServerNotice } from "../platform/server_notice_wire.ts";
 import { SERVER_REPORT_PATH } from "../platform/server_report_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -12,6 +15,9 @@
 /** Time between probes of one server, in milliseconds: two fit before it counts as silent. */
 const INTERVAL_MS = 200;
 
+/** Called with what a server says of itself beside its answer to a probe. */
+export type NoticeListener = (notice: ServerNotice) => void;
+
 interface Deps {
   readonly silenceWatch: SilenceWatch;
   readonly clock: Clock;
@@ -31,12 +37,16 @@
   }
 
   /** Asks a server, unless it was asked just now; an answer counts as a sign of life. */
-  ask(instance: InstanceId, address: string): void {
+  ask(
+    server: Pick<ServerRecord, "instance" | "address">,
+    onNotice: NoticeListener,
+  ): void {
+    const { instance } = server;
     const nowMs = this.#deps.clock.monotonicMs();
     const askedMs = this.#askedMs.get(instance);
     if (askedMs !== undefined && nowMs - askedMs < INTERVAL_MS) return;
     this.#askedMs.set(instance, nowMs);
-    void this.#ask(instance, address);
+    void this.#ask(server, onNotice);
   }
 
   /** Forgets a server that is gone. */
@@ -44,13 +54,17 @@
     this.#askedMs.delete(instance);
   }
 
-  async #ask(instance: InstanceId, address: string): Promise<void> {
+  async #ask(
+    { instance, address }: Pick<ServerRecord, "instance" | "address">,
+    onNotice: NoticeListener,
+  ): Promise<void> {
     const { silenceWatch, clock, logger } = this.#deps;
     try {
       const res = await request(`http://${address}${SERVER_REPORT_PATH}`, {
         signal: AbortSignal.timeout(TIMEOUT_MS),
         reset: true,
       });
+      onNotice(decodeServerNotice(res.statusCode, res.headers));
       await res.body.dump();
       silenceWatch.spoke(instance, clock.monotonicMs());
     } catch (err) {
--- a/src/backends/server_probe_test.ts
+++ b/src/backends/server_probe_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
-import { createServer, type Server } from "node:http";
+import { createServer, type OutgoingHttpHeaders, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import type { InstanceId } from "../core/ids.ts";
+import type { ServerNotice } from "../core/servers/server_notice.ts";
 import { SilenceWatch } from "../core/servers/silence.ts";
 import { SERVER_REPORT_PATH } from "../platform/server_report_wire.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -16,13 +17,17 @@
   targetMs: undefined,
   expectedMs: 10_000,
   byteMs: undefined,
+  askableMs: undefined,
 };
+const unheard = () => {};
 
 let server: Server;
 let paths: string[];
 let nowMs: number;
 let silenceWatch: SilenceWatch;
 let warned: () => void;
+/** Of a server that is full; undefined for one that is not. */
+let headers: OutgoingHttpHeaders | undefined;
 
 function newProbe(): ServerProbe {
   const logger = { info: () => warned() } as unknown as Logger;
@@ -39,8 +44,10 @@
   nowMs = 1_000;
   silenceWatch = new SilenceWatch();
   warned = () => {};
+  headers = undefined;
   server = createServer((req, res) => {
     paths.push(req.url ?? "");
+    if (headers !== undefined) res.writeHead(503, headers);
     res.end("{}");
   });
   await new Promise<void>((resolve) =>
@@ -56,18 +63,28 @@
   it("should count an answer as a sign of life", async () => {
     const { port } = server.address() as AddressInfo;
     assert.equal(silenceWatch.judge(WAITING, 1_000), "server_silent");
-    newProbe().ask(instance, `127.0.0.1:${port}`);
+    newProbe().ask({ instance, address: `127.0.0.1:${port}` }, unheard);
     await until(() => silenceWatch.judge(WAITING, 1_000) === undefined);
     assert.deepEqual(paths, [SERVER_REPORT_PATH]);
   });
 
+  it("should pass on what the server says of itself", async () => {
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    headers = { "retry-after": "2", "server-leaving": "1" };
+    const notice = await new Promise<ServerNotice>((resolve) =>
+      newProbe().ask({ instance, address }, resolve)
+    );
+    assert.deepEqual(notice, { restMs: 2_000, leaves: true });
+  });
+
   it("should not ask a server again and again", async () => {
     const { port } = server.address() as AddressInfo;
     const probe = newProbe();
-    probe.ask(instance, `127.0.0.1:${port}`);
-    probe.ask(instance, `127.0.0.1:${port}`);
+    probe.ask({ instance, address: `127.0.0.1:${port}` }, unheard);
+    probe.ask({ instance, address: `127.0.0.1:${port}` }, unheard);
     nowMs += 500;
-    probe.ask(instance, `127.0.0.1:${port}`);
+    probe.ask({ instance, address: `127.0.0.1:${port}` }, unheard);
     await until(() => paths.length === 2);
   });
 
@@ -77,7 +94,7 @@
     });
     const { port } = server.address() as AddressInfo;
     await new Promise((resolve) => server.close(resolve));
-    newProbe().ask(instance, `127.0.0.1:${port}`);
+    newProbe().ask({ instance, address: `127.0.0.1:${port}` }, unheard);
     await told;
     assert.equal(silenceWatch.judge(WAITING, 1_000), "server_silent");
   });
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -13,11 +13,16 @@
   /** No server of the service takes new work. */
   | {
     readonly tag: "no_server";
-    /** When one that is cold will be warm, in milliseconds, if all that are there are cold. */
-    readonly warmInMs?: number;
+    /** When one takes requests, in milliseconds, if all that are there rest or are cold. */
+    readonly opensInMs: number | undefined;
   }
   /** Every server that was asked said that it did not run the request. */
-  | { readonly tag: "servers_full"; readonly asked: number }
+  | {
+    readonly tag: "servers_full";
+    readonly asked: number;
+    /** When one takes requests, in milliseconds, if all have asked for rest or are cold. */
+    readonly opensInMs: number | undefined;
+  }
   /** Servers have ended under each run of the request, at whatever VM; it is not sent to more. */
   | {
     readonly tag: "crashes_servers";
@@ -66,12 +71,12 @@
     case "no_server":
       return notRun(
         "No server takes this request now; come back",
-        refusal.warmInMs ?? SERVER_LIST_MS,
+        refusal.opensInMs ?? SERVER_LIST_MS,
       );
     case "servers_full":
       return notRun(
         `${refusal.asked} servers were full; come back`,
-        FULL_MS,
+        refusal.opensInMs ?? FULL_MS,
       );
     case "crashes_servers":
       return notRun(
--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -1,7 +1,11 @@
 /** Which backend servers there are, by the lagging list in the platform's store. */
 
 import type { DataCentreId, InstanceId, ServiceId } from "../ids.ts";
-import { isLaterLife, type ServerRecord } from "./server_record.ts";
+import {
+  isLaterLife,
+  type ServerLifeKey,
+  type ServerRecord,
+} from "./server_record.ts";
 
 /**
  * How long a server that vanished from the list around an outage of the store is still
@@ -9,10 +13,14 @@
  * down again within about two seconds, as the users promise.
  */
 export const RELISTING_GRACE_MS = 2_000;
+/** Lives whose word is kept that they leave; the oldest give way. Far more than leave in a day. */
+const MOST_LEAVING = 10_000;
 
 /** Why a server gets no new work any more. */
 export type RemovalReason =
   | "draining"
+  /** Has said in an answer that it is about to leave. */
+  | "leaving"
   /** Its process has started again under the same id. */
   | "restarted"
   | "left"
@@ -51,6 +59,11 @@
 export class ServerDirectory {
   readonly #rows = new Map<InstanceId, Row>();
   readonly #evacuated = new Set<DataCentreId>();
+  /**
+   * Lives that have said that they leave. Kept apart from rows: a list that lags may name such a
+   * server as ready for long, drop it and name it again.
+   */
+  readonly #leaving = new Map<InstanceId, ServerLifeKey>();
   #byService = new Map<ServiceId, ServerRecord[]>();
 
   /** Servers of a service that take new work. */
@@ -177,6 +190,23 @@
       .flatMap((row) => this.#drop(row, "not_listed_again"));
   }
 
+  /**
+   * Notes that a server has said that it leaves. It gets no new work in this life any more,
+   * whatever its entry says; what runs there goes on.
+   */
+  leaves(server: ServerRecord): DirectoryChange[] {
+    const { instance, bornMs } = server;
+    const row = this.#rows.get(instance);
+    if (row !== undefined && isLaterLife(row.record, server)) return [];
+    const said = this.#leaving.get(instance);
+    if (said !== undefined && !isLaterLife(server, said)) return [];
+    this.#leaving.set(instance, { instance, bornMs });
+    this.#boundLeaving();
+    if (row === undefined) return [];
+    this.#rebuild();
+    return [{ tag: "removed", server: row.record, reason: "leaving" }];
+  }
+
   /** Notes that another server answers at the address. */
   misdirected(instance: InstanceId): DirectoryChange[] {
     const row = this.#rows.get(instance);
@@ -188,11 +218,27 @@
 
   #takesWork({ record, misdirected }: Row): boolean {
     return record.state === "ready" && !misdirected &&
-      !this.#evacuated.has(record.dataCentre);
+      !this.#evacuated.has(record.dataCentre) && !this.#isLeaving(record);
+  }
+
+  #isLeaving(record: ServerRecord): boolean {
+    const said = this.#leaving.get(record.instance);
+    return said !== undefined && !isLaterLife(record, said);
+  }
+
+  #boundLeaving(): void {
+    const [oldest] = this.#leaving.keys();
+    if (this.#leaving.size <= MOST_LEAVING || oldest === undefined) return;
+    this.#leaving.delete(oldest);
   }
 
   #drop(row: Row, reason: RemovalReason): DirectoryChange[] {
-    this.#rows.delete(row.record.instance);
+    const { instance } = row.record;
+    this.#rows.delete(instance);
+    // Without a birth, nothing tells what comes under this id from what has left.
+    if (this.#leaving.get(instance)?.bornMs === undefined) {
+      this.#leaving.delete(instance);
+    }
     this.#rebuild();
     return [{ tag: "removed", server: row.record, reason }];
   }
--- a/src/core/servers/server_directory_test.ts
+++ b/src/core/servers/server_directory_test.ts
@@ -129,4 +129,46 @@
     assert.deepEqual(directory.put(serverRecord("a")), []);
     assert.equal(directory.get("a" as InstanceId)?.bornMs, 1_000);
   });
+
+  it("should give no new work to a server that has said that it leaves", () => {
+    const directory = new ServerDirectory();
+    const server = serverRecord("a", { bornMs: 5 });
+    directory.put(server);
+    directory.put(serverRecord("b"));
+    const [change] = directory.leaves(server);
+    assert.equal(change?.tag === "removed" && change.reason, "leaving");
+    assert.deepEqual(directory.leaves(server), []);
+    // The list lags, lapses and returns, and says nothing of its birth.
+    directory.put({ ...server, slots: 9 });
+    directory.remove(server.instance, { health: HEALTHY, nowMs: 10_000 });
+    directory.put(server);
+    directory.put({ ...server, bornMs: undefined });
+    assert.deepEqual(namesOf(directory), ["b"]);
+    assert.equal(directory.isUsable(server.instance), false);
+    assert.equal(directory.get(server.instance)?.address, server.address);
+  });
+
+  it("should give work to a later life of a server that has left", () => {
+    const directory = new ServerDirectory();
+    const server = serverRecord("a", { bornMs: 5 });
+    directory.put(server);
+    directory.leaves(server);
+    directory.put({ ...server, bornMs: 6 });
+    assert.deepEqual(namesOf(directory), ["a"]);
+    // Late word of the life before.
+    assert.deepEqual(directory.leaves(server), []);
+    assert.deepEqual(namesOf(directory), ["a"]);
+  });
+
+  it("should take one that comes back without a birth for another life", () => {
+    const directory = new ServerDirectory();
+    const server = serverRecord("a");
+    directory.put(server);
+    directory.leaves(server);
+    directory.put({ ...server, slots: 9 });
+    assert.deepEqual(namesOf(directory), []);
+    directory.remove(server.instance, { health: HEALTHY, nowMs: 10_000 });
+    directory.put(server);
+    assert.deepEqual(namesOf(directory), ["a"]);
+  });
 });
--- a/src/core/servers/server_record.ts
+++ b/src/core/servers/server_record.ts
@@ -27,12 +27,15 @@
   readonly bornMs: number | undefined;
 }
 
+/** What tells one life of a server from others; without a birth any may be meant. */
+export type ServerLifeKey = Pick<ServerRecord, "instance" | "bornMs">;
+
 /**
  * Names one life of a server. One that starts again may keep its id; what it held and ran before
  * is gone. Births are compared with each other only, never with a clock here.
  */
 export function lifeOf(
-  { instance, bornMs }: Pick<ServerRecord, "instance" | "bornMs">,
+  { instance, bornMs }: ServerLifeKey,
 ): ServerLife {
   return (bornMs === undefined
     ? instance
--- a/src/core/servers/silence.ts
+++ b/src/core/servers/silence.ts
@@ -41,6 +41,11 @@
   readonly expectedMs: number;
   /** When its last byte came; undefined before the first. */
   readonly byteMs: number | undefined;
+  /**
+   * From when the server may be asked whether it still answers, as one that rests may not;
+   * undefined where it always might. Nothing is made of its silence before.
+   */
+  readonly askableMs: number | undefined;
 }
 
 /** Why a try is given up. */
@@ -96,9 +101,12 @@
     return this.#quietMs(waiting, nowMs) >= QUIET_MS;
   }
 
-  #quietMs({ instance, sentMs, byteMs }: WaitingTry, nowMs: number): number {
+  #quietMs(
+    { instance, sentMs, byteMs, askableMs = 0 }: WaitingTry,
+    nowMs: number,
+  ): number {
     const spokeMs = this.#spokeMs.get(instance) ?? 0;
-    return nowMs - Math.max(spokeMs, byteMs ?? sentMs);
+    return nowMs - Math.max(spokeMs, byteMs ?? sentMs, askableMs);
   }
 
   #patienceMs({ kind, targetMs = 0, expectedMs }: WaitingTry): number {
--- a/src/core/servers/silence_test.ts
+++ b/src/core/servers/silence_test.ts
@@ -11,6 +11,7 @@
   targetMs: 200,
   expectedMs: 0,
   byteMs: undefined,
+  askableMs: undefined,
 };
 
 describe("silence watch", () => {
@@ -79,4 +80,16 @@
     assert.equal(watch.judge(streaming, 2_700), undefined);
     assert.equal(watch.judge(streaming, 2_900), "stream_paused");
   });
+
+  it("should make nothing of the silence of a server that may not be asked", () => {
+    const watch = new SilenceWatch();
+    const resting = { ...TRY, expectedMs: 10_000, askableMs: 4_000 };
+    assert.equal(watch.isQuiet(resting, 3_900), false);
+    assert.equal(watch.judge(resting, 3_900), undefined);
+    assert.equal(watch.judge(resting, 4_890), undefined);
+    assert.equal(watch.judge(resting, 4_900), "server_silent");
+    // A pause within a stream is too long whatever the server does.
+    const paused = { ...resting, byteMs: 2_000 };
+    assert.equal(watch.judge(paused, 3_600), "stream_paused");
+  });
 });
--- a/src/gateway/cold_server_guard.ts
+++ b/src/gateway/cold_server_guard.ts
@@ -4,7 +4,6 @@
 import type { Warmup } from "../core/routes/route.ts";
 import type { ColdAdmission } from "../core/routing/cold_admission.ts";
 import type { ColdServers } from "../core/servers/cold_servers.ts";
-import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
@@ -12,7 +11,6 @@
 interface Deps {
   readonly coldServers: ColdServers;
   readonly coldAdmission: ColdAdmission;
-  readonly serverDirectory: ServerDirectory;
   readonly routingFollower: RoutingFollower;
   readonly clock: Clock;
 }
@@ -52,20 +50,15 @@
     );
   }
 
-  /** Milliseconds until a service has a warm server; undefined if it has one, or none at all. */
-  warmInMs(service: ServiceId): number | undefined {
-    const { serverDirectory, coldServers, clock } = this.#deps;
-    const nowMs = clock.monotonicMs();
-    const leftMs = serverDirectory.usable(service)
-      .map(({ instance }) => coldServers.leftMs(instance, nowMs));
-    const first = Math.min(...leftMs);
-    return first > 0 && first < Infinity ? first : undefined;
+  /** Milliseconds until a server is warm; 0 when it is. */
+  warmInMs({ instance }: ServerRecord): number {
+    const { coldServers, clock } = this.#deps;
+    return coldServers.leftMs(instance, clock.monotonicMs());
   }
 
   /** Whether a server is cold now. */
-  isCold({ instance }: ServerRecord): boolean {
-    const { coldServers, clock } = this.#deps;
-    return coldServers.leftMs(instance, clock.monotonicMs()) > 0;
+  isCold(server: ServerRecord): boolean {
+    return this.warmInMs(server) > 0;
   }
 
   /** Counts a request that is about to be sent, if its server is cold. */
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -30,6 +30,7 @@
 import { SilenceWatch } from "../core/servers/silence.ts";
 import { ReadPace } from "../core/servers/read_pace.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { ServerRests } from "../core/servers/server_rests.ts";
 import { CrashNews } from "../fleet/crash_news.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
@@ -63,6 +64,7 @@
 import { RequestLog } from "./request_log.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
+import { ServerGate } from "./server_gate.ts";
 import { ServerNotices } from "./server_notices.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { StopState } from "./stop_state.ts";
@@ -176,6 +178,7 @@
   container.register({
     serverDirectory: one(ServerDirectory),
     serverLoads: one(ServerLoads),
+    serverRests: asFunction(() => new ServerRests()).singleton(),
     releaseGate: one(ReleaseGate),
     modelPace: one(ModelPace),
     silenceWatch: one(SilenceWatch),
@@ -254,6 +257,7 @@
     readiness: one(Readiness),
     addressList: one(AddressList),
     coldServerGuard: one(ColdServerGuard),
+    serverGate: one(ServerGate),
     serverNotices: one(ServerNotices),
     serverSelector: one(ServerSelector),
     requestAdmission: one(RequestAdmission),
--- a/src/gateway/repeat_reservation.ts
+++ b/src/gateway/repeat_reservation.ts
@@ -49,6 +49,11 @@
     return true;
   }
 
+  /** Keeps a repeat that was taken for the next try, as nothing was sent. */
+  giveBack(): void {
+    this.#reserved = true;
+  }
+
   #spend(): boolean {
     const { repeatBudget, clock } = this.#deps;
     return repeatBudget.spend(this.#service, clock.monotonicMs());
--- a/src/gateway/repeat_reservation_test.ts
+++ b/src/gateway/repeat_reservation_test.ts
@@ -38,4 +38,12 @@
     assert.equal(reservation().take(), false);
     assert.equal(repeats.take(), true);
   });
+
+  it("should use what was given back for the next try", () => {
+    const repeats = reservation();
+    assert.equal(repeats.take(), true);
+    repeats.giveBack();
+    assert.equal(repeats.take(), true);
+    assert.equal(repeats.take(), false);
+  });
 });
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -32,6 +32,11 @@
 const MIN_WAIT_MS = 20;
 /** Pause before a request that waits for a place asks for one again, in milliseconds. */
 const PLACE_PAUSE_MS = 250;
+/**
+ * Part of the wait for servers that rest, over which their callers come back: all at once they
+ * would fill the first of them again.
+ */
+const RETURN_SPREAD = 0.25;
 /** Statuses from here on tell of errors. */
 const FIRST_ERROR_STATUS = 400;
 /** Why a request ends that may not be sent again. */
@@ -44,6 +49,7 @@
   readonly modelPace: ModelPace;
   readonly crashWatch: CrashWatch;
   readonly requestLog: RequestLog;
+  readonly chance: () => number;
 }
 
 type Next = "again" | "done";
@@ -169,7 +175,12 @@
 
   /** Whether the shared budget lets the request be sent once more. */
   #takeRepeat(): boolean {
-    return this.#sender.tries.length === 0 || this.#repeats.take();
+    return !this.#wasSent || this.#repeats.take();
+  }
+
+  /** Whether a try was made that was not withheld at its last moment. */
+  get #wasSent(): boolean {
+    return this.#sender.tries.some(({ outcome }) => outcome !== "withheld");
   }
 
   #try(server: ServerRecord): Promise<TryOutcome> {
@@ -228,6 +239,10 @@
       case "given_up":
         this.#tally.ran();
         return "again";
+      case "withheld":
+        // No server has seen it: it has used up neither a try nor a repeat.
+        if (this.#wasSent) this.#repeats.giveBack();
+        return "again";
       case "not_sent":
         return this.#tally.notSent() ? "again" : this.#noServer();
       case "not_run":
@@ -304,18 +319,31 @@
 
   /**
    * Ends a request that no server takes. One that has lost a run, as its caller has a part of
-   * the answer or this VM gave the run up, waits for a place before that.
+   * the answer or this VM gave the run up, waits for a place before that: for as long as its
+   * servers rest, if it has the time, else for a while.
    */
   async #noServer(reason?: string): Promise<Next> {
     const owed = this.#exchange.state === "begun" || this.#leftRunning;
-    if (!owed || !this.#tally.noteWait()) {
-      const warmInMs = this.#deps.coldServerGuard.warmInMs(this.#service);
-      return this.#finish(this.#tally.noServerRefusal({ reason, warmInMs }));
+    const opensInMs = this.#sender.opensInMs(this.#admitted);
+    const inTime = opensInMs !== undefined && opensInMs < this.#leftMs();
+    if (!owed || (!inTime && !this.#tally.noteWait())) {
+      return this.#finish(
+        this.#tally.noServerRefusal({
+          reason,
+          opensInMs: opensInMs === undefined
+            ? undefined
+            : this.#spread(opensInMs),
+        }),
+      );
     }
-    await pause(PLACE_PAUSE_MS);
+    await pause(Math.min(PLACE_PAUSE_MS, opensInMs ?? PLACE_PAUSE_MS));
     return "again";
   }
 
+  #spread(waitMs: number): number {
+    return waitMs * (1 + RETURN_SPREAD * this.#deps.chance());
+  }
+
   #timeUp(): Next {
     return this.#finish(this.#tally.timeUpRefusal());
   }
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -62,18 +62,16 @@
 
   /** Why the request ends where no server takes it. */
   noServerRefusal(
-    { reason = "no further server takes it", warmInMs }: {
+    { reason = "no further server takes it", opensInMs }: {
       reason?: string;
-      /** Milliseconds until a server of the service is warm, if all are cold. */
-      warmInMs?: number;
+      /** Milliseconds until one of its servers takes requests, if all rest or are cold. */
+      opensInMs?: number;
     } = {},
   ): Refusal {
     if (this.#mayHaveRun) return { tag: "answer_lost", reason };
     const asked = this.#refusals + this.#unsent;
-    if (asked > 0) return { tag: "servers_full", asked };
-    return warmInMs === undefined
-      ? { tag: "no_server" }
-      : { tag: "no_server", warmInMs };
+    if (asked > 0) return { tag: "servers_full", asked, opensInMs };
+    return { tag: "no_server", opensInMs };
   }
 
   /** Why the request ends that crashes the servers that run it. */
--- a/src/gateway/server_notices.ts
+++ b/src/gateway/server_notices.ts
@@ -3,16 +3,25 @@
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerNotice } from "../core/servers/server_notice.ts";
 import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
+import {
+  LONGEST_REST_MS,
+  type ServerRests,
+} from "../core/servers/server_rests.ts";
+import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { ServerFollower } from "../store/server_follower.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 interface Deps {
+  readonly serverRests: ServerRests;
+  readonly serverFollower: ServerFollower;
   readonly serverLoads: ServerLoads;
   readonly gatewayMetrics: GatewayMetrics;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
-/** Logs and counts notices. */
+/** Keeps what servers say: their own words go before what a VM has guessed of them. */
 export class ServerNotices {
   readonly #deps: Deps;
 
@@ -23,23 +32,22 @@
   /** Notes what a server has said. */
   heard(server: ServerRecord, { restMs, leaves }: ServerNotice): void {
     if (restMs > 0) this.#asksForRest(server, restMs);
-    if (leaves) {
-      this.#deps.logger.info("Server says that it leaves", {
-        server: lifeOf(server),
-        service: server.service,
-        listed: server.state,
-      });
-    }
+    if (leaves) this.#deps.serverFollower.leaves(server);
   }
 
   #asksForRest(server: ServerRecord, restMs: number): void {
-    const { serverLoads, gatewayMetrics, logger } = this.#deps;
+    const { serverRests, serverLoads, gatewayMetrics, clock, logger } =
+      this.#deps;
     const { instance, service } = server;
     gatewayMetrics.restsAsked.inc({ service });
+    const nowMs = clock.monotonicMs();
+    // What was on its way is turned away as well, and tells nothing new.
+    if (!serverRests.ask(server, { restMs, nowMs })) return;
     logger.info("Server asks for rest", {
       server: lifeOf(server),
       service,
       asked_ms: Math.round(restMs),
+      kept_ms: Math.round(Math.min(restMs, LONGEST_REST_MS)),
       in_flight: serverLoads.inFlight(instance),
       work_ms: Math.round(serverLoads.work(instance)),
     });
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -9,6 +9,7 @@
 } from "../core/ids.ts";
 import type { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
+import type { SessionBook } from "../core/rollout/session_book.ts";
 import type { Route } from "../core/routes/route.ts";
 import type {
   PromptHolders,
@@ -21,19 +22,20 @@
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { EvacuationFollower } from "../store/evacuation_follower.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
-import type { ColdServerGuard } from "./cold_server_guard.ts";
+import type { ServerGate } from "./server_gate.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 interface Deps {
   readonly vmSettings: VmSettings;
   readonly serverDirectory: ServerDirectory;
-  readonly coldServerGuard: ColdServerGuard;
+  readonly serverGate: ServerGate;
   readonly releaseGate: ReleaseGate;
   readonly releaseChoice: ReleaseChoice;
   readonly rollOutFollower: RollOutFollower;
   readonly evacuationFollower: EvacuationFollower;
   readonly affinityChoice: AffinityChoice;
   readonly promptHolders: PromptHolders;
+  readonly sessionBook: SessionBook;
   readonly clock: Clock;
   readonly chance: () => number;
 }
@@ -80,13 +82,43 @@
 
   /** Returns the server to use; undefined when none takes new work. */
   choose(selection: Selection): ServerRecord | undefined {
+    const { serverGate } = this.#deps;
     for (const candidates of this.#candidates(selection)) {
-      const server = this.#among(candidates, selection);
+      const rested = serverGate.rested(candidates);
+      const server = this.#among(rested, selection);
       if (server !== undefined) return server;
+      // A session keeps its release where all of its servers rest: they are soon there again.
+      const allRest = rested.length === 0 && candidates.length > 0;
+      if (allRest && this.#belongsTo(selection, candidates)) return undefined;
     }
     return undefined;
   }
 
+  /**
+   * Milliseconds until one of the servers that a request may go to takes it, where all of them
+   * rest or are cold; undefined otherwise.
+   */
+  opensInMs(selection: Selection): number | undefined {
+    const { serverDirectory, serverGate } = this.#deps;
+    const [first = []] = this.#candidates(selection);
+    const bound = this.#belongsTo(selection, first);
+    return serverGate.opensInMs(
+      bound ? first : serverDirectory.usable(selection.service),
+    );
+  }
+
+  /** Whether the session of a request runs on the release of these servers. */
+  #belongsTo(
+    { head }: Selection,
+    candidates: readonly ServerRecord[],
+  ): boolean {
+    const { sessionBook, clock } = this.#deps;
+    const session = sessionOf(head);
+    const release = candidates[0]?.release;
+    if (session === undefined || release === undefined) return false;
+    return sessionBook.releaseOf(session, clock.monotonicMs()) === release;
+  }
+
   #among(
     candidates: readonly ServerRecord[],
     selection: Selection,
@@ -103,10 +135,10 @@
     });
   }
 
-  /** Sets of servers to choose from, the best set first. */
+  /** Sets of servers to choose from, the best set first; some of them may rest. */
   #candidates({ service, head }: Selection): (readonly ServerRecord[])[] {
     const { serverDirectory, releaseGate, rollOutFollower } = this.#deps;
-    const { evacuationFollower, coldServerGuard } = this.#deps;
+    const { evacuationFollower, serverGate } = this.#deps;
     if (!rollOutFollower.ready || !evacuationFollower.ready) return [];
     const nowMs = this.#deps.clock.monotonicMs();
     const servers = serverDirectory.usable(service);
@@ -114,8 +146,8 @@
     return this.#deps.releaseChoice.choose({
       service,
       allowed: {
-        stable: coldServerGuard.bearing(service, stable),
-        trial: coldServerGuard.bearing(service, trial),
+        stable: serverGate.bearing(service, stable),
+        trial: this.#ofTrial(service, trial),
       },
       share: releaseGate.trialShare(service),
       session: sessionOf(head),
@@ -123,6 +155,17 @@
       nowMs,
     });
   }
+
+  /** Of a trial few servers are used; others take the place of those that rest. */
+  #ofTrial(
+    service: ServiceId,
+    trial: readonly ServerRecord[],
+  ): readonly ServerRecord[] {
+    const { serverGate } = this.#deps;
+    const bearing = serverGate.bearing(service, trial);
+    const rested = serverGate.rested(bearing);
+    return rested.length > 0 ? rested : bearing;
+  }
 }
 
 /**
--- a/src/gateway/try_observer.ts
+++ b/src/gateway/try_observer.ts
@@ -162,7 +162,10 @@
       case "stream_broken":
         return serverLoads.failed(instance, nowMs);
       case "not_run":
-        return serverLoads.turnedAway(instance, nowMs);
+        // Nothing is guessed where the server has said for how long.
+        return outcome.restMs > 0
+          ? undefined
+          : serverLoads.turnedAway(instance, nowMs);
       default:
         return undefined;
     }
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -12,7 +12,6 @@
 import type { ServerProbe } from "../backends/server_probe.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import { mayRunAgain } from "../core/routes/route.ts";
-import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
@@ -23,11 +22,11 @@
 import { encodeBackendRequest } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import type { ColdServerGuard } from "./cold_server_guard.ts";
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
+import type { ServerGate } from "./server_gate.ts";
 import type { ServerNotices } from "./server_notices.ts";
-import type { ServerSelector } from "./server_selector.ts";
+import type { Selection, ServerSelector } from "./server_selector.ts";
 import type { SuspectPlaces } from "./suspect_places.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import type { ObservedTry, TryObserver } from "./try_observer.ts";
@@ -41,8 +40,7 @@
 /** What all senders share. */
 export interface TrySenderDeps {
   readonly serverSelector: ServerSelector;
-  readonly serverDirectory: ServerDirectory;
-  readonly coldServerGuard: ColdServerGuard;
+  readonly serverGate: ServerGate;
   readonly suspectPlaces: SuspectPlaces;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
@@ -91,6 +89,8 @@
   readonly #tried = new Set<InstanceId>();
   readonly #tries: TryRecord[] = [];
   #current: BackendTry | undefined;
+  /** Server of the last try. */
+  #server: ServerRecord | undefined;
 
   constructor(deps: TrySenderDeps, request: SentRequest) {
     this.#deps = deps;
@@ -154,6 +154,14 @@
       (held ? 0 : work.sharedMs);
   }
 
+  /** Milliseconds until a server takes the request, where all rest or are cold. */
+  opensInMs(admitted: Admitted): number | undefined {
+    const { model } = this.#request.models;
+    return this.#deps.serverSelector.opensInMs(
+      this.#selection(admitted, { tried: NONE, model }),
+    );
+  }
+
   /** Lets servers be used again that were tried, as with another model. */
   forgetTried(): void {
     this.#tried.clear();
@@ -164,16 +172,16 @@
     const {
       backendConnections,
       tryObserver,
-      serverDirectory,
-      coldServerGuard,
+      serverGate,
       serverNotices,
       suspectPlaces,
     } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, terms.admitted);
+    this.#server = server;
     this.#tries.push(observed.record);
     this.#tried.add(server.instance);
-    coldServerGuard.sending(server);
+    serverGate.sending(server);
     if (terms.apart) suspectPlaces.begin(server.instance);
     tryObserver.began(observed);
     this.#current = new BackendTry(backendConnections, {
@@ -182,11 +190,12 @@
       attempt: exchange.head.attempt,
       // What must not run twice is not risked on a connection that may just be closing.
       fresh: !mayRunAgain(terms.admitted.route),
-      // Its server may have been drained or evacuated while the connection came up.
-      maySend: () => serverDirectory.isUsable(server.instance),
+      // While the connection came up, its server may have asked for rest, or may leave.
+      maySend: () => serverGate.maySend(server),
       sink: {
         judge: (head) => {
           observed.record.confidence = head.decoded.confidence;
+          serverGate.took(server, observed.record.startedMs);
           return terms.judge(head);
         },
         write: (chunk) => stream.write(chunk, () => this.#readOn(observed)),
@@ -196,6 +205,7 @@
     });
     const outcome = await this.#current.run();
     this.#current = undefined;
+    if (outcome.tag === "withheld") this.#tried.delete(server.instance);
     if (terms.apart) suspectPlaces.end(server.instance);
     endTryRecord(observed.record, outcome);
     tryObserver.ended(observed, { outcome, expired: terms.isExpired() });
@@ -228,9 +238,11 @@
     nowMs: number,
   ): SilenceReason | undefined {
     const record = this.#tries.at(-1);
-    if (record === undefined || !this.isSent) return undefined;
-    if (this.#current?.paused === true) return undefined;
-    const { silenceWatch, serverProbe } = this.#deps;
+    const server = this.#server;
+    if (record === undefined || server === undefined) return undefined;
+    if (!this.isSent || this.#current?.paused === true) return undefined;
+    const { silenceWatch, serverProbe, serverNotices, serverGate } = this.#deps;
+    const asked = table.service(this.#request.service)?.engine !== undefined;
     const waiting = {
       instance: record.server,
       kind: kindOf(route.id, record.model),
@@ -238,10 +250,10 @@
       targetMs: route.targetMs,
       expectedMs: record.expectedMs,
       byteMs: record.byteMs,
+      askableMs: asked ? serverGate.restedMs(server) : undefined,
     };
-    const asked = table.service(this.#request.service)?.engine !== undefined;
     if (asked && silenceWatch.isQuiet(waiting, nowMs)) {
-      serverProbe.ask(record.server, record.address);
+      serverProbe.ask(server, (notice) => serverNotices.heard(server, notice));
     }
     return silenceWatch.judge(waiting, nowMs);
   }
@@ -253,14 +265,18 @@
       model: ModelId | undefined;
     },
   ): ServerRecord | undefined {
+    return this.#deps.serverSelector.choose(
+      this.#selection(admitted, { tried, model }),
+    );
+  }
+
+  #selection(
+    admitted: Admitted,
+    { tried, model }: Pick<Selection, "tried" | "model">,
+  ): Selection {
     const { exchange, service } = this.#request;
-    return this.#deps.serverSelector.choose({
-      service,
-      head: exchange.head,
-      model,
-      tried,
-      sharedMs: this.#predictWork(admitted, model).sharedMs,
-    });
+    const { sharedMs } = this.#predictWork(admitted, model);
+    return { service, head: exchange.head, model, tried, sharedMs };
   }
 
   #observe(server: ServerRecord, admitted: Admitted): ObservedTry {
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -87,6 +87,11 @@
     return this.#unreadable.size;
   }
 
+  /** Notes that a server has said in an answer that it leaves. */
+  leaves(server: ServerRecord): void {
+    this.#note(this.#deps.serverDirectory.leaves(server));
+  }
+
   /** Notes that another server answers at the address of this one. */
   misdirected(instance: InstanceId): void {
     this.#note(this.#deps.serverDirectory.misdirected(instance));
--- a/tests/resting_server_test.ts
+++ b/tests/resting_server_test.ts
@@ -11,8 +11,15 @@
 import assert from "node:assert/strict";
 import { performance } from "node:perf_hooks";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { RestingServer } from "./fixtures/resting_server.ts";
-import { routeWire, serverWire, TestGateway } from "./fixtures/test_gateway.ts";
+import { restBytes, RestingServer } from "./fixtures/resting_server.ts";
+import {
+  chunkBytes,
+  routeWire,
+  serverWire,
+  STREAM_ROUTE,
+  streamBytes,
+  TestGateway,
+} from "./fixtures/test_gateway.ts";
 import { until } from "./fixtures/test_fleet.ts";
 
 /** Time for what is on its way to a server as it asks for rest, as the users allow it. */
@@ -68,6 +75,16 @@
   return statuses;
 }
 
+/** Many callers call once, all together; returns the statuses. */
+async function callAtOnce(): Promise<number[]> {
+  const calls = Array.from({ length: CALLERS }, () => gateway.call("/stock/1"));
+  return (await Promise.all(calls)).map(({ status }) => status);
+}
+
+function eventText(id: number): string {
+  return `id: ${id}\ndata: ${id}\n\n`;
+}
+
 describe("a server that asks for rest", () => {
   it("should get nothing from a VM for as long as it has asked", async () => {
     const resting = await addServer();
@@ -83,7 +100,105 @@
   });
 });
 
+describe("servers that ask for rest", () => {
+  it("should get nothing where no other is left, and callers be told when", async () => {
+    const first = await addServer();
+    const second = await addServer();
+    await untilReached(first);
+    await untilReached(second);
+    first.retryAfter = String(REST_S);
+    second.retryAfter = String(2 * REST_S);
+    const askedMs = performance.now();
+    // It goes to the one, then to the other.
+    const { status, headers } = await gateway.call("/stock/1");
+    assert.equal(status, 503);
+    const waitS = Number(headers["retry-after"]);
+    assert.ok(waitS > REST_S - 1 && waitS < 1.5 * REST_S, `told ${waitS} s`);
+    const counts = servers.map(({ arrivedMs }) => arrivedMs.length);
+    await callFor(REST_S * 1_000 - 500);
+    const untilMs = askedMs + REST_S * 1_000;
+    for (const [at, { arrivedMs }] of servers.entries()) {
+      const within = arrivedMs.filter((atMs) => atMs < untilMs).length;
+      assert.equal(within, counts[at]);
+    }
+  });
+
+  it("should get few requests after it, and all again once they take one", async () => {
+    const server = await addServer();
+    await untilReached(server);
+    server.retryAfter = "0.5";
+    await untilReached(server);
+    const before = server.arrivedMs.length;
+    await until(async () => {
+      await callAtOnce();
+      return server.arrivedMs.length > before;
+    });
+    // Still full: one of those that came together has found out.
+    assert.equal(server.arrivedMs.length, before + 1);
+    server.retryAfter = undefined;
+    await until(async () =>
+      (await callAtOnce()).every((status) => status === 200)
+    );
+  });
+
+  it("should be waited for by a stream that has begun", async () => {
+    await gateway.stop();
+    gateway = new TestGateway();
+    await gateway.start([STREAM_ROUTE]);
+    let full = true;
+    const resumed: number[] = [];
+    await gateway.addServer("i-full", ({ text, socket }) => {
+      if (full) return socket.write(restBytes(REST_S));
+      resumed.push(performance.now());
+      const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
+      socket.write(streamBytes(after === 0 ? "" : eventText(after + 1)));
+      socket.write(chunkBytes(""));
+    });
+    let fullMs = 0;
+    await until(async () => {
+      fullMs = performance.now();
+      return (await gateway.call("/stock/1")).headers["retry-after"] !==
+          undefined && (await gateway.call("/stock/1")).status === 503;
+    });
+    full = false;
+    let broken = false;
+    await gateway.addServer("i-breaks", ({ socket }) => {
+      if (broken) return socket.write(restBytes(REST_S));
+      broken = true;
+      socket.write(streamBytes(eventText(1)));
+      setTimeout(() => socket.destroy(), 20);
+    });
+    let answer = await gateway.call("/stock/1", { waitMs: 8_000 });
+    while (answer.status !== 200) {
+      answer = await gateway.call("/stock/1", { waitMs: 8_000 });
+    }
+    assert.equal(answer.body, eventText(1) + eventText(2));
+    const [firstMs = 0] = resumed;
+    assert.ok(firstMs >= fullMs + REST_S * 1_000 - 50, "came within the rest");
+  });
+});
+
 describe("a server that says that it leaves", () => {
+  it("should finish what runs there, and be used again in its next life", async () => {
+    const server = await addServer({ born: 1 });
+    await untilReached(server);
+    server.leaving = true;
+    const running = Array.from(
+      { length: CALLERS },
+      () => gateway.call("/stock/1"),
+    );
+    const statuses = (await Promise.all(running)).map(({ status }) => status);
+    assert.deepEqual(statuses.filter((status) => status !== 200), []);
+    assert.equal((await gateway.call("/stock/1")).status, 503);
+    server.leaving = false;
+    const { spec } = gateway.store.kinds.list("servers")[0] ?? {};
+    gateway.store.kinds.put("servers", {
+      name: "i-1",
+      spec: { ...(spec as object), born: 2 },
+    });
+    await untilReached(server);
+  });
+
   it("should get nothing more from a VM that has heard it, whatever the list says", async () => {
     const leaving = await addServer();
     await addServer();
