Tell all VMs of servers that say that they leave

Cause: the word that a server leaves is true for every VM, but only the one that was answered knew it; while the store is away no other way tells the rest. Change: digests carry the lives that have said so, by whomever they were heard; a life without a birth is not told of, as it could not be told from what comes under its id later. Ruled out: telling rests as well: a server asks each VM for its own. Result: digest_keeper_test: all VMs over relays, one that starts later, the next life untouched.

--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -55,6 +55,12 @@
   readonly backSinceMs: number | undefined;
 }
 
+/** A life of a server that has said that it leaves. */
+export interface LeavingLife {
+  readonly instance: InstanceId;
+  readonly bornMs: number;
+}
+
 /** All known servers. */
 export class ServerDirectory {
   readonly #rows = new Map<InstanceId, Row>();
@@ -194,12 +200,11 @@
    * Notes that a server has said that it leaves. It gets no new work in this life any more,
    * whatever its entry says; what runs there goes on.
    */
-  leaves(server: ServerRecord): DirectoryChange[] {
-    const { instance, bornMs } = server;
+  leaves({ instance, bornMs }: ServerLifeKey): DirectoryChange[] {
     const row = this.#rows.get(instance);
-    if (row !== undefined && isLaterLife(row.record, server)) return [];
+    if (row !== undefined && isLaterLife(row.record, { bornMs })) return [];
     const said = this.#leaving.get(instance);
-    if (said !== undefined && !isLaterLife(server, said)) return [];
+    if (said !== undefined && !isLaterLife({ bornMs }, said)) return [];
     this.#leaving.set(instance, { instance, bornMs });
     this.#boundLeaving();
     if (row === undefined) return [];
@@ -207,6 +212,18 @@
     return [{ tag: "removed", server: row.record, reason: "leaving" }];
   }
 
+  /**
+   * Lives of known servers that have said that they leave. One without a birth is not told of:
+   * it could not be told from what comes under its id later.
+   */
+  leavingLives(): LeavingLife[] {
+    return [...this.#leaving.values()].flatMap(({ instance, bornMs }) =>
+      bornMs === undefined || !this.#rows.has(instance)
+        ? []
+        : [{ instance, bornMs }]
+    );
+  }
+
   /** Notes that another server answers at the address. */
   misdirected(instance: InstanceId): DirectoryChange[] {
     const row = this.#rows.get(instance);
--- a/src/fleet/digest_keeper.ts
+++ b/src/fleet/digest_keeper.ts
@@ -17,16 +17,18 @@
   sumReports,
 } from "../core/servers/server_report.ts";
 import type { UnitHash } from "../core/routing/version_choice.ts";
-import type {
-  DigestAnswer,
-  DigestQuestion,
-  VmDigest,
+import {
+  type DigestAnswer,
+  type DigestQuestion,
+  MOST_LEAVING,
+  type VmDigest,
 } from "../protocol/digest_schema.ts";
 import { toldAgeMs } from "../protocol/store_schema.ts";
 import { BurstLog } from "../runtime/burst_log.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
+import type { ServerFollower } from "../store/server_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import type { CrashNews } from "./crash_news.ts";
 import type { DigestExchange } from "./digest_router.ts";
@@ -53,6 +55,7 @@
   readonly sessionBook: SessionBook;
   readonly releaseGate: ReleaseGate;
   readonly routingFollower: RoutingFollower;
+  readonly serverFollower: Pick<ServerFollower, "leaves" | "leavingLives">;
   readonly storeSync: StoreSync;
   readonly relayRole: FleetRelayRole;
   readonly unitHash: UnitHash;
@@ -154,6 +157,7 @@
       configurationVersion: confirmation.version,
       confirmedAgeMs: toldAgeMs(confirmation.ageMs),
       crashes: this.#deps.crashNews.news(),
+      leaving: this.#deps.serverFollower.leavingLives().slice(-MOST_LEAVING),
       braked: [...releaseGate.brakedReleases()],
       ...told,
     };
@@ -215,6 +219,7 @@
     const nowMs = clock.monotonicMs();
     promptHolders.told(told.holders, nowMs);
     this.#deps.crashNews.hear(told.crashes, told.self.id);
+    for (const life of told.leaving) this.#deps.serverFollower.leaves(life);
     this.#memberNews.note(memberTable.merge([told.self, ...told.news], nowMs));
     this.#noteSessions(told, nowMs);
     for (const key of told.braked) this.#brake(key, told.self.id);
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -20,7 +20,9 @@
 import { SessionBook } from "../core/rollout/session_book.ts";
 import { sessionPoint, TOLD_SHARE } from "../core/rollout/session_point.ts";
 import { PromptHolders } from "../core/routing/prompt_holders.ts";
+import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { serverRecord } from "../../tests/fixtures/server_record.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import { SilentLogger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
@@ -41,6 +43,7 @@
 /** The parts of one VM that a digest is made from. */
 class Vm {
   readonly loads = new ServerLoads();
+  readonly directory = new ServerDirectory();
   readonly holders = new PromptHolders();
   readonly crashes = new CrashBook();
   readonly evidence = new EvidenceBook();
@@ -73,6 +76,10 @@
         clock: { wallMs: () => nowMs, monotonicMs: () => nowMs },
         logger: new SilentLogger(),
       }),
+      serverFollower: {
+        leaves: (life) => void this.directory.leaves(life),
+        leavingLives: () => this.directory.leavingLives(),
+      },
       evidenceBook: this.evidence,
       sessionBook: this.sessions,
       releaseGate,
@@ -280,3 +287,32 @@
     assert.equal(followers[0]?.crashes.crashesOf(request).length, 0);
   });
 });
+
+describe("digests that tell of servers that leave", () => {
+  const server = serverRecord(SERVER, { service: SERVICE, bornMs: 5 });
+
+  it("should reach all VMs, over relays, and VMs that start later", () => {
+    const all = [...relays, ...followers];
+    for (const vm of all) vm.directory.put(server);
+    followers[0]?.directory.leaves(server);
+    for (let n = 0; n < 2; n++) round();
+    const late = new Vm("vm-late", { relay: false });
+    late.directory.put(server);
+    late.ask(relays[1] as Vm);
+    for (const vm of [...all, late]) {
+      assert.deepEqual(vm.directory.usable(SERVICE), []);
+    }
+  });
+
+  it("should say nothing of the next life, nor of one without a birth", () => {
+    const [first, second] = followers;
+    first?.directory.put(server);
+    first?.directory.leaves(server);
+    second?.directory.put({ ...server, bornMs: 6 });
+    const unborn = serverRecord("i-2", { service: SERVICE });
+    for (const vm of [first, second]) vm?.directory.put(unborn);
+    first?.directory.leaves(unborn);
+    for (let n = 0; n < 2; n++) round();
+    assert.equal(second?.directory.usable(SERVICE).length, 2);
+  });
+});
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -17,6 +17,9 @@
 import { memberSchema } from "./peer_schema.ts";
 import { toldStoreSchema } from "./store_schema.ts";
 
+/** Leaving servers in one message, at most; far more than leave at once. */
+export const MOST_LEAVING = 1_000;
+
 const id = <T extends string>() => z.string().transform((text) => text as T);
 
 const evidenceSchema: z.ZodType<Evidence, unknown> = z.object({
@@ -89,6 +92,9 @@
   holders: z.array(z.object({ key: z.string(), instance: id<InstanceId>() }))
     .max(1_000),
   crashes: crashesSchema,
+  /** Lives of servers that have said that they leave, to whichever VM. */
+  leaving: z.array(z.object({ instance: id<InstanceId>(), bornMs: z.number() }))
+    .max(MOST_LEAVING),
   /** Releases that were found bad. */
   braked: z.array(z.object({
     service: id<ServiceId>(),
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -4,9 +4,13 @@
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type {
   DirectoryChange,
+  LeavingLife,
   ServerDirectory,
 } from "../core/servers/server_directory.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
+import type {
+  ServerLifeKey,
+  ServerRecord,
+} from "../core/servers/server_record.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
 import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
 import { decodeServer, SERVER_KIND } from "../platform/server_wire.ts";
@@ -87,9 +91,14 @@
     return this.#unreadable.size;
   }
 
-  /** Notes that a server has said in an answer that it leaves. */
-  leaves(server: ServerRecord): void {
-    this.#note(this.#deps.serverDirectory.leaves(server));
+  /** Notes that a server has said in an answer, here or to another VM, that it leaves. */
+  leaves(life: ServerLifeKey): void {
+    this.#note(this.#deps.serverDirectory.leaves(life));
+  }
+
+  /** Lives of servers that are known to leave by their own word. */
+  leavingLives(): LeavingLife[] {
+    return this.#deps.serverDirectory.leavingLives();
   }
 
   /** Notes that another server answers at the address of this one. */
