Split the watch over silent servers from the sender; count servers that rest and leave

Change: TrySilence; RunTally.waitMs with its test; two gauges; no rests, no filtering. Ruled out: nothing.

--- a/src/core/servers/server_notice.ts
+++ b/src/core/servers/server_notice.ts
@@ -7,6 +7,3 @@
   /** Whether it is about to leave. It says so in all its answers from then on. */
   readonly leaves: boolean;
 }
-
-/** Of a server that has nothing to say of itself. */
-export const NO_NOTICE: ServerNotice = { restMs: 0, leaves: false };
--- a/src/core/servers/server_rests.ts
+++ b/src/core/servers/server_rests.ts
@@ -84,6 +84,11 @@
     }
   }
 
+  /** Whether no server has asked for rest lately. */
+  get isEmpty(): boolean {
+    return this.#rests.size === 0;
+  }
+
   /** Number of servers that rest now. */
   count(nowMs: number): number {
     return [...this.#rests.values()].filter(({ untilMs }) => untilMs > nowMs)
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -5,6 +5,7 @@
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerRests } from "../core/servers/server_rests.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -35,6 +36,7 @@
   readonly serverFollower: ServerFollower;
   readonly memberTable: MemberTable;
   readonly coldServers: ColdServers;
+  readonly serverRests: ServerRests;
   readonly crashBook: CrashBook;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -113,7 +115,8 @@
   /** Brings the gauges up to date: what this VM believes now. */
   #measure(): void {
     const { gatewayMetrics, routingFollower, memberTable } = this.#deps;
-    const { serverDirectory, coldServers, crashBook, clock } = this.#deps;
+    const { serverDirectory, coldServers, serverRests, crashBook, clock } =
+      this.#deps;
     const { version, ageMs } = routingFollower.confirmation;
     gatewayMetrics.configurationVersion.set(version);
     gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
@@ -121,6 +124,8 @@
     gatewayMetrics.unreadableServers.set(this.#deps.serverFollower.unreadable);
     gatewayMetrics.evacuatedDataCentres.set(serverDirectory.evacuated.size);
     gatewayMetrics.coldServers.set(coldServers.count(clock.monotonicMs()));
+    gatewayMetrics.restingServers.set(serverRests.count(clock.monotonicMs()));
+    gatewayMetrics.leavingServers.set(serverDirectory.leavingLives().length);
     gatewayMetrics.suspectedRequests.set(crashBook.size);
     gatewayMetrics.poisonRequests.set(crashBook.poison.size);
     gatewayMetrics.members.set(memberTable.others().length);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -70,6 +70,7 @@
 import { StopState } from "./stop_state.ts";
 import { SuspectPlaces } from "./suspect_places.ts";
 import { TryObserver } from "./try_observer.ts";
+import { TrySilence } from "./try_silence.ts";
 import { TrialController } from "./trial_controller.ts";
 import { WorkPredictor } from "./work_predictor.ts";
 
@@ -262,6 +263,7 @@
     serverSelector: one(ServerSelector),
     requestAdmission: one(RequestAdmission),
     tryObserver: one(TryObserver),
+    trySilence: one(TrySilence),
     requestLog: one(RequestLog),
     requestServer: one(RequestServer),
     gatewayMetrics: one(GatewayMetrics),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -101,6 +101,18 @@
     registers: [this.registry],
   });
 
+  readonly restingServers = new Gauge({
+    name: "fieldrack_gateway_resting_servers",
+    help: "Backend servers that have asked this VM for rest that is not over",
+    registers: [this.registry],
+  });
+
+  readonly leavingServers = new Gauge({
+    name: "fieldrack_gateway_leaving_servers",
+    help: "Backend servers that have said in an answer that they leave",
+    registers: [this.registry],
+  });
+
   readonly evacuatedDataCentres = new Gauge({
     name: "fieldrack_gateway_evacuated_data_centres",
     help: "Data centres whose servers get no new work from here",
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -30,8 +30,6 @@
 const DEFAULT_WAIT_MS = 30_000;
 /** Shortest time with which a request is still sent to a server, in milliseconds. */
 const MIN_WAIT_MS = 20;
-/** Pause before a request that waits for a place asks for one again, in milliseconds. */
-const PLACE_PAUSE_MS = 250;
 /**
  * Part of the wait for servers that rest, over which their callers come back: all at once they
  * would fill the first of them again.
@@ -319,24 +317,25 @@
 
   /**
    * Ends a request that no server takes. One that has lost a run, as its caller has a part of
-   * the answer or this VM gave the run up, waits for a place before that: for as long as its
-   * servers rest, if it has the time, else for a while.
+   * the answer or this VM gave the run up, waits for a place before that.
    */
   async #noServer(reason?: string): Promise<Next> {
-    const owed = this.#exchange.state === "begun" || this.#leftRunning;
     const opensInMs = this.#sender.opensInMs(this.#admitted);
-    const inTime = opensInMs !== undefined && opensInMs < this.#leftMs();
-    if (!owed || (!inTime && !this.#tally.noteWait())) {
-      return this.#finish(
-        this.#tally.noServerRefusal({
-          reason,
-          opensInMs: opensInMs === undefined
-            ? undefined
-            : this.#spread(opensInMs),
-        }),
-      );
+    const owed = this.#exchange.state === "begun" || this.#leftRunning;
+    const waitMs = owed
+      ? this.#tally.waitMs({ opensInMs, leftMs: this.#leftMs() })
+      : undefined;
+    if (waitMs === undefined) {
+      const toldMs = opensInMs === undefined
+        ? undefined
+        : this.#spread(opensInMs);
+      const refusal = this.#tally.noServerRefusal({
+        reason,
+        opensInMs: toldMs,
+      });
+      return this.#finish(refusal);
     }
-    await pause(Math.min(PLACE_PAUSE_MS, opensInMs ?? PLACE_PAUSE_MS));
+    await pause(waitMs);
     return "again";
   }
 
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -10,6 +10,8 @@
  * two seconds. A caller cut off by this VM alone can then still go on at another one.
  */
 const MAX_WAITS = 8;
+/** Pause before a request that waits for a place asks for one again, in milliseconds. */
+const PLACE_PAUSE_MS = 250;
 
 /** What has become of the tries so far. */
 export class RunTally {
@@ -31,6 +33,20 @@
     this.#forgetRefusals();
   }
 
+  /**
+   * How long a request that has lost a run waits before it asks for a place again, in
+   * milliseconds; undefined where it ends. It waits for as long as its servers rest or are cold,
+   * if it has the time, and for a while where nothing tells when one takes it.
+   */
+  waitMs(
+    { opensInMs, leftMs }: { opensInMs: number | undefined; leftMs: number },
+  ): number | undefined {
+    if (opensInMs !== undefined && opensInMs < leftMs) {
+      return Math.min(PLACE_PAUSE_MS, opensInMs);
+    }
+    return this.noteWait() ? PLACE_PAUSE_MS : undefined;
+  }
+
   /** Notes that no server takes the request now; returns whether to ask again later. */
   noteWait(): boolean {
     this.#waits += 1;
--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -56,4 +56,17 @@
     tally.ran();
     assert.equal(tally.notRun(), true);
   });
+
+  it("should wait for the end of a rest that comes in time, however long", () => {
+    const tally = new RunTally();
+    for (let opensInMs = 3_000; opensInMs > 0; opensInMs -= 250) {
+      assert.equal(tally.waitMs({ opensInMs, leftMs: 4_000 }), 250);
+    }
+    assert.equal(tally.waitMs({ opensInMs: 40, leftMs: 1_000 }), 40);
+    // What comes too late is waited for no longer than what nobody knows of.
+    const late = { opensInMs: 3_000, leftMs: 2_000 };
+    let waits = 0;
+    while (tally.waitMs(late) !== undefined) waits += 1;
+    assert.equal(waits, 8);
+  });
 });
--- a/src/gateway/server_gate.ts
+++ b/src/gateway/server_gate.ts
@@ -39,6 +39,7 @@
   /** Servers that do not rest. */
   rested(servers: readonly ServerRecord[]): readonly ServerRecord[] {
     const { serverRests, clock } = this.#deps;
+    if (serverRests.isEmpty) return servers;
     const nowMs = clock.monotonicMs();
     return servers.filter((server) =>
       serverRests.opensInMs(server, nowMs) === 0
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -9,16 +9,11 @@
   type HeadVerdict,
   type TryOutcome,
 } from "../backends/backend_try.ts";
-import type { ServerProbe } from "../backends/server_probe.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
 import { mayRunAgain } from "../core/routes/route.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
-import {
-  kindOf,
-  type SilenceReason,
-  type SilenceWatch,
-} from "../core/servers/silence.ts";
+import type { SilenceReason } from "../core/servers/silence.ts";
 import { encodeBackendRequest } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -31,6 +26,7 @@
 import type { StreamRelay } from "./stream_relay.ts";
 import type { ObservedTry, TryObserver } from "./try_observer.ts";
 import { endTryRecord, newTryRecord, type TryRecord } from "./try_record.ts";
+import type { TrySilence } from "./try_silence.ts";
 import type { PredictedWork, WorkPredictor } from "./work_predictor.ts";
 
 /** Least urgent class that servers know. */
@@ -44,8 +40,7 @@
   readonly suspectPlaces: SuspectPlaces;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
-  readonly silenceWatch: SilenceWatch;
-  readonly serverProbe: ServerProbe;
+  readonly trySilence: TrySilence;
   readonly serverNotices: ServerNotices;
   readonly serverLoads: ServerLoads;
   readonly workPredictor: WorkPredictor;
@@ -229,10 +224,7 @@
     this.giveUp({ tag: streaming ? "stream_broken" : "broken", reason });
   }
 
-  /**
-   * Says why the try under way should be given up as silent, if it should, and has a model
-   * server that is quiet asked whether it still answers.
-   */
+  /** Says why the try under way should be given up as silent, if it should. */
   silence(
     { table, route }: Admitted,
     nowMs: number,
@@ -241,21 +233,10 @@
     const server = this.#server;
     if (record === undefined || server === undefined) return undefined;
     if (!this.isSent || this.#current?.paused === true) return undefined;
-    const { silenceWatch, serverProbe, serverNotices, serverGate } = this.#deps;
-    const asked = table.service(this.#request.service)?.engine !== undefined;
-    const waiting = {
-      instance: record.server,
-      kind: kindOf(route.id, record.model),
-      sentMs: record.startedMs,
-      targetMs: route.targetMs,
-      expectedMs: record.expectedMs,
-      byteMs: record.byteMs,
-      askableMs: asked ? serverGate.restedMs(server) : undefined,
-    };
-    if (asked && silenceWatch.isQuiet(waiting, nowMs)) {
-      serverProbe.ask(server, (notice) => serverNotices.heard(server, notice));
-    }
-    return silenceWatch.judge(waiting, nowMs);
+    const { service } = this.#request;
+    const hasEngine = table.service(service)?.engine !== undefined;
+    const waiting = { server, record, route, hasEngine };
+    return this.#deps.trySilence.judge(waiting, nowMs);
   }
 
   #select(
--- /dev/null
+++ b/src/gateway/try_silence.ts
@@ -0,0 +1,59 @@
+/** Tells servers that have fallen silent under a try from those that are only slow. */
+
+import type { ServerProbe } from "../backends/server_probe.ts";
+import type { Route } from "../core/routes/route.ts";
+import type { ServerRecord } from "../core/servers/server_record.ts";
+import {
+  kindOf,
+  type SilenceReason,
+  type SilenceWatch,
+} from "../core/servers/silence.ts";
+import type { ServerGate } from "./server_gate.ts";
+import type { ServerNotices } from "./server_notices.ts";
+import type { TryRecord } from "./try_record.ts";
+
+interface Deps {
+  readonly silenceWatch: SilenceWatch;
+  readonly serverProbe: ServerProbe;
+  readonly serverNotices: ServerNotices;
+  readonly serverGate: ServerGate;
+}
+
+/** A try that waits for bytes of its server. */
+export interface WaitingServer {
+  readonly server: ServerRecord;
+  readonly record: TryRecord;
+  readonly route: Route;
+  /** Whether it is a model server, which may be asked how it is doing. */
+  readonly hasEngine: boolean;
+}
+
+/** Watches over tries, and has quiet model servers asked whether they still answer. */
+export class TrySilence {
+  readonly #deps: Deps;
+
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /** Says why a try should be given up as silent, if it should. */
+  judge(
+    { server, record, route, hasEngine }: WaitingServer,
+    nowMs: number,
+  ): SilenceReason | undefined {
+    const { silenceWatch, serverProbe, serverNotices, serverGate } = this.#deps;
+    const waiting = {
+      instance: record.server,
+      kind: kindOf(route.id, record.model),
+      sentMs: record.startedMs,
+      targetMs: route.targetMs,
+      expectedMs: record.expectedMs,
+      byteMs: record.byteMs,
+      askableMs: hasEngine ? serverGate.restedMs(server) : undefined,
+    };
+    if (hasEngine && silenceWatch.isQuiet(waiting, nowMs)) {
+      serverProbe.ask(server, (notice) => serverNotices.heard(server, notice));
+    }
+    return silenceWatch.judge(waiting, nowMs);
+  }
+}
