Check in the soak that servers get the rest they ask for, and nothing once they leave

Checks read what reached the servers: one request half a second after a word is a finding. A freeze, a kill or a stop of that gateway excuses it. Ruled out: bounds of two requests, as the aim is none.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -9,7 +9,7 @@
 import type { History, ServerTrouble, Trouble, Victim } from "./history.ts";
 import type { SoakGateway } from "./soak_gateway.ts";
 import { SoakServer } from "./soak_server.ts";
-import { BOUNDS, WARMUP } from "./soak_settings.ts";
+import { BOUNDS, MS_PER_SECOND, WARMUP } from "./soak_settings.ts";
 import type { SoakStore } from "./soak_store.ts";
 
 /** Time in which a process that was started serves again. */
@@ -17,7 +17,6 @@
 /** Time after which servers have written themselves down again. */
 const RELIST_MS = 1_500;
 const SLOW_MS = 250;
-const MS_PER_SECOND = 1_000;
 /** A store that is away does not answer watches that wait either. */
 const AWAY: StoreFaults = { down: true, watchesStuck: true };
 
@@ -100,6 +99,8 @@
         return await this.#crash(fault.server);
       case "server_leaves":
         return await this.#leave(fault.server);
+      case "server_says_it_leaves":
+        return await this.#sayItLeaves(fault.server, forMs);
       case "configuration":
         return store.configure();
       case "key_removed":
@@ -225,6 +226,15 @@
     server.close();
   }
 
+  /** Only its answers say so; another one takes its place as it ends. */
+  async #sayItLeaves(at: number, forMs: number): Promise<void> {
+    const server = this.#server(at);
+    this.#noteTrouble(server);
+    server.mode = "leaves";
+    await pause(forMs);
+    await this.#crash(at);
+  }
+
   #noteTrouble({ name }: SoakServer): ServerTrouble {
     const fromMs = performance.now();
     const trouble = { server: name, fromMs, untilMs: Infinity };
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -25,6 +25,7 @@
   }
   | { readonly tag: "server_crash"; readonly server: number }
   | { readonly tag: "server_leaves"; readonly server: number }
+  | { readonly tag: "server_says_it_leaves"; readonly server: number }
   | { readonly tag: "configuration" }
   | { readonly tag: "key_removed" }
   | { readonly tag: "evacuation" };
@@ -74,6 +75,8 @@
 /** Time in which callers' requests reach the server that holds them back. */
 const BEFORE_REMOVAL_MS = 250;
 const LEAST_TIME_MS = 400;
+/** Time in which servers ask for rest: several rests follow each other. */
+const NOTICE_MS = 5_000;
 const MOST_TIME_MS = 3_500;
 
 /** Draws the faults of a run. */
@@ -166,6 +169,36 @@
   return [{ atMs: 0, forMs, fault: { tag: "evacuation" } }];
 }
 
+/**
+ * All servers but one ask for rest again and again, and that one says that it leaves; a gateway
+ * is frozen and another one stopped beside it. Drawn for no seed, as above.
+ */
+export function planNotices(
+  { gateways, servers }: { gateways: number; servers: number },
+): PlannedFault[] {
+  const resting = Array.from({ length: servers - 1 }, (_, server) => ({
+    atMs: 0,
+    forMs: NOTICE_MS,
+    fault: { tag: "server", server, mode: "rests" } as const,
+  }));
+  const leaving = {
+    atMs: LEAST_TIME_MS,
+    forMs: NOTICE_MS + 2 * BOUNDS.drainMs,
+    fault: { tag: "server_says_it_leaves", server: servers - 1 } as const,
+  };
+  const frozen = {
+    atMs: MOST_PAUSE_MS,
+    forMs: LEAST_TIME_MS,
+    fault: { tag: "freeze", gateway: gateways - 1 } as const,
+  };
+  const stopped = {
+    atMs: NOTICE_MS / 2,
+    forMs: 0,
+    fault: { tag: "planned_stop", gateway: 0 } as const,
+  };
+  return [...resting, leaving, frozen, stopped];
+}
+
 /**
  * Beside a request that ends servers: a gateway that is killed, and one that is frozen, once
  * all gateways know of it. Drawn for no seed, as above.
@@ -204,6 +237,7 @@
       return { tag, server, mode: draw.one(MODES) };
     case "server_crash":
     case "server_leaves":
+    case "server_says_it_leaves":
       return { tag, server };
     default:
       return { tag };
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -90,6 +90,15 @@
   readonly saidMs: number;
 }
 
+/** A server's word to the gateway that a request came from. */
+export interface NoticeRecord {
+  readonly server: string;
+  readonly attempt: string;
+  readonly atMs: number;
+  /** How long it wants nothing, in milliseconds; 0 where it says that it leaves. */
+  readonly restMs: number;
+}
+
 /** The version that a gateway showed, by a route that only it has. */
 export interface ShownVersion {
   readonly gateway: GatewayName;
@@ -113,6 +122,10 @@
   readonly configurations: ConfigurationRecord[] = [];
   readonly evacuations: Evacuation[] = [];
   readonly leavings: LeavingRecord[] = [];
+  /** Words of servers that ask for rest, each with a request that was turned away. */
+  readonly rests: NoticeRecord[] = [];
+  /** Words of servers that leave, each with a request that ran. */
+  readonly leavingWords: NoticeRecord[] = [];
   readonly shownVersions: ShownVersion[] = [];
   /** Gateways that served when all faults were over. */
   recovered: readonly GatewayName[] = [];
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -3,7 +3,14 @@
 import type { CallerRecord, History, RunRecord } from "./history.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
 import { checkInnocents, checkPoison } from "./poison_check.ts";
-import { ACCOUNT, BOUNDS, ROUTE, WARMUP } from "./soak_settings.ts";
+import { checkLeavingWords, checkRests } from "./notice_check.ts";
+import {
+  ACCOUNT,
+  BOUNDS,
+  MS_PER_SECOND,
+  ROUTE,
+  WARMUP,
+} from "./soak_settings.ts";
 import { type Violation, violation, wasTroubled } from "./violation.ts";
 
 /** Statuses by which a gateway says that a request has not run and never will. */
@@ -24,7 +31,6 @@
  * and may not have come to a single able one by then.
  */
 const ABLE_SERVERS = 2;
-const MS_PER_SECOND = 1_000;
 /** A gateway may end a request this long before its time is up, when it is of no use. */
 const SHORT_TIME_MS = 100;
 
@@ -44,6 +50,8 @@
     ...checkVersions(history),
     ...checkPoison(history),
     ...checkInnocents(history),
+    ...checkRests(history),
+    ...checkLeavingWords(history),
   ];
 }
 
--- a/soak/promise_checker_test.ts
+++ b/soak/promise_checker_test.ts
@@ -328,4 +328,47 @@
       assert.deepEqual(broken(), ["innocent requests"]);
     });
   });
+
+  it("should find requests within a rest, but for what was on its way", () => {
+    called();
+    const rest = { server: "s-1", attempt: ATTEMPT, restMs: 1_500 };
+    history.rests.push({ ...rest, atMs: SENT_MS });
+    for (const [attempt, atMs] of [["a-2", 400], ["a-3", 1_600]] as const) {
+      called({ attempt });
+      ran({ attempt, atMs: SENT_MS + atMs });
+    }
+    assert.equal(broken().includes("rests of servers"), false);
+    called({ attempt: "a-4" });
+    ran({ attempt: "a-4", atMs: SENT_MS + 900 });
+    assert.ok(broken().includes("rests of servers"));
+    history.troubles.push({
+      name: "freeze",
+      victim: GATEWAY,
+      fromMs: SENT_MS,
+      untilMs: SENT_MS + 500,
+    });
+    assert.equal(broken().includes("rests of servers"), false);
+  });
+
+  it("should count what is turned away again as sent within a rest", () => {
+    called();
+    called({
+      attempt: "a-2",
+      ending: { tag: "answered", status: 200, body: wholeBody("a-2") },
+    });
+    const rest = { server: "s-1", restMs: 1_500 };
+    history.rests.push({ ...rest, attempt: ATTEMPT, atMs: SENT_MS });
+    history.rests.push({ ...rest, attempt: "a-2", atMs: SENT_MS + 900 });
+    assert.deepEqual(broken(), ["rests of servers"]);
+  });
+
+  it("should find requests that come after a server's word that it leaves", () => {
+    called();
+    const word = { server: "s-1", attempt: ATTEMPT, restMs: 0 };
+    history.leavingWords.push({ ...word, atMs: SENT_MS });
+    const lateMs = SENT_MS + BOUNDS.drainMs + 100;
+    called({ attempt: "a-2", sentMs: lateMs, kind: "repeatable" });
+    ran({ attempt: "a-2", atMs: lateMs + 10 });
+    assert.ok(broken().includes("leaving words of servers"));
+  });
 });
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -10,6 +10,7 @@
   planEvacuation,
   planFaults,
   type PlannedFault,
+  planNotices,
   planPoison,
   planUnseenRemoval,
 } from "./fault_plan.ts";
@@ -109,6 +110,8 @@
   await pause(CONTACT_MS);
   await injector.run(planCalmChanges(draw, size));
   await injector.run(planBrokenAnswers(size));
+  await injector.run(planNotices(size));
+  await pause(CONTACT_MS);
   await injector.run(planUnseenRemoval());
   await pause(CONTACT_MS);
   await injector.run(planEvacuation());
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -11,8 +11,8 @@
 import { performance } from "node:perf_hooks";
 import { pause } from "../src/runtime/pause.ts";
 import { eventOf, EVENTS, wholeBody } from "./answer_bodies.ts";
-import type { History, RunRecord } from "./history.ts";
-import { POISON_PATH } from "./soak_settings.ts";
+import type { History, NoticeRecord, RunRecord } from "./history.ts";
+import { MS_PER_SECOND, POISON_PATH, REST_MS } from "./soak_settings.ts";
 
 /** How a server behaves. */
 export type ServerMode =
@@ -23,6 +23,10 @@
   | "silent"
   /** Takes no requests, and says so. */
   | "full"
+  /** The same, and asks for rest. */
+  | "rests"
+  /** Says in all answers that it leaves, while its entry goes on to say that it is ready. */
+  | "leaves"
   /** Answers with the answer to another request. */
   | "crossed"
   /** Ends answers before their end, without a reset. */
@@ -82,6 +86,11 @@
       res.writeHead(503, { "fieldrack-not-processed": "1" }).end();
       return;
     }
+    if (this.mode === "rests") return this.#turnAway(attempt, res);
+    if (this.mode === "leaves") {
+      res.setHeader("server-leaving", "1");
+      this.#history.leavingWords.push(this.#notice(attempt, 0));
+    }
     const poison = req.url === POISON_PATH;
     const run = this.#note(req, { attempt, poison });
     res.setHeader("fieldrack-server-seal", this.name);
@@ -92,6 +101,19 @@
     else res.end(wholeBody(attempt));
   }
 
+  #turnAway(attempt: string, res: ServerResponse): void {
+    this.#history.rests.push(this.#notice(attempt, REST_MS));
+    res.writeHead(503, {
+      "fieldrack-not-processed": "1",
+      "retry-after": String(REST_MS / MS_PER_SECOND),
+    }).end();
+  }
+
+  #notice(attempt: string, restMs: number): NoticeRecord {
+    const atMs = performance.now();
+    return { server: this.name, attempt, atMs, restMs };
+  }
+
   #note(
     req: IncomingMessage,
     { attempt, poison }: { attempt: string; poison: boolean },
@@ -178,6 +200,7 @@
 
   /** Whether a stream ends with a part of this event; one that stalls keeps its caller waiting. */
   async #breaksOff(event: number): Promise<boolean> {
+    if (this.mode === "leaves") return false;
     if (this.mode !== "stalls") return this.mode !== "sound";
     if (event < EVENTS) return false;
     await pause(STALL_MS);
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -51,3 +51,8 @@
 export const ACCOUNT = "garden";
 /** The one service. */
 export const SERVICE = "model";
+/** Rest that a server asks for, in milliseconds. */
+export const REST_MS = 1_500;
+/** Time for what is on its way to a server as it asks for rest, as the users allow it. */
+export const ON_ITS_WAY_MS = 500;
+export const MS_PER_SECOND = 1_000;
