Give servers the rest that they ask an entry for

Cause: the same as in the gateway: of an answer that is an error the entry read status and text only, so that a server which had asked for rest got the next request at once, until three had failed in a row. Ruled out: Server-Leaving here: the entry's own interface has no such word, its servers are declared by operators. Result: entry_rest_test, four of four failing before, passes.

--- a/src/backends/backend_error.ts
+++ b/src/backends/backend_error.ts
@@ -11,6 +11,8 @@
     readonly tag: "rejected";
     readonly status: number;
     readonly reason: string;
+    /** How long the server wants nothing from this entry, in milliseconds; 0 if it says nothing. */
+    readonly restMs: number;
   }
   /** Answer belongs to another request, or has no known form. */
   | { readonly tag: "wrong_answer"; readonly reason: string }
--- a/src/backends/http_model_servers.ts
+++ b/src/backends/http_model_servers.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from "../core/config/configuration.ts";
 import type { RequestId } from "../core/ids.ts";
 import { fail, ok, type Result } from "../core/result.ts";
+import { decodeServerNotice } from "../platform/server_notice_wire.ts";
 import { chatAnswerSchema, loadReportSchema } from "../protocol/chat_schema.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
 import { type BackendError, backendErrorOf } from "./backend_error.ts";
@@ -32,7 +33,7 @@
     try {
       const res = await this.#post(call);
       const text = await res.body.text();
-      if (res.statusCode !== 200) return fail(rejected(res.statusCode, text));
+      if (res.statusCode !== 200) return fail(rejected(res, text));
       return parseWhole(text, call.requestId);
     } catch (err) {
       return fail(backendErrorOf(err));
@@ -43,7 +44,7 @@
     try {
       const res = await this.#post(call);
       if (res.statusCode !== 200) {
-        return fail(rejected(res.statusCode, await res.body.text()));
+        return fail(rejected(res, await res.body.text()));
       }
       return ok(readChatStream(res.body, call.requestId));
     } catch (err) {
@@ -129,6 +130,11 @@
   return ok({ text, answer: parsed.data });
 }
 
-function rejected(status: number, text: string): BackendError {
-  return { tag: "rejected", status, reason: text.slice(0, REASON_LENGTH) };
+function rejected(
+  { statusCode: status, headers }: Dispatcher.ResponseData,
+  text: string,
+): BackendError {
+  const { restMs } = decodeServerNotice(status, headers);
+  const reason = text.slice(0, REASON_LENGTH);
+  return { tag: "rejected", status, reason, restMs };
 }
--- a/src/backends/http_plain_services.ts
+++ b/src/backends/http_plain_services.ts
@@ -2,6 +2,7 @@
 
 import { type Dispatcher, request } from "undici";
 import { fail, ok, type Result } from "../core/result.ts";
+import { decodeServerNotice } from "../platform/server_notice_wire.ts";
 import { type BackendError, backendErrorOf } from "./backend_error.ts";
 import type {
   PlainServices,
@@ -46,6 +47,7 @@
         status: res.statusCode,
         headers: passedOn(res.headers),
         body,
+        restMs: decodeServerNotice(res.statusCode, res.headers).restMs,
       });
     } catch (err) {
       return fail(backendErrorOf(err));
--- a/src/backends/plain_services.ts
+++ b/src/backends/plain_services.ts
@@ -23,6 +23,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** How long the server wants nothing from this entry, in milliseconds; 0 if it says nothing. */
+  readonly restMs: number;
 }
 
 /** Client of all plain services. */
--- a/src/core/routing/server_pool.ts
+++ b/src/core/routing/server_pool.ts
@@ -27,6 +27,8 @@
   failures: number;
   ejections: number;
   ejectedUntilMs: number;
+  /** Until when the server wants nothing, by its own word. */
+  restsUntilMs: number;
   report: LoadReport | undefined;
   inFlightAtReport: number;
 }
@@ -57,14 +59,27 @@
   /** Whether the server may get new work. */
   isAvailable(id: BackendId, nowMs: number): boolean {
     if (this.#leaving.has(id)) return false;
-    const state = this.#states.get(id);
-    return state === undefined || state.ejectedUntilMs <= nowMs;
+    return this.returnsInMs(id, nowMs) === 0;
   }
 
-  /** Milliseconds until an ejected server is tried again; 0 when it may be now. */
+  /** Milliseconds until a server that is ejected or rests is used again; 0 when it may be now. */
   returnsInMs(id: BackendId, nowMs: number): number {
-    const until = this.#states.get(id)?.ejectedUntilMs ?? nowMs;
-    return Math.max(0, until - nowMs);
+    const { ejectedUntilMs = 0, restsUntilMs = 0 } = this.#states.get(id) ?? {};
+    return Math.max(0, ejectedUntilMs - nowMs, restsUntilMs - nowMs);
+  }
+
+  /** Whether a server wants nothing now, by its own word. */
+  isResting(id: BackendId, nowMs: number): boolean {
+    return (this.#states.get(id)?.restsUntilMs ?? 0) > nowMs;
+  }
+
+  /** Notes that a server wants nothing for so long; a shorter word does not shorten a longer one. */
+  rest(
+    id: BackendId,
+    { restMs, nowMs }: { restMs: number; nowMs: number },
+  ): void {
+    const state = this.#state(id);
+    state.restsUntilMs = Math.max(state.restsUntilMs, nowMs + restMs);
   }
 
   /** Servers that are leaving and get no new work. */
@@ -126,6 +141,7 @@
         failures: 0,
         ejections: 0,
         ejectedUntilMs: 0,
+        restsUntilMs: 0,
         report: undefined,
         inFlightAtReport: 0,
       };
--- a/src/entry/model_dispatcher.ts
+++ b/src/entry/model_dispatcher.ts
@@ -113,6 +113,10 @@
     });
     if (answer.ok) return ok({ target, answer: answer.value, done });
     done(tryOutcomeOf(answer.error));
+    if (answer.error.tag === "rejected") {
+      const { restMs } = answer.error;
+      serverPool.rest(server.id, { restMs, nowMs: clock.monotonicMs() });
+    }
     if (answer.error.tag !== "refused") {
       this.#deps.modelServers.cancel(server, input.ctx.requestId);
     }
--- a/src/entry/service_dispatcher.ts
+++ b/src/entry/service_dispatcher.ts
@@ -122,7 +122,11 @@
       deadline: ctx.deadline,
     });
     const outcome = answer.ok ? "answered" : tryOutcomeOf(answer.error);
-    serverPool.end(server.id, { outcome, nowMs: clock.monotonicMs() });
+    const nowMs = clock.monotonicMs();
+    serverPool.end(server.id, { outcome, nowMs });
+    if (answer.ok) {
+      serverPool.rest(server.id, { restMs: answer.value.restMs, nowMs });
+    }
     entryMetrics.tries.inc({
       outcome: answer.ok ? "answered" : answer.error.tag,
     });
