Tie no session to a release that has not run it

Cause: found by reading the mend: a session counted as served by a release as its request was about to be sent. Where all servers of a release on trial rest, a session that none of them had run was kept for them, and refused while the servers of the stable release were free. Change: what was noted as a try began is taken back where no server has run it (turned away, withheld, not sent, misdirected), unless another request of the session came since. Ruled out: noting sessions by their first byte: others of the session that come meanwhile would go to another release.

--- a/src/core/rollout/session_book.ts
+++ b/src/core/rollout/session_book.ts
@@ -34,15 +34,25 @@
     this.#gapMs = gapMs;
   }
 
-  /** Notes a request of a session, here or elsewhere. */
-  note(seen: SeenSession): void {
+  /** Notes a request of a session, here or elsewhere; returns what was known of it before. */
+  note(seen: SeenSession): SeenSession | undefined {
     const known = this.#seen.get(seen.session);
-    if (known !== undefined && known.seenMs >= seen.seenMs) return;
+    if (known !== undefined && known.seenMs >= seen.seenMs) return known;
     this.#seen.delete(seen.session);
     this.#seen.set(seen.session, seen);
-    if (this.#seen.size <= MOST_SESSIONS) return;
     const [oldest] = this.#seen.keys();
-    if (oldest !== undefined) this.#seen.delete(oldest);
+    if (this.#seen.size > MOST_SESSIONS && oldest !== undefined) {
+      this.#seen.delete(oldest);
+    }
+    return known;
+  }
+
+  /** Takes a note back, as no server has run the request, unless another came since. */
+  takeBack(seen: SeenSession, before: SeenSession | undefined): void {
+    const { session } = seen;
+    if (this.#seen.get(session) !== seen) return;
+    if (before === undefined) this.#seen.delete(session);
+    else this.#seen.set(session, before);
   }
 
   /** Release that served a session last; undefined once the session is over. */
--- a/src/gateway/try_observer.ts
+++ b/src/gateway/try_observer.ts
@@ -4,7 +4,7 @@
 import type { ModelPace } from "../core/cascade/model_pace.ts";
 import type { InstanceId, RouteId, ServiceId } from "../core/ids.ts";
 import type { EvidenceBook } from "../core/rollout/evidence.ts";
-import type { SessionBook } from "../core/rollout/session_book.ts";
+import type { SeenSession, SessionBook } from "../core/rollout/session_book.ts";
 import type { PromptHolders } from "../core/routing/prompt_holders.ts";
 import type { ReadPace } from "../core/servers/read_pace.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
@@ -37,6 +37,14 @@
   readonly head: CallerHead;
   readonly record: TryRecord;
   readonly work: PredictedWork;
+  /** How its session was noted as the try began; undefined where it belongs to none. */
+  noted?: NotedSession;
+}
+
+/** A session as it was noted, and what was known of it before. */
+interface NotedSession {
+  readonly seen: SeenSession;
+  readonly before: SeenSession | undefined;
 }
 
 /** Notes the beginning, the bytes and the end of tries. */
@@ -48,7 +56,8 @@
   }
 
   /** A request is about to be sent. */
-  began({ server, head, record, work }: ObservedTry): void {
+  began(observed: ObservedTry): void {
+    const { server, head, record, work } = observed;
     const { serverLoads, promptHolders, sessionBook, clock } = this.#deps;
     const { instance } = server;
     serverLoads.begin(instance, work.readMs + work.writeMs);
@@ -61,7 +70,9 @@
     const { release } = server;
     const nowMs = clock.monotonicMs();
     const times = { seenMs: nowMs, learntMs: nowMs };
-    sessionBook.note({ session, release, ...times, here: true });
+    // At once, so that others of the session that come meanwhile go to the same release.
+    const seen = { session, release, ...times, here: true };
+    observed.noted = { seen, before: sessionBook.note(seen) };
   }
 
   /** A byte of the answer has come. */
@@ -93,11 +104,18 @@
     const read = record.firstByteMs !== undefined;
     const left = work.writeMs + (read ? 0 : work.readMs);
     this.#deps.serverLoads.end(server.instance, left);
+    if (hasNotRun(outcome)) this.#forgetSession(observed);
     this.#noteHealth(outcome, server.instance);
     this.#noteEvidence(observed, { outcome, expired });
     this.#notePace(observed, outcome);
   }
 
+  /** A session is not tied to a release that has run nothing of it. */
+  #forgetSession({ noted }: ObservedTry): void {
+    if (noted === undefined) return;
+    this.#deps.sessionBook.takeBack(noted.seen, noted.before);
+  }
+
   #noteEvidence(
     { server, service, route, record }: ObservedTry,
     { outcome, expired }: { outcome: TryOutcome; expired: boolean },
@@ -172,6 +190,12 @@
   }
 }
 
+/** Whether no server has run the request of a try. */
+function hasNotRun({ tag }: TryOutcome): boolean {
+  return tag === "not_run" || tag === "withheld" || tag === "not_sent" ||
+    tag === "misdirected";
+}
+
 /** Whether a try speaks against its release; undefined where it says nothing. */
 function speaksAgainstRelease(
   outcome: TryOutcome,
