Heed the status of a store's answer whose body cannot be read

Cause: found by reading: the body was parsed before the status was looked at. A 410 with any other body than JSON was no lost history, so that its watch was asked for again without end; a 503 counted as a write that may have happened. Change: a body that is no JSON says nothing; the status says what it says. Ruled out: parsing by content type, as the store's answers need not have one.

--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -232,8 +232,13 @@
   return `${kindPath(kind)}/${encodeURIComponent(name)}`;
 }
 
+/** A body that is no JSON says nothing; the status may say enough without it. */
 function parseBody(text: string): unknown {
-  return text === "" ? undefined : JSON.parse(text);
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
 }
 
 function parseAnswer<T>(
--- a/src/platform/http_object_store_test.ts
+++ b/src/platform/http_object_store_test.ts
@@ -1,4 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { ObjectStoreStandin } from "../standins/object_store_standin.ts";
 import { HttpObjectStore } from "./http_object_store.ts";
@@ -118,3 +121,34 @@
     assert.notEqual(standin.kinds.get("things", "a"), undefined);
   });
 });
+
+/** Statuses that say all there is to know, and what each is taken for. */
+const SAYING: readonly [number, string][] = [
+  [404, "missing"],
+  [409, "conflict"],
+  [410, "history_lost"],
+  [429, "rate_limited"],
+  [503, "unavailable"],
+  [500, "uncertain"],
+  [200, "uncertain"],
+];
+
+describe("an answer of the store that cannot be read", () => {
+  // Found by reading: the body was parsed before the status was looked at, so that a 410 with any
+  // other body than JSON was no lost history, and its watch was asked for again without end.
+  for (const [status, tag] of SAYING) {
+    it(`should be taken for ${tag} by status ${status}`, async () => {
+      const server = createServer((_req, res) => {
+        res.writeHead(status, { "content-type": "text/html" }).end("<p>sorry");
+      });
+      server.listen(0, "127.0.0.1");
+      await once(server, "listening");
+      const { port } = server.address() as AddressInfo;
+      const client = new HttpObjectStore(`127.0.0.1:${port}`);
+      const read = await client.get(KEY, CALL);
+      await client.close();
+      server.close();
+      assert.equal(!read.ok && read.error.tag, tag);
+    });
+  }
+});
