--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -1,7 +1,25 @@
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
+import { beforeEach, describe, it } from "node:test";
+import type { InstanceId, PromptPartId, ReleaseId } from "../core/ids.ts";
+import { ReleaseChoice } from "../core/rollout/release_choice.ts";
+import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import { SessionBook } from "../core/rollout/session_book.ts";
+import { AffinityChoice } from "../core/routing/affinity_choice.ts";
+import { PromptHolders } from "../core/routing/prompt_holders.ts";
+import { ServerDirectory } from "../core/servers/server_directory.ts";
+import { ServerLoads } from "../core/servers/server_loads.ts";
+import { ServerRests } from "../core/servers/server_rests.ts";
 import { decodeCallerHead } from "../platform/header_wire.ts";
-import { sessionOf } from "./server_selector.ts";
+import { unitHash } from "../runtime/hashing.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import { serverRecord } from "../../tests/fixtures/server_record.ts";
+import type { ColdServerGuard } from "./cold_server_guard.ts";
+import { ServerGate } from "./server_gate.ts";
+import {
+  type Selection,
+  ServerSelector,
+  sessionOf,
+} from "./server_selector.ts";
 
 function sessionFor(parts: string): string | undefined {
   return sessionOf(decodeCallerHead({ "fieldrack-prefix-hash": parts }));
@@ -20,3 +38,142 @@
     assert.equal(sessionFor(""), undefined);
   });
 });
+
+const STABLE = serverRecord("i-stable");
+const TRIAL = serverRecord("i-trial", { release: "v2" as ReleaseId });
+const SESSION = "aa" as PromptPartId;
+const SELECTION: Selection = {
+  service: STABLE.service,
+  head: decodeCallerHead({ "fieldrack-prefix-hash": "aa:900,01:10" }),
+  model: undefined,
+  tried: new Set(),
+  sharedMs: 0,
+};
+const REST_MS = 3_000;
+
+describe("choice of a server while some rest", () => {
+  let nowMs: number;
+  let serverDirectory: ServerDirectory;
+  let serverRests: ServerRests;
+  let sessionBook: SessionBook;
+  let serverLoads: ServerLoads;
+  let serverGate: ServerGate;
+  let selector: ServerSelector;
+
+  beforeEach(() => {
+    nowMs = 10_000;
+    serverDirectory = new ServerDirectory();
+    serverRests = new ServerRests();
+    sessionBook = new SessionBook(60_000);
+    serverLoads = new ServerLoads();
+    const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+    const chance = () => 0;
+    const promptHolders = new PromptHolders();
+    serverGate = new ServerGate({
+      serverDirectory,
+      serverRests,
+      coldServerGuard: {
+        bearing: (_service: unknown, servers: unknown) => servers,
+        warmInMs: () => 0,
+      } as unknown as ColdServerGuard,
+      clock,
+      logger: new SilentLogger(),
+    });
+    selector = new ServerSelector({
+      vmSettings: { dataCentre: STABLE.dataCentre } as never,
+      serverDirectory,
+      serverGate,
+      releaseGate: trialGate(),
+      releaseChoice: new ReleaseChoice({ sessionBook, unitHash }),
+      rollOutFollower: { ready: true } as never,
+      evacuationFollower: { ready: true } as never,
+      affinityChoice: new AffinityChoice({
+        serverLoads,
+        promptHolders,
+        unitHash,
+        chance,
+      }),
+      promptHolders,
+      sessionBook,
+      clock,
+      chance,
+    });
+    for (const server of [STABLE, TRIAL]) serverDirectory.put(server);
+  });
+
+  /** All new sessions are on trial. */
+  function trialGate(): ReleaseGate {
+    const gate = new ReleaseGate();
+    const { service } = STABLE;
+    const { release } = TRIAL;
+    const undecided = { state: undefined, stateRelease: undefined };
+    gate.setOrder({ service, release, limitMs: 60_000, ...undecided });
+    gate.setTrial({ service, release, share: 1, stepMs: 0 } as never);
+    return gate;
+  }
+
+  function chosen(
+    tried: ReadonlySet<InstanceId> = new Set(),
+  ): InstanceId | undefined {
+    return selector.choose({ ...SELECTION, tried })?.instance;
+  }
+
+  function runBy(release: ReleaseId): void {
+    const times = { seenMs: nowMs, learntMs: nowMs };
+    sessionBook.note({ session: SESSION, release, ...times, here: true });
+  }
+
+  function rest(server: typeof STABLE): void {
+    serverRests.ask(server, { restMs: REST_MS, nowMs });
+  }
+
+  it("should have no way to a server that rests, also where the others have failed", () => {
+    for (let n = 0; n < 3; n++) serverLoads.failed(STABLE.instance, nowMs);
+    rest(TRIAL);
+    assert.equal(chosen(), STABLE.instance);
+    rest(STABLE);
+    assert.equal(chosen(), undefined);
+    assert.equal(selector.opensInMs(SELECTION), REST_MS);
+    nowMs += REST_MS;
+    assert.equal(chosen(), TRIAL.instance);
+  });
+
+  it("should keep a session with its release while all servers of that rest", () => {
+    runBy(TRIAL.release);
+    rest(TRIAL);
+    assert.equal(chosen(), undefined);
+    assert.equal(selector.opensInMs(SELECTION), REST_MS);
+    nowMs += REST_MS;
+    assert.equal(chosen(), TRIAL.instance);
+  });
+
+  it("should give a session that has run nowhere to another release", () => {
+    rest(TRIAL);
+    assert.equal(chosen(), STABLE.instance);
+    assert.equal(selector.opensInMs(SELECTION), undefined);
+  });
+
+  it("should leave a release on trial whose servers have failed the request", () => {
+    runBy(TRIAL.release);
+    const tried = new Set<InstanceId>([TRIAL.instance]);
+    assert.equal(chosen(tried), STABLE.instance);
+  });
+
+  it("should give a trial's requests to others of its servers", () => {
+    const second = serverRecord("i-second", { release: TRIAL.release });
+    serverDirectory.put(second);
+    runBy(TRIAL.release);
+    rest(TRIAL);
+    assert.equal(chosen(), second.instance);
+  });
+
+  it("should send nothing that was chosen before the word", () => {
+    assert.equal(serverGate.maySend(STABLE), true);
+    rest(STABLE);
+    assert.equal(serverGate.maySend(STABLE), false);
+    nowMs += REST_MS;
+    assert.equal(serverGate.maySend(STABLE), true);
+    serverDirectory.leaves(STABLE);
+    assert.equal(serverGate.maySend(STABLE), false);
+  });
+});
