Leave runs of a server that has started again, and forget what it held

Cause: two beliefs outlived a life of a server that keeps its id: a run was left only as its server fell silent, and prompts went on to be sent to it as if it still held them. Change: a run whose server is listed in a later life is left at once, as a silent one is (for another server and a repeat that is reserved); holders are forgotten as servers end or leave. Ruled out: leaving runs that may not be repeated: nothing is gained for their callers before the answer that says so.

--- a/src/core/routing/prompt_holders.ts
+++ b/src/core/routing/prompt_holders.ts
@@ -28,6 +28,8 @@
 export class PromptHolders {
   /** When each server last got each prompt. */
   readonly #held = new Map<PromptKey, Map<InstanceId, number>>();
+  /** When servers lately ended or left; what they held before is gone. */
+  readonly #endedMs = new Map<InstanceId, number>();
   #shared = true;
   #sent: { readonly holder: PromptHolder; readonly atMs: number }[] = [];
 
@@ -50,6 +52,14 @@
     this.#sent.push({ holder: { key, instance }, atMs: nowMs });
   }
 
+  /** Notes that a server has ended or left: one that comes back under its id holds nothing. */
+  ended(instance: InstanceId, nowMs: number): void {
+    for (const [known, endedMs] of this.#endedMs) {
+      if (nowMs - endedMs >= HELD_MS) this.#endedMs.delete(known);
+    }
+    this.#endedMs.set(instance, nowMs);
+  }
+
   /** Takes in what another VM has sent. */
   told(holders: readonly PromptHolder[], nowMs: number): void {
     for (const { key, instance } of holders) {
@@ -68,7 +78,8 @@
   of(key: PromptKey, nowMs: number): ReadonlySet<InstanceId> {
     const holders = new Set<InstanceId>();
     for (const [instance, usedMs] of this.#held.get(key) ?? []) {
-      if (nowMs - usedMs < HELD_MS) holders.add(instance);
+      const endedMs = this.#endedMs.get(instance) ?? -Infinity;
+      if (usedMs > endedMs && nowMs - usedMs < HELD_MS) holders.add(instance);
     }
     return holders;
   }
--- a/src/core/routing/prompt_holders_test.ts
+++ b/src/core/routing/prompt_holders_test.ts
@@ -42,4 +42,12 @@
     assert.equal(holders.of("m/0", 300).size, 0);
     assert.equal(holders.of("m/29999", 300).size, 1);
   });
+
+  it("should not take a server for a holder of what it held in an earlier life", () => {
+    holders.sent({ key: "m/1", instance: A }, 0);
+    holders.ended(A, 100);
+    assert.deepEqual([...holders.of("m/1", 200)], []);
+    holders.sent({ key: "m/1", instance: A }, 300);
+    assert.deepEqual([...holders.of("m/1", 400)], [A]);
+  });
 });
--- a/src/core/servers/silence.ts
+++ b/src/core/servers/silence.ts
@@ -49,7 +49,12 @@
 }
 
 /** Why a try is given up. */
-export type SilenceReason = "server_silent" | "no_first_byte" | "stream_paused";
+export type SilenceReason =
+  | "server_silent"
+  | "no_first_byte"
+  | "stream_paused"
+  /** Its server has started again, and runs nothing of before. */
+  | "server_restarted";
 
 /** Names a kind of request. */
 export function kindOf(route: RouteId, model: string | undefined): string {
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -98,6 +98,7 @@
   readonly coldAdmission: ColdAdmission;
   readonly silenceWatch: SilenceWatch;
   readonly serverProbe: ServerProbe;
+  readonly promptHolders: PromptHolders;
   readonly trialFollower: TrialFollower;
   readonly trialController: TrialController;
   readonly digestServer: DigestServer;
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -45,6 +45,7 @@
       parts.serverLoads.forget(instance);
       parts.silenceWatch.forgetLongSilent(parts.clock.monotonicMs());
       parts.serverProbe.forget(instance);
+      parts.promptHolders.ended(instance, parts.clock.monotonicMs());
     });
     parts.evacuationFollower.onReturn((servers) =>
       parts.coldServerGuard.presumeCold(servers)
--- a/src/gateway/try_silence.ts
+++ b/src/gateway/try_silence.ts
@@ -2,7 +2,11 @@
 
 import type { ServerProbe } from "../backends/server_probe.ts";
 import type { Route } from "../core/routes/route.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import {
+  isLaterLife,
+  type ServerRecord,
+} from "../core/servers/server_record.ts";
 import {
   kindOf,
   type SilenceReason,
@@ -13,6 +17,7 @@
 import type { TryRecord } from "./try_record.ts";
 
 interface Deps {
+  readonly serverDirectory: ServerDirectory;
   readonly silenceWatch: SilenceWatch;
   readonly serverProbe: ServerProbe;
   readonly serverNotices: ServerNotices;
@@ -42,6 +47,7 @@
     nowMs: number,
   ): SilenceReason | undefined {
     const { silenceWatch, serverProbe, serverNotices, serverGate } = this.#deps;
+    if (this.#hasRestarted(server)) return "server_restarted";
     const waiting = {
       instance: record.server,
       kind: kindOf(route.id, record.model),
@@ -56,4 +62,9 @@
     }
     return silenceWatch.judge(waiting, nowMs);
   }
+
+  #hasRestarted(server: ServerRecord): boolean {
+    const listed = this.#deps.serverDirectory.get(server.instance);
+    return listed !== undefined && isLaterLife(listed, server);
+  }
 }
