--- a/soak/history.ts
+++ b/soak/history.ts
@@ -130,3 +130,17 @@
   /** Gateways that served when all faults were over. */
   recovered: readonly GatewayName[] = [];
 }
+
+/** Runs of each attempt. */
+export type Runs = ReadonlyMap<string, readonly RunRecord[]>;
+
+/** Sorts the runs of a history by attempt. */
+export function runsByAttempt({ runs }: History): Runs {
+  const byAttempt = new Map<string, RunRecord[]>();
+  for (const run of runs) {
+    const known = byAttempt.get(run.attempt);
+    if (known === undefined) byAttempt.set(run.attempt, [run]);
+    else known.push(run);
+  }
+  return byAttempt;
+}
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -1,39 +1,26 @@
 /** Checks what must always hold against the history of a run. */
 
-import type { CallerRecord, History, RunRecord } from "./history.ts";
+import { checkAccepted } from "./accepted_check.ts";
+import {
+  type CallerRecord,
+  type History,
+  type Runs,
+  runsByAttempt,
+} from "./history.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
 import { checkInnocents, checkPoison } from "./poison_check.ts";
 import { checkLeavingWords, checkRests } from "./notice_check.ts";
+import { ACCOUNT, BOUNDS, MS_PER_SECOND, WARMUP } from "./soak_settings.ts";
 import {
-  ACCOUNT,
-  BOUNDS,
-  MS_PER_SECOND,
-  ROUTE,
-  WARMUP,
-} from "./soak_settings.ts";
-import { type Violation, violation, wasTroubled } from "./violation.ts";
+  isNextToPlannedStop,
+  type Violation,
+  violation,
+  wasTroubled,
+} from "./violation.ts";
 
 /** Statuses by which a gateway says that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Statuses by which a gateway says that it does not accept a request. */
-const NOT_ACCEPTED: ReadonlySet<number> = new Set([401, 403, 404, 503]);
-/** Troubles by which a gateway may lose what it has accepted, or all of its servers. */
-const LOSSES: ReadonlySet<string> = new Set([
-  "kill",
-  "freeze",
-  "servers_lapse",
-]);
-/** A server that ran a gateway's request this long ago could take another of it. */
-const RAN_LATELY_MS = 1_000;
-/**
- * Servers that must be able to take a request: a gateway asks three at most that refuse,
- * and may not have come to a single able one by then.
- */
-const ABLE_SERVERS = 2;
-/** A gateway may end a request this long before its time is up, when it is of no use. */
-const SHORT_TIME_MS = 100;
-
 /** Returns all promises that were broken. */
 export function checkPromises(history: History): Violation[] {
   const runs = runsByAttempt(history);
@@ -55,18 +42,6 @@
   ];
 }
 
-type Runs = ReadonlyMap<string, readonly RunRecord[]>;
-
-function runsByAttempt({ runs }: History): Runs {
-  const byAttempt = new Map<string, RunRecord[]>();
-  for (const run of runs) {
-    const known = byAttempt.get(run.attempt);
-    if (known === undefined) byAttempt.set(run.attempt, [run]);
-    else known.push(run);
-  }
-  return byAttempt;
-}
-
 function checkAtMostOnce({ callers }: History, runs: Runs): Violation[] {
   return callers
     .filter(({ kind }) => kind === "once")
@@ -204,97 +179,6 @@
     .map((record) => violation("planned stops", record, "was cut"));
 }
 
-function isNextToPlannedStop(
-  { plannedStops }: History,
-  { gateway, endMs }: CallerRecord,
-): boolean {
-  return plannedStops.some((stop) =>
-    stop.gateway === gateway && endMs >= stop.atMs &&
-    endMs <= stop.atMs + BOUNDS.stopGraceMs + 1_000
-  );
-}
-
-/** What a gateway has accepted and sent must not end by what it would accept later. */
-function checkAccepted(history: History, runs: Runs): Violation[] {
-  return history.callers
-    .filter((record) => wasGivenUp(record))
-    .filter((record) => hadRunsLeft(record, runs))
-    .filter((record) => wasBesideChange(history, record))
-    .filter((record) => !isNextToPlannedStop(history, record))
-    .filter(({ gateway, sentMs, endMs }) =>
-      !wasTroubled(history, {
-        gateway,
-        fromMs: sentMs,
-        untilMs: endMs,
-        names: LOSSES,
-      })
-    )
-    .filter((record) => ableServers(history, runs, record) >= ABLE_SERVERS)
-    .map((record) =>
-      violation(
-        "accepted requests outlive changes of the configuration",
-        record,
-        `ended after ${Math.round(record.endMs - record.sentMs)} ms with ${
-          record.ending.tag === "answered" ? record.ending.status : "a cut"
-        }`,
-      )
-    );
-}
-
-function wasGivenUp({ kind, ending }: CallerRecord): boolean {
-  if (kind === "stream") return ending.tag === "cut" && ending.begun;
-  return kind === "repeatable" && ending.tag === "answered" &&
-    NOT_ACCEPTED.has(ending.status);
-}
-
-/** Whether a request that had run could have been run once more. */
-function hadRunsLeft(
-  { attempt, sentMs, endMs }: CallerRecord,
-  runs: Runs,
-): boolean {
-  const ran = runs.get(attempt)?.length ?? 0;
-  return ran > 0 && ran < ROUTE.maxRuns &&
-    endMs - sentMs < ROUTE.timeLimitMs - SHORT_TIME_MS;
-}
-
-/** Whether a change came into force, or a confirmation ran out, while a request ran. */
-function wasBesideChange(
-  { configurations, troubles }: History,
-  { sentMs, endMs }: CallerRecord,
-): boolean {
-  const changed = configurations.some(({ takenMs }) =>
-    takenMs >= sentMs - BOUNDS.configurationApplyMs && takenMs <= endMs
-  );
-  return changed ||
-    troubles.some(({ name, fromMs, untilMs }) =>
-      !LOSSES.has(name) && fromMs <= endMs &&
-      untilMs >= sentMs - BOUNDS.keyRemovalMs
-    );
-}
-
-/** Servers in order that ran other requests of the same gateway shortly before. */
-function ableServers(
-  history: History,
-  runs: Runs,
-  { attempt, gateway, endMs }: CallerRecord,
-): number {
-  const tried = new Set(runs.get(attempt)?.map(({ server }) => server));
-  const fromMs = endMs - RAN_LATELY_MS;
-  const able = history.callers
-    .filter((other) => other.gateway === gateway)
-    .flatMap((other) => runs.get(other.attempt) ?? [])
-    .filter(({ atMs, broken }) => !broken && atMs >= fromMs && atMs <= endMs)
-    .map(({ server }) => server)
-    .filter((server) => !tried.has(server))
-    .filter((server) =>
-      !history.serverTroubles.some((trouble) =>
-        trouble.server === server && trouble.fromMs <= endMs &&
-        trouble.untilMs >= fromMs
-      )
-    );
-  return new Set(able).size;
-}
-
 /** A gateway that has shown a version in one life must go on to do so. */
 function checkVersions({ shownVersions }: History): Violation[] {
   const first = new Map<string, number>();
--- a/soak/violation.ts
+++ b/soak/violation.ts
@@ -2,7 +2,7 @@
 
 import type { CallerRecord, History } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
-import { CONTACT_MS } from "./soak_settings.ts";
+import { BOUNDS, CONTACT_MS } from "./soak_settings.ts";
 
 /** A promise that was broken. */
 export interface Violation {
@@ -41,3 +41,14 @@
     } ms ${what}`,
   };
 }
+
+/** Whether a request ended around a planned stop of its gateway. */
+export function isNextToPlannedStop(
+  { plannedStops }: History,
+  { gateway, endMs }: CallerRecord,
+): boolean {
+  return plannedStops.some((stop) =>
+    stop.gateway === gateway && endMs >= stop.atMs &&
+    endMs <= stop.atMs + BOUNDS.stopGraceMs + 1_000
+  );
+}
