Let the test of a leaving server wait until all its requests are there

It took for granted that 24 requests reach the server within the 40 ms in which it answers the first one. Change: the server holds its answers until all 24 have arrived, then says that it leaves; all must be whole, as before. Ruled out: a stream or request that ran there and was lost: none in the trace.

--- a/tests/resting_server_test.ts
+++ b/tests/resting_server_test.ts
@@ -182,11 +182,19 @@
   it("should finish what runs there, and be used again in its next life", async () => {
     const server = await addServer({ born: 1 });
     await untilReached(server);
-    server.leaving = true;
+    // All are there before the first answer: what comes after the word is kept away.
+    const before = server.arrivedMs.length;
+    let release = () => {};
+    server.held = new Promise((resolve) => release = resolve);
     const running = Array.from(
       { length: CALLERS },
       () => gateway.call("/stock/1"),
     );
+    await until(() =>
+      Promise.resolve(server.arrivedMs.length === before + CALLERS)
+    );
+    server.leaving = true;
+    release();
     const statuses = (await Promise.all(running)).map(({ status }) => status);
     assert.deepEqual(statuses.filter((status) => status !== 200), []);
     assert.equal((await gateway.call("/stock/1")).status, 503);
