Say notice and rest where comments spoke of words

Cause: read as a newcomer: "by its own word" is no term of the field. Change: comments only. Result: checks and tests of these parts pass.

--- a/src/core/routing/server_pool.ts
+++ b/src/core/routing/server_pool.ts
@@ -27,7 +27,7 @@
   failures: number;
   ejections: number;
   ejectedUntilMs: number;
-  /** Until when the server wants nothing, by its own word. */
+  /** Until when the server wants nothing, as it has said. */
   restsUntilMs: number;
   report: LoadReport | undefined;
   inFlightAtReport: number;
@@ -68,12 +68,12 @@
     return Math.max(0, ejectedUntilMs - nowMs, restsUntilMs - nowMs);
   }
 
-  /** Whether a server wants nothing now, by its own word. */
+  /** Whether a server wants nothing now, as it has said. */
   isResting(id: BackendId, nowMs: number): boolean {
     return (this.#states.get(id)?.restsUntilMs ?? 0) > nowMs;
   }
 
-  /** Notes that a server wants nothing for so long; a shorter word does not shorten a longer one. */
+  /** Notes that a server wants nothing for so long; a shorter rest does not shorten a longer one. */
   rest(
     id: BackendId,
     { restMs, nowMs }: { restMs: number; nowMs: number },
--- a/src/core/servers/server_directory.ts
+++ b/src/core/servers/server_directory.ts
@@ -13,7 +13,7 @@
  * down again within about two seconds, as the users promise.
  */
 export const RELISTING_GRACE_MS = 2_000;
-/** Lives whose word is kept that they leave; the oldest give way. Far more than leave in a day. */
+/** Leaving lives that are kept; the oldest are forgotten first. Far more than leave in a day. */
 const MOST_LEAVING = 10_000;
 
 /** Why a server gets no new work any more. */
--- a/src/core/servers/server_notice.ts
+++ b/src/core/servers/server_notice.ts
@@ -1,6 +1,6 @@
 /** What a backend server says of itself beside an answer. */
 
-/** A server's own words, which go before what a VM has guessed of it. */
+/** Goes before what a VM has guessed of the server. */
 export interface ServerNotice {
   /** How long it wants nothing from this VM, in milliseconds; 0 where it asks for no rest. */
   readonly restMs: number;
--- a/src/core/servers/server_rests.ts
+++ b/src/core/servers/server_rests.ts
@@ -1,5 +1,5 @@
 /**
- * Which backend servers want nothing from this VM for a while, by their own word. A server that
+ * Which backend servers want nothing from this VM for a while, as they have said. A server that
  * is full may ask for rest; it is given all of it, whatever else is known of its health.
  */
 
@@ -7,8 +7,8 @@
 import { isLaterLife, type ServerLifeKey } from "./server_record.ts";
 
 /**
- * Longest rest that is kept, in milliseconds: a day. No server of sound mind asks for more, and
- * one that did is asked again once a day.
+ * Longest rest that is kept, in milliseconds: a day. A server that asks for more, by mistake, gets
+ * one request a day.
  */
 export const LONGEST_REST_MS = 86_400_000;
 /**
@@ -33,7 +33,7 @@
   readonly #rests = new Map<InstanceId, Rest>();
 
   /**
-   * Notes that a server wants nothing for so long, in milliseconds. A shorter word does not
+   * Notes that a server wants nothing for so long, in milliseconds. A shorter rest does not
    * shorten a longer one. Returns whether the server was not resting before.
    */
   ask(
@@ -42,7 +42,7 @@
   ): boolean {
     this.#expire(nowMs);
     const stored = this.#rests.get(life.instance);
-    // Late word of an earlier life says nothing of this one.
+    // A late notice of an earlier life says nothing of this one.
     if (stored !== undefined && isLaterLife(stored.life, life)) return false;
     const known = this.#of(life);
     const untilMs = nowMs + Math.min(restMs, LONGEST_REST_MS);
--- a/src/gateway/server_notices.ts
+++ b/src/gateway/server_notices.ts
@@ -21,7 +21,7 @@
   readonly logger: Logger;
 }
 
-/** Keeps what servers say: their own words go before what a VM has guessed of them. */
+/** Keeps notices, which go before what a VM has guessed of a server. */
 export class ServerNotices {
   readonly #deps: Deps;
 
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -96,7 +96,7 @@
     this.#note(this.#deps.serverDirectory.leaves(life));
   }
 
-  /** Lives of servers that are known to leave by their own word. */
+  /** Lives of servers that have said that they leave. */
   leavingLives(): LeavingLife[] {
     return this.#deps.serverDirectory.leavingLives();
   }
