Read the limits that servers name, and say so in logs and metrics

Cause: not known yet which of two hypotheses holds, as no log line and no metric says that a server named a limit, nor which. Change: a server's notice holds the limit; ServerLimits keeps the newest one by life; the log says when one is named, changes and ends, the tries of "Request ended" what their answers named; a counter and a gauge. No decision uses it. Ruled out: ending a limit by whatever answer lacks it, as heads that were written before it may come after it.

--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -76,7 +76,7 @@
 
   it("should pass on what the server says of itself, whatever its answer is worth", async () => {
     const rest = "Fieldrack-Not-Processed: 1\r\nRetry-After: 2\r\n" +
-      "Server-Leaving: 1\r\nContent-Length: 5\r\n\r\n";
+      "Server-Leaving: 1\r\nServer-Limit: 0.5\r\nContent-Length: 5\r\n\r\n";
     const status = "503 Service Unavailable";
     const cut = ({ socket }: RawRequest) => {
       socket.end(`${head({ status, extra: rest })}ab`);
@@ -87,7 +87,11 @@
     for (const answer of [cut, another]) {
       const { send, notices } = await fixture(answer);
       await send();
-      assert.deepEqual(notices, [{ restMs: 2_000, leaves: true }]);
+      assert.deepEqual(notices, [{
+        restMs: 2_000,
+        leaves: true,
+        limitPerS: 0.5,
+      }]);
       connections?.close();
       await server?.close();
     }
--- a/src/backends/server_probe_test.ts
+++ b/src/backends/server_probe_test.ts
@@ -71,11 +71,19 @@
   it("should pass on what the server says of itself", async () => {
     const { port } = server.address() as AddressInfo;
     const address = `127.0.0.1:${port}`;
-    headers = { "retry-after": "2", "server-leaving": "1" };
+    headers = {
+      "retry-after": "2",
+      "server-leaving": "1",
+      "server-limit": "0.5",
+    };
     const notice = await new Promise<ServerNotice>((resolve) =>
       newProbe().ask({ instance, address }, resolve)
     );
-    assert.deepEqual(notice, { restMs: 2_000, leaves: true });
+    assert.deepEqual(notice, {
+      restMs: 2_000,
+      leaves: true,
+      limitPerS: 0.5,
+    });
   });
 
   it("should not ask a server again and again", async () => {
--- a/src/core/servers/server_notice.ts
+++ b/src/core/servers/server_notice.ts
@@ -6,4 +6,9 @@
   readonly restMs: number;
   /** Whether it is about to leave. It says so in all its answers from then on. */
   readonly leaves: boolean;
+  /**
+   * Requests a second that it takes from all VMs together, for as long as it says so; undefined
+   * where it names no limit.
+   */
+  readonly limitPerS: number | undefined;
 }
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -5,6 +5,7 @@
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerLimits } from "../core/servers/server_limits.ts";
 import type { ServerRests } from "../core/servers/server_rests.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
@@ -37,6 +38,7 @@
   readonly memberTable: MemberTable;
   readonly coldServers: ColdServers;
   readonly serverRests: ServerRests;
+  readonly serverLimits: ServerLimits;
   readonly crashBook: CrashBook;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -115,8 +117,9 @@
   /** Brings the gauges up to date: what this VM believes now. */
   #measure(): void {
     const { gatewayMetrics, routingFollower, memberTable } = this.#deps;
-    const { serverDirectory, coldServers, serverRests, crashBook, clock } =
+    const { serverDirectory, coldServers, serverRests, serverLimits } =
       this.#deps;
+    const { crashBook, clock } = this.#deps;
     const { version, ageMs } = routingFollower.confirmation;
     gatewayMetrics.configurationVersion.set(version);
     gatewayMetrics.confirmationAge.set(ageMs / MS_PER_SECOND);
@@ -125,6 +128,7 @@
     gatewayMetrics.evacuatedDataCentres.set(serverDirectory.evacuated.size);
     gatewayMetrics.coldServers.set(coldServers.count(clock.monotonicMs()));
     gatewayMetrics.restingServers.set(serverRests.count(clock.monotonicMs()));
+    gatewayMetrics.limitedServers.set(serverLimits.count(clock.monotonicMs()));
     gatewayMetrics.leavingServers.set(serverDirectory.leavingLives().length);
     gatewayMetrics.suspectedRequests.set(crashBook.size);
     gatewayMetrics.poisonRequests.set(crashBook.poison.size);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -30,6 +30,7 @@
 import { SilenceWatch } from "../core/servers/silence.ts";
 import { ReadPace } from "../core/servers/read_pace.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { ServerLimits } from "../core/servers/server_limits.ts";
 import { ServerRests } from "../core/servers/server_rests.ts";
 import { CrashNews } from "../fleet/crash_news.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
@@ -181,6 +182,7 @@
     serverDirectory: one(ServerDirectory),
     serverLoads: one(ServerLoads),
     serverRests: asFunction(() => new ServerRests()).singleton(),
+    serverLimits: asFunction(() => new ServerLimits()).singleton(),
     releaseGate: one(ReleaseGate),
     modelPace: one(ModelPace),
     silenceWatch: one(SilenceWatch),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -51,6 +51,14 @@
     registers: [this.registry],
   });
 
+  readonly limitsNamed = new Counter({
+    name: "fieldrack_gateway_limits_named_total",
+    help: "Answers in which servers named how much they take from all VMs, " +
+      "by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
   readonly suspectedRequests = new Gauge({
     name: "fieldrack_gateway_suspected_requests",
     help: "Requests under which servers have ended lately, as known here",
@@ -107,6 +115,12 @@
     registers: [this.registry],
   });
 
+  readonly limitedServers = new Gauge({
+    name: "fieldrack_gateway_limited_servers",
+    help: "Backend servers that take only so many requests from all VMs",
+    registers: [this.registry],
+  });
+
   readonly leavingServers = new Gauge({
     name: "fieldrack_gateway_leaving_servers",
     help: "Backend servers that have said in an answer that they leave",
--- a/src/gateway/server_notices.ts
+++ b/src/gateway/server_notices.ts
@@ -1,5 +1,6 @@
 /** Takes in what backend servers say of themselves, whatever else becomes of their answers. */
 
+import type { ServerLimits } from "../core/servers/server_limits.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerNotice } from "../core/servers/server_notice.ts";
 import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
@@ -14,6 +15,7 @@
 
 interface Deps {
   readonly serverRests: ServerRests;
+  readonly serverLimits: ServerLimits;
   readonly serverFollower: ServerFollower;
   readonly serverLoads: ServerLoads;
   readonly gatewayMetrics: GatewayMetrics;
@@ -30,9 +32,49 @@
   }
 
   /** Notes what a server has said. */
-  heard(server: ServerRecord, { restMs, leaves }: ServerNotice): void {
+  heard(
+    server: ServerRecord,
+    { restMs, leaves, limitPerS }: ServerNotice,
+  ): void {
     if (restMs > 0) this.#asksForRest(server, restMs);
     if (leaves) this.#deps.serverFollower.leaves(server);
+    if (limitPerS !== undefined) this.#namesLimit(server, limitPerS);
+  }
+
+  /**
+   * Notes a sound answer to a request that was sent at such a time. A limit holds for as long as
+   * the server names it; answers that are none, as of a probe, may lack it all the same.
+   */
+  answered(
+    server: ServerRecord,
+    { limitPerS }: ServerNotice,
+    sentMs: number,
+  ): void {
+    if (limitPerS !== undefined) return;
+    const { serverLimits, logger } = this.#deps;
+    if (!serverLimits.namesNone(server, sentMs)) return;
+    logger.info("Server names no limit any more", {
+      server: lifeOf(server),
+      service: server.service,
+    });
+  }
+
+  #namesLimit(server: ServerRecord, limitPerS: number): void {
+    const { serverLimits, serverLoads, gatewayMetrics, clock, logger } =
+      this.#deps;
+    const { instance, service } = server;
+    gatewayMetrics.limitsNamed.inc({ service });
+    const before = serverLimits.of(server);
+    const atMs = clock.monotonicMs();
+    if (!serverLimits.hear({ life: server, limitPerS, atMs })) return;
+    logger.info("Server names a limit", {
+      server: lifeOf(server),
+      service,
+      limit_per_s: limitPerS,
+      before,
+      in_flight: serverLoads.inFlight(instance),
+      work_ms: Math.round(serverLoads.work(instance)),
+    });
   }
 
   #asksForRest(server: ServerRecord, restMs: number): void {
--- a/src/gateway/try_record.ts
+++ b/src/gateway/try_record.ts
@@ -24,6 +24,8 @@
   reason: string | undefined;
   /** How good the model took its answer to be, 0 to 100. */
   confidence: number | undefined;
+  /** Requests a second that the server takes from all VMs, as its answer names it. */
+  limitPerS: number | undefined;
 }
 
 /** Begins the record of a try. */
@@ -47,6 +49,7 @@
     outcome: "under_way",
     reason: undefined,
     confidence: undefined,
+    limitPerS: undefined,
   };
 }
 
@@ -68,6 +71,9 @@
     record.confidence === undefined
       ? undefined
       : `confidence ${record.confidence}`,
+    record.limitPerS === undefined
+      ? undefined
+      : `names ${record.limitPerS} a second`,
   ].filter((text) => text !== undefined).join(", ");
   const sentMs = Math.round(record.startedMs - arrivedMs);
   return `${record.server} ${record.release}${model} sent at ${sentMs} ms: ` +
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -31,6 +31,8 @@
 
 /** Least urgent class that servers know. */
 const LEAST_URGENT = 9;
+/** Statuses from here on tell that the server has failed. */
+const FIRST_FAILURE_STATUS = 500;
 const NONE: ReadonlySet<InstanceId> = new Set();
 
 /** What all senders share. */
@@ -191,10 +193,20 @@
         judge: (head) => {
           observed.record.confidence = head.decoded.confidence;
           serverGate.took(server, observed.record.startedMs);
+          if (head.status < FIRST_FAILURE_STATUS) {
+            serverNotices.answered(
+              server,
+              head.notice,
+              observed.record.startedMs,
+            );
+          }
           return terms.judge(head);
         },
         write: (chunk) => stream.write(chunk, () => this.#readOn(observed)),
-        onNotice: (notice) => serverNotices.heard(server, notice),
+        onNotice: (notice) => {
+          observed.record.limitPerS = notice.limitPerS;
+          serverNotices.heard(server, notice);
+        },
         onProgress: () => tryObserver.byteCame(observed),
       },
     });
--- a/src/platform/server_notice_wire.ts
+++ b/src/platform/server_notice_wire.ts
@@ -6,11 +6,12 @@
 const DATE = "date";
 const LEAVING = "server-leaving";
 const LEAVES = "1";
+const LIMIT = "server-limit";
 /** Status by which a server turns requests away; only there it may ask for rest. */
 const TURNED_AWAY = 503;
 const MS_PER_SECOND = 1_000;
-/** Seconds, fractions too; anything else that `Number` reads, as "0x3" or "3e1", is none. */
-const SECONDS = /^\d*\.?\d+$|^\d+\.$/;
+/** Fractions too; anything else that `Number` reads, as "0x3" or "3e1", is none. */
+const DECIMAL = /^\d*\.?\d+$|^\d+\.$/;
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -22,6 +23,7 @@
   return {
     restMs: status === TURNED_AWAY ? restMs(headers) : 0,
     leaves: valuesOf(headers[LEAVING]).includes(LEAVES),
+    limitPerS: limitPerS(headers),
   };
 }
 
@@ -32,11 +34,20 @@
     value === undefined ? [] : [dateWaitMs(value, serverDate)]
   );
   const seconds = valuesOf(headers[RETRY_AFTER])
-    .filter((value) => SECONDS.test(value))
+    .filter((value) => DECIMAL.test(value))
     .map((value) => Number(value) * MS_PER_SECOND);
   return Math.max(0, ...waits, ...seconds);
 }
 
+/** The strictest limit that is named; undefined where none is that can be read. */
+function limitPerS(headers: Headers): number | undefined {
+  const limits = valuesOf(headers[LIMIT])
+    .filter((value) => DECIMAL.test(value))
+    .map(Number)
+    .filter(Number.isFinite);
+  return limits.length === 0 ? undefined : Math.min(...limits);
+}
+
 /** A wait that is told as a moment, by the time of day that the same server tells. */
 function dateWaitMs(value: string, serverDate: string | undefined): number {
   if (!/[a-z]/i.test(value) || serverDate === undefined) return 0;
--- a/src/platform/server_notice_wire_test.ts
+++ b/src/platform/server_notice_wire_test.ts
@@ -31,6 +31,24 @@
   ["Thu, 03 Dec 2026 03:59:00 GMT", 0],
 ];
 
+/** Values of the header and the requests a second that each names. */
+const LIMITS: readonly [string | string[] | undefined, number | undefined][] = [
+  [undefined, undefined],
+  ["2.1", 2.1],
+  ["0", 0],
+  [" .5 ", 0.5],
+  ["1000000", 1_000_000],
+  ["", undefined],
+  ["-1", undefined],
+  ["some", undefined],
+  ["1e3", undefined],
+  ["NaN", undefined],
+  ["9".repeat(400), undefined],
+  [["3", "1.5"], 1.5],
+  ["3, 1.5", 1.5],
+  [["many", "2"], 2],
+];
+
 describe("a server's notice", () => {
   for (const [value, restMs] of RESTS) {
     it(`should ask for ${restMs} ms by "${value}"`, () => {
@@ -62,6 +80,15 @@
     }
   });
 
+  for (const [value, limitPerS] of LIMITS) {
+    it(`should name a limit of ${limitPerS} by "${value}"`, () => {
+      for (const status of [200, 429, 500, 503]) {
+        const headers = { "server-limit": value };
+        assert.equal(decodeServerNotice(status, headers).limitPerS, limitPerS);
+      }
+    });
+  }
+
   it("should be read from any bytes, and never ask for less than nothing", () => {
     const texts = fc.oneof(
       fc.string(),
@@ -70,9 +97,10 @@
       fc.date().map(String),
     );
     fc.assert(fc.property(texts, texts, (value, date) => {
-      const headers = { "retry-after": value, date };
-      const { restMs } = decodeServerNotice(503, headers);
+      const headers = { "retry-after": value, date, "server-limit": value };
+      const { restMs, limitPerS = 0 } = decodeServerNotice(503, headers);
       assert.ok(restMs >= 0 && !Number.isNaN(restMs));
+      assert.ok(limitPerS >= 0 && Number.isFinite(limitPerS));
     }));
   });
 });
