Take the choice of a server's owners out of the admission to cold servers

Cause: limits that servers name are, like what cold servers bear, sums over all VMs; both need VMs that agree on who may send, without asking each other. Change: ServerOwners, by hash among known VMs, nothing in a VM's first 4 s. No behaviour changes. Ruled out: a second copy of it beside the first. Result: the tests of cold servers pass as they are.

--- a/src/core/routing/cold_admission.ts
+++ b/src/core/routing/cold_admission.ts
@@ -6,7 +6,7 @@
 
 import type { EntryId, InstanceId } from "../ids.ts";
 import type { Warmup } from "../routes/route.ts";
-import { HashRing } from "./hash_ring.ts";
+import { ServerOwners } from "./server_owners.ts";
 import type { UnitHash } from "./version_choice.ts";
 
 /**
@@ -20,17 +20,6 @@
  * VM differ by on their way.
  */
 const WINDOW_MS = 1_200;
-/**
- * A VM that has just started knows few others and would take itself for an owner of all; it
- * sends cold servers nothing for so long, in milliseconds. VMs hear of all others within two
- * exchanges of 0.8 s.
- */
-const SETTLE_MS = 4_000;
-/** Points of each VM on the ring; six owners even out what few points leave uneven. */
-const POINTS = 2;
-/** How long the owners of a server are kept before they are looked up anew, in milliseconds. */
-const KEEP_OWNERS_MS = 500;
-
 /** VMs that this one knows. */
 export interface KnownVms {
   readonly self: { readonly id: EntryId };
@@ -38,17 +27,9 @@
   everyone(): readonly { readonly id: EntryId }[];
 }
 
-interface Row {
-  readonly isOwner: boolean;
-  readonly lookedUpMs: number;
-}
-
 /** Says which cold servers this VM may send a request now. */
 export class ColdAdmission {
-  readonly #vms: KnownVms;
-  readonly #ring: HashRing;
-  readonly #startedMs: number;
-  readonly #rows = new Map<InstanceId, Row>();
+  readonly #owners: ServerOwners;
   readonly #sentMs = new Map<InstanceId, number[]>();
 
   constructor(
@@ -58,9 +39,13 @@
       clock: { monotonicMs(): number };
     },
   ) {
-    this.#vms = memberTable;
-    this.#ring = new HashRing(unitHash, { points: POINTS });
-    this.#startedMs = clock.monotonicMs();
+    this.#owners = new ServerOwners({
+      self: memberTable.self.id,
+      vms: () => memberTable.everyone(),
+      unitHash,
+      purpose: "cold",
+      startedMs: clock.monotonicMs(),
+    });
   }
 
   /** Whether this VM may send a cold server one request more. */
@@ -69,10 +54,13 @@
     { warmup, nowMs }: { warmup: Warmup; nowMs: number },
   ): boolean {
     const { requestsPerSecond } = warmup;
-    if (nowMs - this.#startedMs < SETTLE_MS) return false;
     const part = Math.max(1, Math.floor(requestsPerSecond / OWNERS));
     if (this.#sentLately(instance, nowMs).length >= part) return false;
-    return this.#isOwner(instance, { requestsPerSecond, part, nowMs });
+    const owners = Math.min(OWNERS, Math.floor(requestsPerSecond / part));
+    return this.#owners.isOwner(instance, {
+      count: Math.max(1, owners),
+      nowMs,
+    });
   }
 
   /** Counts a request that is about to be sent to a cold server. */
@@ -82,7 +70,7 @@
 
   /** Forgets a server that is warm or gone. */
   forget(instance: InstanceId): void {
-    this.#rows.delete(instance);
+    this.#owners.forget(instance);
     this.#sentMs.delete(instance);
   }
 
@@ -90,30 +78,4 @@
     const sentMs = this.#sentMs.get(instance) ?? [];
     return sentMs.filter((atMs) => nowMs - atMs < WINDOW_MS);
   }
-
-  #isOwner(
-    instance: InstanceId,
-    { requestsPerSecond, part, nowMs }: {
-      requestsPerSecond: number;
-      part: number;
-      nowMs: number;
-    },
-  ): boolean {
-    const known = this.#rows.get(instance);
-    if (known !== undefined && nowMs - known.lookedUpMs < KEEP_OWNERS_MS) {
-      return known.isOwner;
-    }
-    const { self } = this.#vms;
-    const owners = this.#ring.nearest(this.#vms.everyone(), {
-      key: `cold/${instance}`,
-      idOf: ({ id }) => id,
-      count: Math.max(
-        1,
-        Math.min(OWNERS, Math.floor(requestsPerSecond / part)),
-      ),
-    });
-    const isOwner = owners.some(({ id }) => id === self.id);
-    this.#rows.set(instance, { isOwner, lookedUpMs: nowMs });
-    return isOwner;
-  }
 }
