Let VMs borrow places at limited servers from those that own them

What callers saw: a VM that owns no part of any limited server of a service refuses all that comes to it, while these servers have room; streams that have begun there find no place and are cut. Cause: callers come to all VMs, a limit is split among few. Change: who would have to refuse asks an owner for a place, by one call; the owner takes it out of its own part. One question to an owner at a time: a second one beside it found nothing and put the next question off. Why it holds: a place that is lent is one that its owner does not use, so that the sum is the same; it lapses after 200 ms. Ruled out: parts by demand told by digests, as news of demand is 1 to 3 s old.

--- a/src/core/routing/limit_admission.ts
+++ b/src/core/routing/limit_admission.ts
@@ -53,8 +53,8 @@
   waiting: number;
   /** When those that were refused a place so far will all have had one. */
   promisedMs: number;
-  /** When an owner has said that it is worth asking again. */
-  askAgainMs: number;
+  /** When it is worth asking owners again that have lent nothing. */
+  readonly askAgainMs: Map<EntryId, number>;
 }
 
 const FREE_PLACE: SendPlace = { take: () => true, release: () => {} };
@@ -109,8 +109,11 @@
     const settlesInMs = this.#owners.settlesInMs(nowMs);
     if (settlesInMs > 0) return settlesInMs;
     if (bucket.isOwner) return this.#promise(bucket, part);
-    if (bucket.askAgainMs > nowMs) return bucket.askAgainMs - nowMs;
-    return 1 / part.perMs;
+    const askAgainMs = [...bucket.askAgainMs.values()]
+      .filter((atMs) => atMs > nowMs);
+    return askAgainMs.length === 0
+      ? 1 / part.perMs
+      : Math.min(...askAgainMs) - nowMs;
   }
 
   /** Gives a request a place that was chosen for a server. */
@@ -138,7 +141,7 @@
   lend(server: ServerLifeKey): Lent {
     const part = this.#partOf(server);
     // What is not limited as known here is nothing to lend of: news of it is on its way.
-    if (part === undefined) return { granted: false, opensInMs: 0 };
+    if (part === undefined) return { granted: false, opensInMs: LOAN_MS };
     const bucket = this.#bucket(server, part);
     if (bucket.isOwner && bucket.tokens - bucket.waiting >= 1) {
       bucket.tokens -= 1;
@@ -151,35 +154,32 @@
     return { granted: false, opensInMs };
   }
 
-  /** Owners that this VM may ask for a place now; none where it is one itself. */
+  /** Other owners that may be asked for a place now. */
   lenders(server: ServerLifeKey): readonly EntryId[] {
     const part = this.#partOf(server);
     if (part === undefined) return [];
-    const bucket = this.#bucket(server, part);
+    const { askAgainMs } = this.#bucket(server, part);
     const nowMs = this.#clock.monotonicMs();
-    if (bucket.isOwner || bucket.askAgainMs > nowMs) return [];
     const owners = this.#owners.owners(server.instance, {
       count: part.owners,
       nowMs,
     });
-    return owners.filter((id) => id !== this.#vms.self.id);
+    return owners.filter((id) =>
+      id !== this.#vms.self.id && (askAgainMs.get(id) ?? 0) <= nowMs
+    );
   }
 
   /** Takes in the answer of an owner that was asked for a place. */
-  borrowed(server: ServerLifeKey, { granted, opensInMs }: Lent): void {
+  borrowed(
+    server: ServerLifeKey,
+    { owner, granted, opensInMs }: Lent & { owner: EntryId },
+  ): void {
     const part = this.#partOf(server);
     if (part === undefined) return;
     const bucket = this.#bucket(server, part);
     const nowMs = this.#clock.monotonicMs();
     if (granted) bucket.loansUntilMs.push(nowMs + LOAN_MS);
-    else bucket.askAgainMs = nowMs + opensInMs;
-  }
-
-  /** Requests a second that this VM may send a server on its own; undefined without a limit. */
-  ownPerS(server: ServerLifeKey): number | undefined {
-    const part = this.#partOf(server);
-    if (part === undefined) return undefined;
-    return this.#bucket(server, part).isOwner ? part.perMs * 1_000 : 0;
+    else bucket.askAgainMs.set(owner, nowMs + opensInMs);
   }
 
   /** Forgets a server that is gone. */
@@ -250,6 +250,9 @@
     known.tokens = wasOwner ? Math.min(part.burst, grown) : 0;
     known.isOwner = isOwner;
     known.refilledMs = nowMs;
+    for (const [id, atMs] of known.askAgainMs) {
+      if (atMs <= nowMs) known.askAgainMs.delete(id);
+    }
     known.loansUntilMs = known.loansUntilMs.filter((atMs) => atMs > nowMs);
     return known;
   }
@@ -267,6 +270,6 @@
     loansUntilMs: [],
     waiting: 0,
     promisedMs: 0,
-    askAgainMs: 0,
+    askAgainMs: new Map(),
   };
 }
--- a/src/core/routing/limit_admission_test.ts
+++ b/src/core/routing/limit_admission_test.ts
@@ -54,8 +54,10 @@
   readonly limits = new ServerLimits();
   readonly admission: LimitAdmission;
   known: readonly Member[];
+  readonly self: Member;
 
   constructor(self: Member, fleet: readonly Member[]) {
+    this.self = self;
     this.known = fleet;
     this.admission = new LimitAdmission({
       serverLimits: this.limits,
@@ -68,6 +70,20 @@
     });
   }
 
+  get id(): EntryId {
+    return this.self.id;
+  }
+
+  /** Asks owners for a place until one lends it. */
+  borrow(others: ReadonlyMap<EntryId, Vm>): void {
+    for (const owner of this.admission.lenders(SERVER)) {
+      const lent = others.get(owner)?.admission.lend(SERVER);
+      if (lent === undefined) continue;
+      this.admission.borrowed(SERVER, { owner, ...lent });
+      if (lent.granted) return;
+    }
+  }
+
   hear(limitPerS: number | undefined): void {
     this.limits.hear({ life: SERVER, limitPerS, atMs: nowMs });
   }
@@ -146,4 +162,124 @@
       }
     });
   }
+
+  it("should be used as named where all work comes to one VM, by what owners lend", () => {
+    for (const count of [7, 65, 195]) {
+      nowMs = 0;
+      const vms = fleetOf(count);
+      const byId = new Map(vms.map((vm) => [vm.id, vm]));
+      nowMs = SETTLED_MS;
+      const borrower = vms[0] as Vm;
+      const sentMs = press([borrower], {
+        limitPerS: 2,
+        chance: seededChance(1),
+        forMs: 30_000,
+        each: () => {
+          for (const vm of vms) vm.hear(2);
+          borrower.borrow(byId);
+        },
+      });
+      const most = mostInSpan(sentMs);
+      assert.ok(most <= allowedInSpan(2), `${count}: ${most}`);
+      assert.ok(sentMs.length >= 50, `${count}: ${sentMs.length} of 60 used`);
+    }
+  });
+
+  it("should bound what all VMs send that also borrow from each other", () => {
+    for (const count of [7, 65]) {
+      nowMs = 0;
+      const vms = fleetOf(count);
+      const byId = new Map(vms.map((vm) => [vm.id, vm]));
+      nowMs = SETTLED_MS;
+      const chance = seededChance(2);
+      const each = () => {
+        for (const vm of vms) if (chance() < 0.2) vm.borrow(byId);
+      };
+      const sentMs = press(vms, { limitPerS: 2, chance, forMs: 20_000, each });
+      const most = mostInSpan(sentMs);
+      assert.ok(most <= allowedInSpan(2), `${count}: ${most}`);
+    }
+  });
+
+  it("should lend nothing of which an owner has nothing left, and say when it will", () => {
+    const [vm] = fleetOf(1);
+    nowMs = SETTLED_MS;
+    vm?.hear(1);
+    const first = vm?.admission.lend(SERVER);
+    const second = vm?.admission.lend(SERVER);
+    // Who asks later is told a later time, as the first is to come back before.
+    assert.deepEqual([first?.granted, second?.granted], [false, false]);
+    assert.ok((second?.opensInMs ?? 0) >= (first?.opensInMs ?? 0) + 1_000);
+    nowMs += first?.opensInMs ?? 0;
+    assert.equal(vm?.admission.lend(SERVER).granted, true);
+    assert.equal(vm?.admission.isOpen(SERVER), false);
+  });
+
+  it("should not let a place be used long after it was lent", () => {
+    const [vm] = fleetOf(7);
+    nowMs = SETTLED_MS;
+    vm?.hear(1);
+    const owner = "edge-6" as EntryId;
+    vm?.admission.borrowed(SERVER, { owner, granted: true, opensInMs: 0 });
+    assert.equal(vm?.admission.isOpen(SERVER), true);
+    nowMs += 300;
+    assert.equal(vm?.send(), false);
+  });
+
+  it("should give a place back that was not used, and count none that was withheld", () => {
+    const [vm] = fleetOf(1);
+    nowMs = SETTLED_MS;
+    vm?.hear(1);
+    assert.equal(vm?.send(), false);
+    nowMs += 1_000;
+    const place = vm?.admission.reserve(SERVER);
+    assert.equal(vm?.admission.isOpen(SERVER), false);
+    place?.release();
+    place?.release();
+    assert.equal(vm?.send(), true);
+    assert.equal(vm?.send(), false);
+  });
+
+  it("should find nothing saved where a limit begins anew", () => {
+    const [vm] = fleetOf(1);
+    nowMs = SETTLED_MS;
+    vm?.hear(1);
+    assert.equal(vm?.send(), false);
+    nowMs += 1_000;
+    vm?.limits.namesNone(SERVER, nowMs);
+    assert.equal(vm?.admission.isOpen(SERVER), true);
+    nowMs += 5_000;
+    vm?.hear(1);
+    assert.equal(vm?.send(), false);
+  });
+
+  it("should hold where VMs are killed, start and are added", () => {
+    for (const limitPerS of LIMITS) {
+      for (const seed of SEEDS) {
+        nowMs = 0;
+        const chance = seededChance(seed);
+        const vms = fleetOf(30);
+        nowMs = SETTLED_MS;
+        let next = vms.length;
+        let changedMs = nowMs;
+        const each = () => {
+          if (nowMs - changedMs < 500) return;
+          changedMs = nowMs;
+          // One goes, and one comes that knows all; the others hear of both by and by.
+          vms.splice(Math.floor(chance() * vms.length), 1);
+          const self = member(next++);
+          const newcomer = new Vm(self, [...vms.map((vm) => vm.self), self]);
+          newcomer.hear(limitPerS);
+          vms.push(newcomer);
+          for (const vm of vms) {
+            if (chance() < 0.5) vm.known = vms.map((other) => other.self);
+          }
+        };
+        const sentMs = press(vms, { limitPerS, chance, each });
+        const most = mostInSpan(sentMs);
+        const allowed = allowedInSpan(limitPerS);
+        assert.ok(most <= allowed, `${limitPerS}, seed ${seed}: ${most}`);
+      }
+    }
+  });
 });
--- a/src/fleet/digest_router.ts
+++ b/src/fleet/digest_router.ts
@@ -10,6 +10,11 @@
   type FeedAnswer,
   feedQuestionSchema,
 } from "../protocol/store_schema.ts";
+import {
+  type PlaceAnswer,
+  type PlaceQuestion,
+  placeQuestionSchema,
+} from "../protocol/place_schema.ts";
 import type { StoreNews } from "./store_feed.ts";
 
 const trpc = initTRPC.create();
@@ -19,20 +24,29 @@
   exchange(question: DigestQuestion): DigestAnswer;
 }
 
+/** Lends places at servers that take only so much from all VMs together. */
+export interface PlaceLending {
+  lend(question: PlaceQuestion): PlaceAnswer;
+}
+
 /** What answers the questions of other VMs. */
 export interface DigestAnswerers {
   readonly digestKeeper: DigestExchange;
   readonly storeFeed: StoreNews;
+  readonly placeLender: PlaceLending;
 }
 
 /** Returns the router of one VM. */
 export function createDigestRouter(
-  { digestKeeper, storeFeed }: DigestAnswerers,
+  { digestKeeper, storeFeed, placeLender }: DigestAnswerers,
 ) {
   return trpc.router({
     exchange: trpc.procedure.input(digestQuestionSchema).mutation(
       ({ input }): DigestAnswer => digestKeeper.exchange(input),
     ),
+    lend: trpc.procedure.input(placeQuestionSchema).mutation(
+      ({ input }): PlaceAnswer => placeLender.lend(input),
+    ),
     feed: trpc.procedure.input(feedQuestionSchema).mutation(
       ({ input }): Promise<FeedAnswer> => storeFeed.next(input),
     ),
--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -24,7 +24,11 @@
 /** Longer than the pause between two exchanges of a pair of VMs in a large fleet. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 /** Procedures by the path that tRPC's clients ask for. */
-const PROCEDURES = { "/exchange": "exchange", "/feed": "feed" } as const;
+const PROCEDURES = {
+  "/exchange": "exchange",
+  "/feed": "feed",
+  "/lend": "lend",
+} as const;
 /** Number of an error in tRPC's envelope, where its name says it all. */
 const UNSPECIFIED = -1;
 
@@ -36,8 +40,8 @@
   readonly #server: Server;
   readonly #caller: DigestCaller;
 
-  constructor({ digestKeeper, storeFeed }: DigestAnswerers) {
-    this.#caller = createDigestCaller({ digestKeeper, storeFeed });
+  constructor({ digestKeeper, storeFeed, placeLender }: DigestAnswerers) {
+    this.#caller = createDigestCaller({ digestKeeper, storeFeed, placeLender });
     this.#server = createServer((req, res) => void this.#handle(req, res));
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
--- a/src/fleet/digest_server_test.ts
+++ b/src/fleet/digest_server_test.ts
@@ -26,6 +26,7 @@
   address = `127.0.0.1:${await freePort()}`;
   server = new DigestServer({
     digestKeeper: { exchange: (question) => exchange(question) },
+    placeLender: { lend: () => ({ granted: true, opensInMs: 0 }) },
     storeFeed: { next: () => Promise.resolve(NO_NEWS) },
   });
   await server.listen(address);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -39,6 +39,8 @@
 import { LimitNews } from "../fleet/limit_news.ts";
 import { FleetRelayRole } from "../fleet/fleet_relay_role.ts";
 import { DigestServer } from "../fleet/digest_server.ts";
+import { PlaceBorrower } from "../fleet/place_borrower.ts";
+import { PlaceLender } from "../fleet/place_lender.ts";
 import { StoreFeed } from "../fleet/store_feed.ts";
 import { StoreSubscriber } from "../fleet/store_subscriber.ts";
 import { VmClients } from "../fleet/vm_clients.ts";
@@ -245,6 +247,8 @@
     digestKeeper: one(DigestKeeper),
     crashNews: one(CrashNews),
     limitNews: one(LimitNews),
+    placeLender: one(PlaceLender),
+    placeBorrower: one(PlaceBorrower),
     digestServer: one(DigestServer),
     vmClients: asFunction(() => new VmClients()).singleton(),
     storeFeed: one(StoreFeed),
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -151,7 +151,7 @@
     }
     if (this.#isOver) return "again";
     const server = this.#sender.choose(this.#admitted, this.#choice);
-    if (server === undefined) return this.#noServer();
+    if (server === undefined) return await this.#borrowPlace();
     if (!this.#takeRepeat()) return this.#noServer(NO_REPEAT);
     const outcome = await this.#try(server);
     const record = this.#sender.tries.at(-1);
@@ -159,6 +159,12 @@
     return await this.#after(outcome, server);
   }
 
+  /** Goes on at a server with a limit, if another VM lends a place there. */
+  async #borrowPlace(): Promise<Next> {
+    const lent = await this.#sender.borrow(this.#admitted, this.#choice);
+    return lent ? "again" : await this.#noServer();
+  }
+
   /** Whether there is nothing more to be done for the caller. */
   get #isOver(): boolean {
     return this.#exchange.isOver || this.#expired;
--- a/src/gateway/server_gate.ts
+++ b/src/gateway/server_gate.ts
@@ -45,6 +45,8 @@
 
   /** Servers that take a request of this VM now: they do not rest, and their limit has room. */
   open(servers: readonly ServerRecord[]): readonly ServerRecord[] {
+    const { serverRests, serverLimits } = this.#deps;
+    if (serverRests.isEmpty && serverLimits.isEmpty) return servers;
     return servers.filter((server) =>
       this.#isRested(server) && this.#hasRoom(server)
     );
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -107,6 +107,16 @@
     );
   }
 
+  /** Servers that would take a request if another VM lent this one a place there. */
+  lacking(selection: Selection): readonly ServerRecord[] {
+    const { serverGate } = this.#deps;
+    const sets = this.#candidates(selection);
+    const [first = []] = sets;
+    const servers = this.#belongsTo(selection, first) ? first : sets.flat();
+    return serverGate.lacking(servers)
+      .filter(({ instance }) => !selection.tried.has(instance));
+  }
+
   /** Whether the session of a request runs on the release of these servers. */
   #belongsTo(
     { head }: Selection,
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -14,6 +14,7 @@
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { SilenceReason } from "../core/servers/silence.ts";
+import type { PlaceBorrower } from "../fleet/place_borrower.ts";
 import { encodeBackendRequest } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -39,6 +40,7 @@
 export interface TrySenderDeps {
   readonly serverSelector: ServerSelector;
   readonly serverGate: ServerGate;
+  readonly placeBorrower: PlaceBorrower;
   readonly suspectPlaces: SuspectPlaces;
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
@@ -151,6 +153,15 @@
       (held ? 0 : work.sharedMs);
   }
 
+  /** Borrows a place for the request from another VM; returns whether it could. */
+  borrow(admitted: Admitted, { mayComeBack }: ChoiceTerms): Promise<boolean> {
+    const { serverSelector, placeBorrower } = this.#deps;
+    const { model } = this.#request.models;
+    const tried = mayComeBack ? NONE : this.#tried;
+    const selection = this.#selection(admitted, { tried, model });
+    return placeBorrower.borrow(serverSelector.lacking(selection));
+  }
+
   /** Milliseconds until a server takes the request, where all rest or are cold. */
   opensInMs(admitted: Admitted): number | undefined {
     const { model } = this.#request.models;
--- /dev/null
+++ b/src/protocol/place_schema.ts
@@ -0,0 +1,21 @@
+/** Messages by which VMs ask an owner of a limited server for a place there. */
+
+import * as z from "zod";
+import type { InstanceId } from "../core/ids.ts";
+
+/** Names the life of a server at which a place is wanted. */
+export const placeQuestionSchema = z.object({
+  instance: z.string().transform((text) => text as InstanceId),
+  bornMs: z.number().optional(),
+});
+
+/** Whether the place is lent, and if not, when it is worth asking again. */
+export const placeAnswerSchema = z.object({
+  granted: z.boolean(),
+  opensInMs: z.number().min(0),
+});
+
+/** Names the life of a server at which a place is wanted. */
+export type PlaceQuestion = z.infer<typeof placeQuestionSchema>;
+/** Whether the place is lent. */
+export type PlaceAnswer = z.infer<typeof placeAnswerSchema>;
--- a/tests/limited_server_test.ts
+++ b/tests/limited_server_test.ts
@@ -58,11 +58,11 @@
   fleet.store.kinds.put("servers", { name, spec });
 }
 
-/** Callers call all VMs again and again for so long; returns the statuses. */
-async function callFor(ms: number): Promise<number[]> {
+/** Callers call VMs, all of them by default, again and again for so long; returns the statuses. */
+async function callFor(ms: number, vms = fleet.vms): Promise<number[]> {
   const statuses: number[] = [];
   const untilMs = performance.now() + ms;
-  const calls = fleet.vms.flatMap((vm) =>
+  const calls = vms.flatMap((vm) =>
     Array.from({ length: CALLERS }, async () => {
       while (performance.now() < untilMs) {
         const { status } = await fleet.call(vm, "/stock/1");
@@ -126,4 +126,24 @@
       return (counts[0] ?? 0) > Math.max(...counts) / 2;
     });
   });
+
+  /**
+   * Found by reading the mend above: a server belongs to a few VMs, and a VM that owns none of a
+   * service's servers had to refuse whatever came to it, while they had room.
+   */
+  it("should be used as far as they name whichever VM their callers come to", async () => {
+    for (const server of servers) server.limitPerS = LIMIT_PER_S;
+    await callFor(CONTACT_MS);
+    for (const vm of fleet.vms.slice(0, 2)) {
+      const fromMs = performance.now();
+      await callFor(WATCHED_MS, [vm]);
+      for (const server of servers) {
+        const arrived = server.arrivedSince(fromMs);
+        const most = mostInSpan(arrived);
+        assert.ok(most <= allowedInSpan(LIMIT_PER_S), `${most} in one span`);
+        const used = arrived.length * 1_000 / WATCHED_MS;
+        assert.ok(used >= USED_SHARE * LIMIT_PER_S, `${used} a second used`);
+      }
+    }
+  });
 });
