Let servers of the soak name limits, and check the sum over all gateways

Cause: no soak server named a limit, so that nothing but one test saw the sum. The excuse of a planned stop moved to the others.

--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -2,7 +2,7 @@
 
 import type { Draw } from "./draw.ts";
 import type { ServerMode } from "./soak_server.ts";
-import { BOUNDS, CONTACT_MS } from "./soak_settings.ts";
+import { BOUNDS, CONTACT_MS, LIMIT_SPAN_MS } from "./soak_settings.ts";
 
 /** One fault. Gateways and servers are told by their number. */
 export type Fault =
@@ -199,6 +199,34 @@
   return [...resting, leaving, frozen, stopped];
 }
 
+/**
+ * Half of the servers name a limit, for twice the time over which it is counted; a gateway is frozen
+ * and another one stopped beside it. Drawn for no seed, as above.
+ */
+export function planLimits(
+  { gateways, servers }: { gateways: number; servers: number },
+): PlannedFault[] {
+  const limited = Array.from(
+    { length: Math.ceil(servers / 2) },
+    (_, server) => ({
+      atMs: 0,
+      forMs: CONTACT_MS + 2 * LIMIT_SPAN_MS,
+      fault: { tag: "server", server, mode: "limits" } as const,
+    }),
+  );
+  const frozen = {
+    atMs: CONTACT_MS,
+    forMs: LEAST_TIME_MS,
+    fault: { tag: "freeze", gateway: gateways - 1 } as const,
+  };
+  const stopped = {
+    atMs: CONTACT_MS + MOST_PAUSE_MS,
+    forMs: 0,
+    fault: { tag: "planned_stop", gateway: 0 } as const,
+  };
+  return [...limited, frozen, stopped];
+}
+
 /**
  * Beside a request that ends servers: a gateway that is killed, and one that is frozen, once
  * all gateways know of it. Drawn for no seed, as above.
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -99,6 +99,13 @@
   readonly restMs: number;
 }
 
+/** An answer in which a server named its limit. */
+export interface LimitRecord {
+  readonly server: string;
+  readonly attempt: string;
+  readonly atMs: number;
+}
+
 /** The version that a gateway showed, by a route that only it has. */
 export interface ShownVersion {
   readonly gateway: GatewayName;
@@ -126,6 +133,8 @@
   readonly rests: NoticeRecord[] = [];
   /** Words of servers that leave, each with a request that ran. */
   readonly leavingWords: NoticeRecord[] = [];
+  /** Answers of servers that name how much they take from all gateways. */
+  readonly limits: LimitRecord[] = [];
   readonly shownVersions: ShownVersion[] = [];
   /** Gateways that served when all faults were over. */
   recovered: readonly GatewayName[] = [];
--- /dev/null
+++ b/soak/limit_check_test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import {
+  GATEWAY,
+  SENT_MS,
+  SoakHistory,
+} from "../tests/fixtures/soak_history.ts";
+import type { GatewayName } from "./ids.ts";
+import { CONTACT_MS, SERVER_LIMIT } from "./soak_settings.ts";
+
+const PROMISE = "limits of servers";
+const OTHER = "vm-2" as GatewayName;
+/** When requests count that come to a server which names a limit from `SENT_MS` on. */
+const COUNTED_MS = SENT_MS + CONTACT_MS;
+const SPAN_MS = 4_000;
+
+let soak: SoakHistory;
+
+beforeEach(() => {
+  soak = new SoakHistory();
+});
+
+/** Requests that reach the server, each of which it answers with its limit. */
+function arrive(
+  count: number,
+  { gateway, fromMs, forMs }: {
+    gateway: GatewayName;
+    fromMs: number;
+    forMs: number;
+  },
+): void {
+  for (let n = 0; n < count; n++) {
+    const attempt = `${gateway}/${fromMs}/${n}`;
+    const atMs = fromMs + n * forMs / count;
+    const kind = "stream" as const;
+    soak.called({ attempt, gateway, sentMs: atMs, endMs: atMs + 50, kind });
+    soak.ran({ attempt, atMs });
+    soak.history.limits.push({ server: "s-1", attempt, atMs });
+  }
+}
+
+/** Half of what may come in a span, and more by a few. */
+const HALF =
+  (SERVER_LIMIT.overshoot * SERVER_LIMIT.perSecond * SPAN_MS / 1_000 +
+    SERVER_LIMIT.allowance) / 2;
+
+describe("check of limits that servers name", () => {
+  it("should count what all gateways send that have heard of it", () => {
+    const span = { fromMs: COUNTED_MS, forMs: SPAN_MS - 100 };
+    for (const gateway of [GATEWAY, OTHER]) {
+      arrive(1, { gateway, fromMs: SENT_MS, forMs: 1 });
+      arrive(Math.floor(HALF), { ...span, gateway });
+    }
+    assert.equal(soak.broken().includes(PROMISE), false);
+    arrive(2, { fromMs: COUNTED_MS + 1, forMs: 100, gateway: OTHER });
+    assert.ok(soak.broken().includes(PROMISE));
+  });
+
+  it("should not count who has not heard, was frozen, or what came soon after the first word", () => {
+    arrive(10 * HALF, { gateway: GATEWAY, fromMs: SENT_MS, forMs: 1_000 });
+    assert.equal(soak.broken().includes(PROMISE), false);
+    const span = { fromMs: COUNTED_MS, forMs: 400 };
+    arrive(3 * HALF, { ...span, gateway: OTHER });
+    assert.equal(soak.broken().includes(PROMISE), false);
+    arrive(3 * HALF, { ...span, gateway: GATEWAY });
+    assert.ok(soak.broken().includes(PROMISE));
+    soak.history.troubles.push({
+      name: "freeze",
+      victim: GATEWAY,
+      fromMs: SENT_MS,
+      untilMs: SENT_MS + 500,
+    });
+    assert.equal(soak.broken().includes(PROMISE), false);
+  });
+});
--- a/soak/notice_check.ts
+++ b/soak/notice_check.ts
@@ -3,7 +3,7 @@
 import type { History, NoticeRecord } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
 import { BOUNDS, ON_ITS_WAY_MS } from "./soak_settings.ts";
-import { type Violation, wasTroubled } from "./violation.ts";
+import { type Violation, wasStopped, wasTroubled } from "./violation.ts";
 
 /** Troubles by which a gateway forgets what it has heard, or acts late. */
 const EXCUSES: ReadonlySet<string> = new Set(["kill", "freeze"]);
@@ -70,21 +70,6 @@
   });
 }
 
-/** A gateway that has started again since has forgotten what it heard. */
-function wasStopped(
-  { plannedStops }: History,
-  { gateway, fromMs, untilMs }: {
-    gateway: GatewayName;
-    fromMs: number;
-    untilMs: number;
-  },
-): boolean {
-  return plannedStops.some((stop) =>
-    stop.gateway === gateway && stop.atMs <= untilMs &&
-    stop.atMs + BOUNDS.stopGraceMs >= fromMs
-  );
-}
-
 function gatewaysOf({ callers }: History): ReadonlyMap<string, GatewayName> {
   return new Map(callers.map(({ attempt, gateway }) => [attempt, gateway]));
 }
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -9,6 +9,7 @@
 } from "./history.ts";
 import { streamBody, wholeBody } from "./answer_bodies.ts";
 import { checkInnocents, checkPoison } from "./poison_check.ts";
+import { checkLimits } from "./limit_check.ts";
 import { checkLeavingWords, checkRests } from "./notice_check.ts";
 import { ACCOUNT, BOUNDS, MS_PER_SECOND, WARMUP } from "./soak_settings.ts";
 import {
@@ -39,6 +40,7 @@
     ...checkInnocents(history),
     ...checkRests(history),
     ...checkLeavingWords(history),
+    ...checkLimits(history),
   ];
 }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -9,6 +9,7 @@
   planCalmChanges,
   planEvacuation,
   planFaults,
+  planLimits,
   type PlannedFault,
   planNotices,
   planPoison,
@@ -112,6 +113,8 @@
   await injector.run(planBrokenAnswers(size));
   await injector.run(planNotices(size));
   await pause(CONTACT_MS);
+  await injector.run(planLimits(size));
+  await pause(CONTACT_MS);
   await injector.run(planUnseenRemoval());
   await pause(CONTACT_MS);
   await injector.run(planEvacuation());
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -12,7 +12,12 @@
 import { pause } from "../src/runtime/pause.ts";
 import { eventOf, EVENTS, wholeBody } from "./answer_bodies.ts";
 import type { History, NoticeRecord, RunRecord } from "./history.ts";
-import { MS_PER_SECOND, POISON_PATH, REST_MS } from "./soak_settings.ts";
+import {
+  MS_PER_SECOND,
+  POISON_PATH,
+  REST_MS,
+  SERVER_LIMIT,
+} from "./soak_settings.ts";
 
 /** How a server behaves. */
 export type ServerMode =
@@ -27,6 +32,8 @@
   | "rests"
   /** Says in all answers that it leaves, while its entry goes on to say that it is ready. */
   | "leaves"
+  /** Serves, and names how much it takes from all gateways. */
+  | "limits"
   /** Answers with the answer to another request. */
   | "crossed"
   /** Ends answers before their end, without a reset. */
@@ -91,6 +98,7 @@
       res.setHeader("server-leaving", "1");
       this.#history.leavingWords.push(this.#notice(attempt, 0));
     }
+    if (this.mode === "limits") this.#nameLimit(attempt, res);
     const poison = req.url === POISON_PATH;
     const run = this.#note(req, { attempt, poison });
     res.setHeader("fieldrack-server-seal", this.name);
@@ -109,6 +117,12 @@
     }).end();
   }
 
+  #nameLimit(attempt: string, res: ServerResponse): void {
+    res.setHeader("server-limit", String(SERVER_LIMIT.perSecond));
+    const atMs = performance.now();
+    this.#history.limits.push({ server: this.name, attempt, atMs });
+  }
+
   #notice(attempt: string, restMs: number): NoticeRecord {
     const atMs = performance.now();
     return { server: this.name, attempt, atMs, restMs };
@@ -200,7 +214,7 @@
 
   /** Whether a stream ends with a part of this event; one that stalls keeps its caller waiting. */
   async #breaksOff(event: number): Promise<boolean> {
-    if (this.mode === "leaves") return false;
+    if (this.mode === "leaves" || this.mode === "limits") return false;
     if (this.mode !== "stalls") return this.mode !== "sound";
     if (event < EVENTS) return false;
     await pause(STALL_MS);
--- a/soak/violation.ts
+++ b/soak/violation.ts
@@ -52,3 +52,18 @@
     endMs <= stop.atMs + BOUNDS.stopGraceMs + 1_000
   );
 }
+
+/** A gateway that has started again since has forgotten what it heard. */
+export function wasStopped(
+  { plannedStops }: History,
+  { gateway, fromMs, untilMs }: {
+    gateway: GatewayName;
+    fromMs: number;
+    untilMs: number;
+  },
+): boolean {
+  return plannedStops.some((stop) =>
+    stop.gateway === gateway && stop.atMs <= untilMs &&
+    stop.atMs + BOUNDS.stopGraceMs >= fromMs
+  );
+}
