--- a/src/core/membership/fleet_relays.ts
+++ b/src/core/membership/fleet_relays.ts
@@ -6,17 +6,14 @@
 
 /** Up to this many VMs each is a relay: all pairs then talk every second or two. */
 const MESH_VMS = 12;
-/**
- * VMs for each relay of a data centre, each of which it answers every 0.8 s. Chosen so that
- * the users' 82 and 85 VMs have 8 and 9 relays; not measured against other numbers.
- */
+/** VMs for each relay of a data centre, each of which it answers every 0.8 s. */
 const VMS_PER_RELAY = 12;
 /** Relays of one data centre, at least, so that one can be lost unnoticed. */
 const FEWEST_RELAYS = 2;
 /**
  * VMs for each reader of the store. Each reader pays for every change, as it watches all
  * kinds; a reader too many costs calls, one too few only a rest of the relays that read
- * themselves for a while once all readers are lost. Not measured against other numbers.
+ * themselves for a while once all readers are lost.
  */
 const VMS_PER_READER = 60;
 /** Readers of a large fleet, at least, so that one can be lost without a change being late. */
--- a/src/core/rollout/trial_verdict.ts
+++ b/src/core/rollout/trial_verdict.ts
@@ -29,8 +29,7 @@
 const MIN_LATENCY_ANSWERS = 10;
 /**
  * How many times slower, in the geometric mean, a bad release is. With a cold cache a
- * release reads whole prompts: up to 3.2 times the tokens where most is shared, as
- * worked out from the users' sheets.
+ * release reads whole prompts, of which most is shared otherwise.
  */
 const SLOW_FACTOR = 4.2;
 /** Answers on trial, at least, before a release is found sound. */
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -10,16 +10,14 @@
 /**
  * Part of the cost of reading shared parts that the first and second server of a prompt
  * on the ring pay while none is known to hold them. Where VMs tell each other of holders,
- * only those that have sent the prompt within the last second are unknown. Chosen, not
- * measured against other parts.
+ * only those that have sent the prompt within the last second are unknown.
  */
 const RING_PARTS_IF_TOLD: readonly number[] = [0.7, 0.85];
 /** The same where VMs do not: what others sent is most likely on the first two. */
 const RING_PARTS: readonly number[] = [0, 0.5];
 /**
  * What reading shared parts again counts for, beyond its own time: it also holds up all
- * that runs on the server. 4 and 6 served alike on loaded days, 2 less by 0.01 of worth,
- * which is no more than two plays differ by.
+ * that runs on the server.
  */
 const MISSING_FACTOR = 4;
 /**
--- a/src/core/routing/cold_admission.ts
+++ b/src/core/routing/cold_admission.ts
@@ -20,6 +20,7 @@
  * VM differ by on their way.
  */
 const WINDOW_MS = 1_200;
+
 /** VMs that this one knows. */
 export interface KnownVms {
   readonly self: { readonly id: EntryId };
--- a/src/core/routing/hash_ring.ts
+++ b/src/core/routing/hash_ring.ts
@@ -2,7 +2,7 @@
 
 import type { UnitHash } from "./version_choice.ts";
 
-/** Points of each server by default: the busiest of 13 gets 1.3 times the mean of keys, of 62 1.5 times. */
+/** Points of each server by default: enough that few servers get much more than the mean of keys. */
 const POINTS = 24;
 /** Servers whose points are kept; more than there are at once. */
 const MOST_SERVERS = 4_096;
--- a/src/core/routing/prompt_holders.ts
+++ b/src/core/routing/prompt_holders.ts
@@ -3,9 +3,8 @@
 import type { InstanceId } from "../ids.ts";
 
 /**
- * Time after its last use for which a server is taken to hold a prompt. Servers drop what
- * was not used for longest: on one loaded deployment they read as much as they hold in
- * 23 s, worked out from what all of them read in a day.
+ * Time after its last use for which a server is taken to hold a prompt, in milliseconds:
+ * loaded servers drop what was not used for longest.
  */
 const HELD_MS = 20_000;
 /** Time for which a new holder is told to other VMs: each pair talks twice in it. */
--- a/src/core/servers/server_rests.ts
+++ b/src/core/servers/server_rests.ts
@@ -13,9 +13,8 @@
 export const LONGEST_REST_MS = 86_400_000;
 /**
  * Pause between requests to a server that has rested, until it takes one, in milliseconds. What
- * waited for it would otherwise fill it again in one moment. Servers that turn requests away do
- * so within 5 ms (by the logs of a day with 74 of them), so that a full one gets one request of
- * each VM and not all. Chosen, not measured against other pauses.
+ * waited for it would otherwise fill it again in one moment; one that is still full turns the
+ * first request away long before the next.
  */
 export const RETURN_PACE_MS = 250;
 /** Rests that ended this long ago are forgotten, in milliseconds: nobody came back to them. */
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -35,8 +35,8 @@
 /** Rounds after which a VM knows the others, and so whether it reads the store for them. */
 const SETTLED_ROUNDS = 4;
 /**
- * Rounds after which a VM that knows no other writes its address down all the same. When 18
- * VMs came back together, nine were alone for longer than the others need to settle.
+ * Rounds after which a VM that knows no other writes its address down all the same. Where
+ * many come back together, some are alone for longer than the others need to settle.
  */
 const ALONE_WRITE_ROUNDS = 12;
 /**
--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -33,8 +33,8 @@
 const UNSPECIFIED = -1;
 
 /**
- * Serves other VMs. tRPC's own server makes web requests and responses of Node's, which
- * show in a profile of quiet fleets, so this one passes bodies to the procedure.
+ * Serves other VMs. tRPC's own server makes web requests and responses of Node's, which cost
+ * quiet fleets processor time, so this one passes bodies to the procedure.
  */
 export class DigestServer {
   readonly #server: Server;
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -62,12 +62,9 @@
   #meshed = true;
   #here: Member[] = [];
   #elsewhere: Member[] = [];
-  /** Kept while members stay: to rank 195 VMs in each round shows in a VM's processor time. */
+  /** Kept while members stay: to rank a large fleet in each round costs a VM processor time. */
   #ranks: ReaderRanks | undefined;
-  /**
-   * Other relays by rank, and followers of this one, kept as well: worked out anew in each
-   * round, they took a relay 220 hashes a second among 65 VMs and 1,950 among 195 (worked out).
-   */
+  /** Other relays by rank, and followers of this one, kept for the same reason. */
   #byRank: readonly Member[] | undefined;
   #followers: ReadonlySet<EntryId> | undefined;
   #readers: Member[] = [];
--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -23,8 +23,7 @@
 /**
  * Addresses of the caller's own data centre for each one elsewhere, which keeps a caller
  * served that has lost its data centre before its answer runs out. Callers draw one by
- * chance: with all that fit, 36 of 64 addresses were elsewhere in a fleet with 28 VMs in
- * each of three data centres, worked out, and the bytes of as many requests crossed.
+ * chance, and the bytes of those that draw one elsewhere cross between data centres.
  */
 const NEAR_FOR_EACH_FAR = 8;
 
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -158,8 +158,7 @@
 
 /**
  * Gives `parts` a property for each part, which is resolved when it is first asked for and
- * plain from then on. The container's own object resolves a part at each access, which
- * was 117 of 3,077 ms in a profile of 360 requests; the bench's days showed no difference.
+ * plain from then on: the container's own object resolves a part at each access.
  */
 function resolveOnce(
   container: AwilixContainer<GatewayParts>,
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -34,8 +34,8 @@
 }
 
 /**
- * Does as tRPC's own link for HTTP, without the web's `Request` and `FormData`: to load
- * those shows in a profile of a start, and each call would make them anew.
+ * Does as tRPC's own link for HTTP, without the web's `Request` and `FormData`, which slow a
+ * start and would be made anew by each call.
  */
 export function peerLink<Router extends AnyTRPCRouter>(
   options: PeerLinkOptions,
--- a/src/runtime/burst_log.ts
+++ b/src/runtime/burst_log.ts
@@ -14,10 +14,7 @@
   readonly many: (items: readonly T[]) => void;
 }
 
-/**
- * Gathers news for a moment. When 85 VMs restart at once, each hears of 84 others: with one
- * line each, that was half of the 6,900 lines kept of a day with such a restart.
- */
+/** Gathers news for a moment: when a fleet restarts at once, each VM hears of all others. */
 export class BurstLog<T> {
   readonly #options: BurstLogOptions<T>;
   #items: T[] = [];
--- a/src/runtime/line_writer.ts
+++ b/src/runtime/line_writer.ts
@@ -7,10 +7,7 @@
 
 /** Bytes that wait for a slow reader, beyond which lines are dropped. */
 const MAX_WAITING_BYTES = 256 * 1024;
-/**
- * Lines in one second, beyond which lines are dropped: some nine times the 34 that the
- * busiest VM wrote on a day with trouble. What a line costs has not been measured.
- */
+/** Lines in one second, beyond which lines are dropped: many times what a busy VM writes. */
 const MAX_LINES_PER_SECOND = 300;
 const MS_PER_SECOND = 1_000;
 
