Let a request whose run broke off wait for servers that tell when they take it

What callers saw: 502 with time to spare, where the run of a repeatable request broke off and its servers rested, or its limited server had just given its place to that run. Cause: only streams that have begun and runs that a VM gave up waited; limits make it common that no server has room for the moment. Change: a request that has lost a run waits while its servers tell when they take it and that is within its time; where nothing tells, it ends as before. Why it holds: it is the wait that begun streams have, bounded by the request's time. Ruled out: waiting where nothing tells when: the caller may go elsewhere. Tests: those of waitMs name what is owed now, and ask for the same.

--- a/src/core/routing/limit_admission.ts
+++ b/src/core/routing/limit_admission.ts
@@ -87,11 +87,6 @@
     });
   }
 
-  /** Whether a server has a limit. */
-  isLimited(server: ServerLifeKey): boolean {
-    return this.#limits.of(server) !== undefined;
-  }
-
   /** Whether a server takes a request of this VM now. */
   isOpen(server: ServerLifeKey): boolean {
     const part = this.#partOf(server);
@@ -112,7 +107,7 @@
     const askAgainMs = [...bucket.askAgainMs.values()]
       .filter((atMs) => atMs > nowMs);
     return askAgainMs.length === 0
-      ? 1 / part.perMs
+      ? intervalMs(part)
       : Math.min(...askAgainMs) - nowMs;
   }
 
@@ -147,7 +142,7 @@
       bucket.tokens -= 1;
       return { granted: true, opensInMs: 0 };
     }
-    if (!bucket.isOwner) return { granted: false, opensInMs: 1 / part.perMs };
+    if (!bucket.isOwner) return { granted: false, opensInMs: intervalMs(part) };
     const opensInMs = this.#promise(bucket, part);
     const nowMs = this.#clock.monotonicMs();
     bucket.promisedMs = nowMs + opensInMs + 1 / part.perMs;
@@ -258,6 +253,11 @@
   }
 }
 
+/** Time between two requests of one owner, as far as others are told of it. */
+function intervalMs({ perMs }: LimitPart): number {
+  return Math.min(LONGEST_WAIT_MS, 1 / perMs);
+}
+
 function newBucket(
   life: ServerLifeKey,
   { isOwner, nowMs }: { isOwner: boolean; nowMs: number },
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -322,15 +322,14 @@
   }
 
   /**
-   * Ends a request that no server takes. One that has lost a run, as its caller has a part of
-   * the answer or this VM gave the run up, waits for a place before that.
+   * Ends a request that no server takes. One that has lost a run waits for a place before that;
+   * it is owed its end where its caller has a part of the answer or this VM gave the run up.
    */
   async #noServer(reason?: string): Promise<Next> {
     const opensInMs = this.#sender.opensInMs(this.#admitted);
     const owed = this.#exchange.state === "begun" || this.#leftRunning;
-    const waitMs = owed
-      ? this.#tally.waitMs({ opensInMs, leftMs: this.#leftMs() })
-      : undefined;
+    const leftMs = this.#leftMs();
+    const waitMs = this.#tally.waitMs({ opensInMs, leftMs, owed });
     if (waitMs === undefined) {
       const toldMs = opensInMs === undefined
         ? undefined
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -35,16 +35,20 @@
 
   /**
    * How long a request that has lost a run waits before it asks for a place again, in
-   * milliseconds; undefined where it ends. It waits for as long as its servers rest or are cold,
-   * if it has the time, and for a while where nothing tells when one takes it.
+   * milliseconds; undefined where it ends. It waits for as long as its servers say that they take
+   * nothing, if it has the time: its caller has waited for the run, and could only begin anew.
+   * Where nothing tells when one takes it, it waits for a while if it is `owed` its end.
    */
-  waitMs(
-    { opensInMs, leftMs }: { opensInMs: number | undefined; leftMs: number },
-  ): number | undefined {
+  waitMs({ opensInMs, leftMs, owed }: {
+    opensInMs: number | undefined;
+    leftMs: number;
+    owed: boolean;
+  }): number | undefined {
+    if (!owed && this.#runs === 0) return undefined;
     if (opensInMs !== undefined && opensInMs < leftMs) {
       return Math.min(PLACE_PAUSE_MS, opensInMs);
     }
-    return this.noteWait() ? PLACE_PAUSE_MS : undefined;
+    return owed && this.noteWait() ? PLACE_PAUSE_MS : undefined;
   }
 
   /** Notes that no server takes the request now; returns whether to ask again later. */
--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -60,13 +60,26 @@
   it("should wait for the end of a rest that comes in time, however long", () => {
     const tally = new RunTally();
     for (let opensInMs = 3_000; opensInMs > 0; opensInMs -= 250) {
-      assert.equal(tally.waitMs({ opensInMs, leftMs: 4_000 }), 250);
+      assert.equal(tally.waitMs({ opensInMs, leftMs: 4_000, owed: true }), 250);
     }
-    assert.equal(tally.waitMs({ opensInMs: 40, leftMs: 1_000 }), 40);
+    assert.equal(
+      tally.waitMs({ opensInMs: 40, leftMs: 1_000, owed: true }),
+      40,
+    );
     // What comes too late is waited for no longer than what nobody knows of.
-    const late = { opensInMs: 3_000, leftMs: 2_000 };
+    const late = { opensInMs: 3_000, leftMs: 2_000, owed: true };
     let waits = 0;
     while (tally.waitMs(late) !== undefined) waits += 1;
     assert.equal(waits, 8);
   });
+
+  it("should wait for a lost run only as long as its servers tell, where none is owed", () => {
+    const tally = new RunTally();
+    const soon = { opensInMs: 300, leftMs: 2_000, owed: false };
+    assert.equal(tally.waitMs(soon), undefined);
+    tally.ran();
+    assert.equal(tally.waitMs(soon), 250);
+    assert.equal(tally.waitMs({ ...soon, opensInMs: undefined }), undefined);
+    assert.equal(tally.waitMs({ ...soon, leftMs: 200 }), undefined);
+  });
 });
