--- a/src/gateway/server_gate.ts
+++ b/src/gateway/server_gate.ts
@@ -25,8 +25,8 @@
 
 /**
  * Joins what keeps requests from servers whatever else speaks for them: that they leave, rest,
- * are cold or evacuated, or take only so much from all VMs together. Unlike the avoidance of servers that have failed, there is no way past
- * it where no other server is left.
+ * are cold or evacuated, or take only so much from all VMs together. Unlike the avoidance of
+ * servers that have failed, there is no way past it where no other server is left.
  */
 export class ServerGate {
   readonly #deps: Deps;
