--- a/src/core/cascade/model_ladder.ts
+++ b/src/core/cascade/model_ladder.ts
@@ -6,9 +6,8 @@
 
 /**
  * Confidence from which an answer is passed on where a larger model would begin well in
- * time. Of 293 answers of the largest model 17 said less than 50, so that a right answer
- * seldom does; and each answer that goes on takes some ten times the small one's time from
- * all others. Of 65, 55 and 45, 45 earned most on loaded days, by up to 0.03 of worth.
+ * time. A right answer of the largest model seldom says less; and each answer that goes on
+ * takes some ten times the small one's time from all others.
  */
 const CONFIDENT = 45;
 /**
--- a/src/core/crashes/crash_verdict.ts
+++ b/src/core/crashes/crash_verdict.ts
@@ -1,8 +1,7 @@
 /**
  * Tells requests that crash servers from those that were beside. Each end of a server needs one
  * culprit only: the request under which the most servers have ended explains those ends, and
- * they no longer speak against any other. In a day of two such requests, one or the other had run
- * on 48 of 49 servers that ended, and 20 others, all innocent, on three to six of them.
+ * they no longer speak against any other: innocent ones may have run on several of the same.
  */
 
 import type { RequestKey, ServerLife } from "../ids.ts";
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -37,8 +37,8 @@
  */
 const OWN_READ_AFTER = 0.6;
 /**
- * Time that the first list has before the configuration is read by itself. A start beside
- * many others takes longer than 0.3 s: 18 of 18 VMs then read what their list was to bring.
+ * Time that the first list has before the configuration is read by itself: lists come later
+ * where many VMs start together.
  */
 const FIRST_READ_MS = 1_000;
 /** Longest wait for a confirmation; the store usually answers in milliseconds. */
--- a/src/store/store_sync.ts
+++ b/src/store/store_sync.ts
@@ -65,10 +65,7 @@
     this.#accessTrials();
   }
 
-  /**
-   * Trials change only while a roll-out is under way. To follow them on a quiet day took
-   * 41 of 271 calls of the store in a fleet of 18 VMs.
-   */
+  /** Trials change only while a roll-out is under way; to follow them otherwise costs calls. */
   #accessTrials(): void {
     const { trialFollower, releaseGate } = this.#deps;
     const isOpen = releaseGate.openOrders().length > 0;
