Count what limited servers get in one place, for tests and soak

Cause: read once more, the way in which the users count stood twice (the soak's check and the test servers' fixture), and so did two servers that count what reaches them. Tests and soak only: the bundled program keeps its digest.

--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -2,7 +2,8 @@
 
 import type { Draw } from "./draw.ts";
 import type { ServerMode } from "./soak_server.ts";
-import { BOUNDS, CONTACT_MS, LIMIT_SPAN_MS } from "./soak_settings.ts";
+import { SPAN_MS } from "../tests/fixtures/limit_count.ts";
+import { BOUNDS, CONTACT_MS } from "./soak_settings.ts";
 
 /** One fault. Gateways and servers are told by their number. */
 export type Fault =
@@ -210,7 +211,7 @@
     { length: Math.ceil(servers / 2) },
     (_, server) => ({
       atMs: 0,
-      forMs: CONTACT_MS + 2 * LIMIT_SPAN_MS,
+      forMs: CONTACT_MS + 2 * SPAN_MS,
       fault: { tag: "server", server, mode: "limits" } as const,
     }),
   );
--- a/soak/limit_check.ts
+++ b/soak/limit_check.ts
@@ -2,12 +2,15 @@
 
 import type { History, LimitRecord } from "./history.ts";
 import type { GatewayName } from "./ids.ts";
+import {
+  allowedInSpan,
+  mostInSpan,
+  SPAN_MS,
+} from "../tests/fixtures/limit_count.ts";
 import {
   CONTACT_MS,
-  LIMIT_SPAN_MS,
-  MS_PER_SECOND,
   ON_ITS_WAY_MS,
-  SERVER_LIMIT,
+  SERVER_LIMIT_PER_S,
 } from "./soak_settings.ts";
 import { type Violation, wasStopped, wasTroubled } from "./violation.ts";
 
@@ -28,17 +31,12 @@
   return [...servers].flatMap((server) => {
     const times = countedMs(history, server);
     const most = mostInSpan(times);
-    if (most <= mostAllowed()) return [];
-    const what = `${server} got ${most} in ${LIMIT_SPAN_MS} ms`;
+    if (most <= allowedInSpan(SERVER_LIMIT_PER_S)) return [];
+    const what = `${server} got ${most} in ${SPAN_MS} ms`;
     return [{ promise: "limits of servers", what }];
   });
 }
 
-function mostAllowed(): number {
-  const { perSecond, overshoot, allowance } = SERVER_LIMIT;
-  return overshoot * perSecond * LIMIT_SPAN_MS / MS_PER_SECOND + allowance;
-}
-
 /** Moments at which requests arrived that count, in rising order. */
 function countedMs(history: History, server: string): number[] {
   const words = history.limits.filter((word) => word.server === server);
@@ -89,11 +87,3 @@
   return wasTroubled(history, { ...span, names: EXCUSES }) ||
     wasStopped(history, span);
 }
-
-function mostInSpan(timesMs: readonly number[]): number {
-  const counts = timesMs.map((fromMs) =>
-    timesMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + LIMIT_SPAN_MS)
-      .length
-  );
-  return Math.max(0, ...counts);
-}
--- a/soak/limit_check_test.ts
+++ b/soak/limit_check_test.ts
@@ -6,13 +6,13 @@
   SoakHistory,
 } from "../tests/fixtures/soak_history.ts";
 import type { GatewayName } from "./ids.ts";
-import { CONTACT_MS, SERVER_LIMIT } from "./soak_settings.ts";
+import { allowedInSpan, SPAN_MS } from "../tests/fixtures/limit_count.ts";
+import { CONTACT_MS, SERVER_LIMIT_PER_S } from "./soak_settings.ts";
 
 const PROMISE = "limits of servers";
 const OTHER = "vm-2" as GatewayName;
 /** When requests count that come to a server which names a limit from `SENT_MS` on. */
 const COUNTED_MS = SENT_MS + CONTACT_MS;
-const SPAN_MS = 4_000;
 
 let soak: SoakHistory;
 
@@ -39,10 +39,8 @@
   }
 }
 
-/** Half of what may come in a span, and more by a few. */
-const HALF =
-  (SERVER_LIMIT.overshoot * SERVER_LIMIT.perSecond * SPAN_MS / 1_000 +
-    SERVER_LIMIT.allowance) / 2;
+/** Half of what may come in a span. */
+const HALF = allowedInSpan(SERVER_LIMIT_PER_S) / 2;
 
 describe("check of limits that servers name", () => {
   it("should count what all gateways send that have heard of it", () => {
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -16,7 +16,7 @@
   MS_PER_SECOND,
   POISON_PATH,
   REST_MS,
-  SERVER_LIMIT,
+  SERVER_LIMIT_PER_S,
 } from "./soak_settings.ts";
 
 /** How a server behaves. */
@@ -118,7 +118,7 @@
   }
 
   #nameLimit(attempt: string, res: ServerResponse): void {
-    res.setHeader("server-limit", String(SERVER_LIMIT.perSecond));
+    res.setHeader("server-limit", String(SERVER_LIMIT_PER_S));
     const atMs = performance.now();
     this.#history.limits.push({ server: this.name, attempt, atMs });
   }
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -55,13 +55,6 @@
 export const REST_MS = 1_500;
 /** Time for what is on its way to a server as it asks for rest, as the users allow it. */
 export const ON_ITS_WAY_MS = 500;
-/** How much a server takes that names a limit. */
-export const SERVER_LIMIT = {
-  perSecond: 2,
-  /** Times as much, and so many more, that it may get from all gateways in a span. */
-  overshoot: 1.5,
-  allowance: 5,
-} as const;
-/** Time over which that is counted, in milliseconds. */
-export const LIMIT_SPAN_MS = 4_000;
+/** Requests a second that a server takes that names a limit. */
+export const SERVER_LIMIT_PER_S = 2;
 export const MS_PER_SECOND = 1_000;
--- a/src/core/routing/limit_admission_test.ts
+++ b/src/core/routing/limit_admission_test.ts
@@ -9,7 +9,7 @@
 import {
   allowedInSpan,
   mostInSpan,
-} from "../../../tests/fixtures/limited_server.ts";
+} from "../../../tests/fixtures/limit_count.ts";
 import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 import { unitHash } from "../../runtime/hashing.ts";
--- a/tests/limited_server_test.ts
+++ b/tests/limited_server_test.ts
@@ -12,11 +12,8 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { GatewayFleet } from "./fixtures/gateway_fleet.ts";
-import {
-  allowedInSpan,
-  LimitedServer,
-  mostInSpan,
-} from "./fixtures/limited_server.ts";
+import { allowedInSpan, mostInSpan } from "./fixtures/limit_count.ts";
+import { LimitedServer } from "./fixtures/limited_server.ts";
 import { until } from "./fixtures/test_fleet.ts";
 import { routeWire, serverWire } from "./fixtures/test_gateway.ts";
 
