Find a server that opens between two looks at the servers

Cause: a step looked for a server, then (after the question for a lent place) for the time until one takes requests. A rest that ended between the two was seen by neither: nothing to use, nothing to wait for. The same held for limits and for cold servers. Change: the time is asked for first, and the servers are looked at again after it. What opens before the time is read is found by that look; what opens later is waited for, so no order of moments is left in which neither sees it. Ruled out: load (fails on a quiet machine), the budget of repeats (the answers of the race name no such reason).

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -151,8 +151,8 @@
     }
     if (this.#isOver) return "again";
     const server = this.#sender.choose(this.#admitted, this.#choice);
-    if (server === undefined) return await this.#borrowPlace();
-    if (!this.#takeRepeat()) return this.#noServer(NO_REPEAT);
+    if (server === undefined) return await this.#noChoice();
+    if (!this.#takeRepeat()) return this.#noFurther(NO_REPEAT);
     const outcome = await this.#try(server);
     const record = this.#sender.tries.at(-1);
     await this.#crashes.tryEnded(outcome, { server, record });
@@ -160,9 +160,23 @@
   }
 
   /** Goes on at a server with a limit, if another VM lends a place there. */
-  async #borrowPlace(): Promise<Next> {
+  async #noChoice(): Promise<Next> {
     const lent = await this.#sender.borrow(this.#admitted, this.#choice);
-    return lent ? "again" : await this.#noServer();
+    if (lent) return "again";
+    // Time passes between two looks at the servers. Asked for the wait first, one that opens
+    // meanwhile is found by the choice; the other way round it would be seen by neither.
+    const opensInMs = this.#opensInMs();
+    const server = this.#sender.choose(this.#admitted, this.#choice);
+    return server === undefined ? await this.#noServer({ opensInMs }) : "again";
+  }
+
+  /** Ends a request, or has it wait, that may not be sent to a further server now. */
+  #noFurther(reason?: string): Promise<Next> {
+    return this.#noServer({ reason, opensInMs: this.#opensInMs() });
+  }
+
+  #opensInMs(): number | undefined {
+    return this.#sender.opensInMs(this.#admitted);
   }
 
   /** Whether there is nothing more to be done for the caller. */
@@ -248,9 +262,9 @@
         if (this.#wasSent) this.#repeats.giveBack();
         return "again";
       case "not_sent":
-        return this.#tally.notSent() ? "again" : this.#noServer();
+        return this.#tally.notSent() ? "again" : this.#noFurther();
       case "not_run":
-        return this.#tally.notRun() ? "again" : this.#noServer();
+        return this.#tally.notRun() ? "again" : this.#noFurther();
       case "misdirected":
         this.#deps.serverFollower.misdirected(server.instance);
         return "again";
@@ -325,8 +339,12 @@
    * Ends a request that no server takes. One that has lost a run waits for a place before that;
    * it is owed its end where its caller has a part of the answer or this VM gave the run up.
    */
-  async #noServer(reason?: string): Promise<Next> {
-    const opensInMs = this.#sender.opensInMs(this.#admitted);
+  async #noServer(
+    { reason, opensInMs }: {
+      reason?: string;
+      opensInMs: number | undefined;
+    },
+  ): Promise<Next> {
     const owed = this.#exchange.state === "begun" || this.#leftRunning;
     const leftMs = this.#leftMs();
     const waitMs = this.#tally.waitMs({ opensInMs, leftMs, owed });
