Tell copies of a crashing request by their callers in the test of a whole answer

It took its runs by their order. Where both copies ran at one server, its end took both runs, and the run that the test ended third was in half of the cases the other copy's: that copy had no answer to lose. Change: callers name themselves, the ends are those of the first copy's runs, and a path whose copies share a server is let run to its end, which must be whole as well; the next path is tried then. Ruled out: a fault of the program in these plays: three servers had ended one after the other under the request whose copy was cut, which is what keeps it back.

--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -12,6 +12,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import {
+  CALLER_HEADER,
   CrashingServers,
   LONG,
   LONG_BODY,
@@ -139,23 +140,32 @@
   });
 
   it("should not lose an answer that another copy of it is getting", async () => {
-    // A run that has gone on for longer than the culprit's would clears the request.
-    const path = `/stock/${LONG}/copies`;
-    const untilRuns = (count: number) =>
-      until(() => Promise.resolve(servers.runsOf(path).length >= count));
+    // A run that has gone on for longer than the culprit's would clears the request. Seen once:
+    // both copies ran at one server, and the ends meant for the first copy's runs were those of
+    // the other's, which had no answer to lose then. So runs are told by their callers, and
+    // copies that share a server are left to run to their end.
     const [first = "", second = ""] = fleet.vms;
-    const crashing = fleet.call(first, path);
-    await untilRuns(1);
-    servers.crashUnder(servers.runsOf(path)[0] as ServedRun);
-    await untilRuns(2);
-    const going = fleet.call(second, path);
-    await untilRuns(3);
-    servers.crashUnder(servers.runsOf(path)[1] as ServedRun);
-    await untilRuns(4);
-    servers.crashUnder(servers.runsOf(path)[3] as ServedRun);
-    await crashing;
-    assert.equal((await going).body, LONG_BODY);
-    assert.equal((await fleet.call(second, path)).body, LONG_BODY);
+    for (let n = 0;; n++) {
+      const path = `/stock/${LONG}/copies/${n}`;
+      const call = (vm: string, caller: string) =>
+        fleet.call(vm, path, { [CALLER_HEADER]: caller });
+      const crashing = call(first, "crashing");
+      servers.crashUnder(await servers.runningOf(path, "crashing"));
+      const culprit = await servers.runningOf(path, "crashing");
+      const going = call(second, "going");
+      const beside = await servers.runningOf(path, "going");
+      if (beside.server === culprit.server) {
+        assert.equal((await crashing).body, LONG_BODY);
+        assert.equal((await going).body, LONG_BODY);
+        continue;
+      }
+      servers.crashUnder(culprit);
+      servers.crashUnder(await servers.runningOf(path, "crashing"));
+      await crashing;
+      assert.equal((await going).body, LONG_BODY);
+      assert.equal((await fleet.call(second, path)).body, LONG_BODY);
+      return;
+    }
   });
 
   it("should leave other requests their servers", async () => {
