Ask all servers that pass for sound before a request is refused

Cause: a bound on tries, meant for servers that turn requests away, also counted those that could not be reached, which costs nobody anything. Change: after a server that could not be reached the next that passes for sound is asked, however many were. It holds as such a server is avoided at once, by all requests of the VM: each is met once, and where all are gone, requests end after four tries as before. Ruled out: a larger bound, which is wrong for some size of fleet; tries without end, which would hold callers up where a whole data centre is silent.

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -262,7 +262,7 @@
         if (this.#wasSent) this.#repeats.giveBack();
         return "again";
       case "not_sent":
-        return this.#tally.notSent() ? "again" : this.#noFurther();
+        return this.#mayAskFurther() ? "again" : this.#noFurther();
       case "not_run":
         return this.#tally.notRun() ? "again" : this.#noFurther();
       case "misdirected":
@@ -281,6 +281,15 @@
     }
   }
 
+  /**
+   * Whether to ask another server after one that could not be reached. Lists lag behind crashes of
+   * many servers, and those that are there must be found: all that passed for sound are asked.
+   */
+  #mayAskFurther(): boolean {
+    return this.#tally.notSent() ||
+      this.#sender.hasSound(this.#admitted, this.#choice);
+  }
+
   #escalate(): Next {
     this.#tally.ran();
     this.#models.moveOn();
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -141,6 +141,14 @@
     return this.#select(admitted, { tried, model });
   }
 
+  /** Whether a server is left that was not tried and is not avoided. */
+  hasSound(admitted: Admitted, { apart }: ChoiceTerms): boolean {
+    const { serverLoads, clock } = this.#deps;
+    const server = this.chooseOther(admitted, { mayComeBack: false, apart });
+    return server !== undefined &&
+      !serverLoads.isEjected(server.instance, clock.monotonicMs());
+  }
+
   /** Time until a model would begin to answer on the server that would be chosen. */
   predictStartMs(admitted: Admitted, model: ModelId): number {
     const work = this.#predictWork(admitted, model);
