Use up no repeats for servers that could not be reached

What callers saw: where many servers were gone, a request that met several of them took a repeat for each, and others whose runs broke off with the same crash found the budget spent (503, and 502 for those that had run). Cause: only a try that was withheld gave its repeat back; one that could not be sent counts as little: no server has seen it. The bound is one of arrivals. Change: both give it back. Ruled out: leaving such tries out of the budget from the start: whether a try will reach its server is known only when it has ended.

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -196,9 +196,16 @@
     return !this.#wasSent || this.#repeats.take();
   }
 
-  /** Whether a try was made that was not withheld at its last moment. */
+  /** Whether a try was made that a server may have seen. */
   get #wasSent(): boolean {
-    return this.#sender.tries.some(({ outcome }) => outcome !== "withheld");
+    return this.#sender.tries.some(({ outcome }) =>
+      outcome !== "withheld" && outcome !== "not_sent"
+    );
+  }
+
+  /** Gives back what was taken for a try that no server has seen, for the next one. */
+  #keepRepeat(): void {
+    if (this.#wasSent) this.#repeats.giveBack();
   }
 
   #try(server: ServerRecord): Promise<TryOutcome> {
@@ -258,10 +265,10 @@
         this.#tally.ran();
         return "again";
       case "withheld":
-        // No server has seen it: it has used up neither a try nor a repeat.
-        if (this.#wasSent) this.#repeats.giveBack();
+        this.#keepRepeat();
         return "again";
       case "not_sent":
+        this.#keepRepeat();
         return this.#mayAskFurther() ? "again" : this.#noFurther();
       case "not_run":
         return this.#tally.notRun() ? "again" : this.#noFurther();
--- a/tests/gone_servers_test.ts
+++ b/tests/gone_servers_test.ts
@@ -8,6 +8,7 @@
 
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { VmSettings } from "../src/platform/vm_settings_wire.ts";
 import {
   answerBytes,
   routeWire,
@@ -24,22 +25,35 @@
 describe("a request of which most servers are gone", () => {
   it("should find the one that is there", async () => {
     for (let play = 0; play < PLAYS; play++) {
-      const gateway = new TestGateway();
-      for (let n = 0; n < GONE; n++) {
-        const spec = serverWire(`127.0.0.1:${await freePort()}`);
-        gateway.store.kinds.put("servers", { name: `i-gone-${n}`, spec });
-      }
-      const server = await gateway.addServer(
-        "i-there",
-        ({ socket }) => socket.write(answerBytes()),
-      );
-      try {
-        await gateway.start([routeWire()]);
-        assert.equal((await gateway.call("/stock/1")).status, 200);
-        assert.equal(server.requests.length, 1);
-      } finally {
-        await gateway.stop();
-      }
+      assert.deepEqual(await callAmongGone({}), { status: 200, runs: 1 });
+    }
+  });
+
+  it("should use up no repeats of others on its way there", async () => {
+    // Found by reading the mend above: each server that was not reached cost a repeat.
+    const bounds = { retryAllowance: 1, retryRatio: 0 };
+    for (let play = 0; play < PLAYS; play++) {
+      assert.deepEqual(await callAmongGone(bounds), { status: 200, runs: 1 });
     }
   });
 });
+
+/** Calls a fresh gateway before such servers; returns what came of it. */
+async function callAmongGone(bounds: Partial<VmSettings["bounds"]>) {
+  const gateway = new TestGateway();
+  for (let n = 0; n < GONE; n++) {
+    const spec = serverWire(`127.0.0.1:${await freePort()}`);
+    gateway.store.kinds.put("servers", { name: `i-gone-${n}`, spec });
+  }
+  const { requests } = await gateway.addServer(
+    "i-there",
+    ({ socket }) => socket.write(answerBytes()),
+  );
+  try {
+    await gateway.start([routeWire()], bounds);
+    const { status } = await gateway.call("/stock/1");
+    return { status, runs: requests.length };
+  } finally {
+    await gateway.stop();
+  }
+}
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -17,7 +17,6 @@
   LONG,
   LONG_BODY,
   POISON,
-  type ServedRun,
   WHOLE_BODY,
 } from "./fixtures/crashing_servers.ts";
 import { GatewayFleet } from "./fixtures/gateway_fleet.ts";
