Take the end of a request out of its run

Change: refusals, cuts and waits for a place stand in one class of their own; no decision changes. Ruled out: moving the repeats as well: they hang on the tries.

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -18,6 +18,7 @@
 import { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
 import { RequestCrashes } from "./request_crashes.ts";
+import { type NoServer, RequestEnd } from "./request_end.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { RequestLog } from "./request_log.ts";
 import { RepeatReservation } from "./repeat_reservation.ts";
@@ -30,11 +31,6 @@
 const DEFAULT_WAIT_MS = 30_000;
 /** Shortest time with which a request is still sent to a server, in milliseconds. */
 const MIN_WAIT_MS = 20;
-/**
- * Part of the wait for servers that rest, over which their callers come back: all at once they
- * would fill the first of them again.
- */
-const RETURN_SPREAD = 0.25;
 /** Statuses from here on tell of errors. */
 const FIRST_ERROR_STATUS = 400;
 /** Why a request ends that may not be sent again. */
@@ -71,6 +67,7 @@
   readonly #crashes: RequestCrashes;
   readonly #tally = new RunTally();
   readonly #repeats: RepeatReservation;
+  readonly #end: RequestEnd;
   #expired = false;
   /** Whether this VM has given up a run that its server had not ended. */
   #leftRunning = false;
@@ -104,6 +101,11 @@
       route.timeLimitMs ?? Infinity,
     );
     this.#models = new ModelChoice(deps.modelPace, { head, route });
+    this.#end = new RequestEnd(deps, {
+      exchange,
+      tally: this.#tally,
+      summary: () => this.summary(),
+    });
     this.#stream = new StreamRelay(exchange);
     this.#sender = new TrySender(deps, {
       exchange,
@@ -351,52 +353,28 @@
     return other !== undefined && this.#repeats.left() >= 1;
   }
 
-  /**
-   * Ends a request that no server takes. One that has lost a run waits for a place before that;
-   * it is owed its end where its caller has a part of the answer or this VM gave the run up.
-   */
+  /** Waits for a place, or ends a request that no server takes. */
   async #noServer(
-    { reason, opensInMs }: {
-      reason?: string;
-      opensInMs: number | undefined;
-    },
+    { reason, opensInMs }: Pick<NoServer, "reason" | "opensInMs">,
   ): Promise<Next> {
-    const owed = this.#exchange.state === "begun" || this.#leftRunning;
-    const leftMs = this.#leftMs();
-    const waitMs = this.#tally.waitMs({ opensInMs, leftMs, owed });
-    if (waitMs === undefined) {
-      const toldMs = opensInMs === undefined
-        ? undefined
-        : this.#spread(opensInMs);
-      const refusal = this.#tally.noServerRefusal({
-        reason,
-        opensInMs: toldMs,
-      });
-      return this.#finish(refusal);
-    }
+    const waitMs = this.#end.noServer({
+      reason,
+      opensInMs,
+      leftMs: this.#leftMs(),
+      leftRunning: this.#leftRunning,
+    });
+    if (waitMs === undefined) return "done";
     await pause(waitMs);
     return "again";
   }
 
-  #spread(waitMs: number): number {
-    return waitMs * (1 + RETURN_SPREAD * this.#deps.chance());
-  }
-
   #timeUp(): Next {
-    return this.#finish(this.#tally.timeUpRefusal());
+    this.#end.timeUp();
+    return "done";
   }
 
-  /** Gives the final answer, or cuts a stream that has begun. */
   #finish(refusal: Refusal): Next {
-    const { requestLog } = this.#deps;
-    if (this.#exchange.isOver) return "done";
-    if (this.#exchange.state === "begun") {
-      this.#exchange.cut();
-      requestLog.cut(this.#exchange, { refusal, run: this.summary() });
-    } else {
-      this.#exchange.refuse(refusal);
-      requestLog.refused(this.#exchange, refusal);
-    }
+    this.#end.refuse(refusal);
     return "done";
   }
 
