--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -21,9 +21,7 @@
 
 /**
  * A request that crashes servers does so as it begins to run; what merely runs beside it, or on a
- * server that crashes by itself, may be at any stage. Seen: ends 36 to 121 ms after the first
- * byte under such requests; under 226 others 3 to 3,900 ms, seven in ten within this time, and 265
- * had no byte yet. Wide, for slow servers and VMs.
+ * server that crashes by itself, may be at any stage. Wide, for slow servers and VMs.
  */
 const BEGIN_WINDOW_MS = 1_000;
 
--- a/src/core/crashes/crash_book.ts
+++ b/src/core/crashes/crash_book.ts
@@ -22,8 +22,8 @@
 export const QUARANTINE_MS = 600_000;
 /**
  * Time for news of other VMs to come before a verdict binds: a request that was beside looks
- * like the culprit until the culprit's own crash is known. VMs tell such news at once; in a
- * fleet of 7 it takes some ten milliseconds, and this bears a VM that is behind.
+ * like the culprit until the culprit's own crash is known. VMs tell such news at once; this bears
+ * a VM that is behind.
  */
 const SETTLE_MS = 400;
 
--- a/src/core/rollout/trial_plan.ts
+++ b/src/core/rollout/trial_plan.ts
@@ -9,8 +9,8 @@
 /** Part of the time during which sessions keep the release that they had. */
 const SESSIONS_KEPT_UNTIL = 0.5;
 /**
- * Time between two doublings of a trial whose answers do not suffice: which sessions fall
- * on it is a matter of chance, and on one day five answers came in 40 s.
+ * Part of the time between two doublings of a trial whose answers do not suffice: which sessions
+ * fall on it is a matter of chance.
  */
 const DOUBLE_EVERY = 0.1;
 /** Part of the bound that a trial may use up while it only gathers answers. */
@@ -104,8 +104,7 @@
  * Whether a release that is found bad only later, as one that fails once half of its
  * servers' slots are taken, would still have got no more than `part` of what it may if it
  * had this share from now on. A load that the traffic does not bring cannot be tried at a
- * small share: all requests of a fleet came to a mean of up to 12 and at most 22 of the 64
- * slots of a server, and failures of such a release began at about 32.
+ * small share.
  */
 function staysWithinBound(
   { trialAnswers, allAnswers, share: boundShare, allowance }: Exposure,
--- a/src/fleet/fleet_relay_role.ts
+++ b/src/fleet/fleet_relay_role.ts
@@ -23,9 +23,9 @@
 const RELAY_PATIENCE_MS = 1_800;
 /**
  * A relay asks the store itself once the newest confirmation by a reader is older than
- * this. Readers confirm every 1.4 to 1.7 s on the users' deployments, and tell at once; a
- * change that no reader hears of is then in force on relays after this time, and on their
- * followers 0.8 s later, of the 3 s that the users allow in fleets of this size.
+ * this, in milliseconds. Readers confirm every 1.4 to 1.7 s and tell at once; a change that no
+ * reader hears of is then in force on relays after this time, and on their followers 0.8 s
+ * later.
  */
 const READER_PATIENCE_MS = 2_100;
 /** A VM that told that it has lost the store is no reader for this long, unless it tells otherwise. */
--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -8,9 +8,9 @@
 import type { Readiness } from "./readiness.ts";
 
 /**
- * How long callers keep the answer. At 1 s they asked so often that each VM that had lost
- * power cost its neighbours' callers a second again and again; a VM that stops serves on
- * for longer than this, and who comes later finds its port closed and tries another.
+ * How long callers keep the answer, in milliseconds. Where they ask often, each VM that has lost
+ * power costs its neighbours' callers a wait again and again; a VM that stops serves on for
+ * longer than this, and who comes later finds its port closed and tries another.
  */
 const TTL_MS = 3_000;
 /** Addresses in one answer, at most. */
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -18,9 +18,9 @@
 /** Longest wait for a list. */
 const LIST_TIMEOUT_MS = 1_500;
 /**
- * Pause before the first watch. A VM that has just started finds a relay to follow in this
- * time, and then needs no watch; a watch tells of what has changed meanwhile. With 0.8 s,
- * most of 18 VMs that came back together had begun to watch.
+ * Pause before the first watch, in milliseconds. A VM that has just started finds a relay to
+ * follow in this time, also where many come back together, and then needs no watch; a watch tells
+ * of what has changed meanwhile.
  */
 const SETTLE_MS = 2_000;
 /** Time between looks whether the store is back. */
