--- /dev/null
+++ b/src/store/roll_out_follower_test.ts
@@ -0,0 +1,77 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import fc from "fast-check";
+import type { ServiceId } from "../core/ids.ts";
+import { ReleaseGate } from "../core/rollout/release_gate.ts";
+import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import { RollOutFollower } from "./roll_out_follower.ts";
+import type { StoreHealthKeeper } from "./store_health.ts";
+
+const SERVICE = "tracker" as ServiceId;
+
+let gate: ReleaseGate;
+let follower: RollOutFollower;
+
+beforeEach(() => {
+  gate = new ReleaseGate();
+  follower = new RollOutFollower({
+    objectStore: {} as ObjectStore,
+    storeHealth: { onBack: () => {} } as unknown as StoreHealthKeeper,
+    releaseGate: gate,
+    clock: { monotonicMs: () => 1, wallMs: () => 1 },
+    logger: new SilentLogger(),
+    chance: () => 0.5,
+  });
+});
+
+function order(name: string, patch: object = {}): StoredObject {
+  const spec = {
+    Service: SERVICE,
+    TargetVersion: "v2",
+    DeadlineS: 60,
+    ...patch,
+  };
+  return { name, revision: 1, spec, status: null };
+}
+
+describe("follower of roll-outs", () => {
+  it("should begin with the new order where a service is given another release", () => {
+    follower.listed([order("a")]);
+    follower.changed(order("a", { TargetVersion: "v3" }));
+    assert.equal(gate.order(SERVICE)?.release, "v3");
+    follower.deleted(order("a"));
+    assert.equal(gate.order(SERVICE), undefined);
+  });
+
+  it("should know the orders once a list has come, also an empty one", () => {
+    assert.equal(follower.ready, false);
+    follower.listed([]);
+    assert.equal(follower.ready, true);
+  });
+
+  it("should lose no order beside what another writer has left", () => {
+    const fields = ["TargetVersion", "DeadlineS", "State", "more"];
+    const event = fc.record({
+      spec: fc.oneof(
+        fc.anything(),
+        fc.dictionary(fc.constantFrom(...fields), fc.anything())
+          .map((patch) => order("x", { Service: "other", ...patch }).spec),
+      ),
+      status: fc.anything(),
+      how: fc.constantFrom("listed", "changed", "deleted"),
+    });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 20 }), (events) => {
+        follower.listed([order("a")]);
+        for (const { spec, status, how } of events) {
+          const strange = { ...order("x"), spec, status };
+          if (how === "listed") follower.listed([order("a"), strange]);
+          else follower[how](strange);
+          assert.equal(gate.order(SERVICE)?.release, "v2");
+        }
+      }),
+      { seed: 13, numRuns: 300 },
+    );
+  });
+});
--- a/src/store/server_follower_test.ts
+++ b/src/store/server_follower_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
+import fc from "fast-check";
 import type { ServiceId } from "../core/ids.ts";
 import { ColdServers } from "../core/servers/cold_servers.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
@@ -81,4 +82,38 @@
     follower.deleted(entry("a"));
     assert.equal(follower.unreadable, 0);
   });
+
+  it("should lose no good entry beside one of another writer, nor grow by it", () => {
+    const good = ["a", "b", "c"];
+    const patch = fc.dictionary(
+      fc.constantFrom(
+        ...["Service", "Address", "Zone", "Version", "Slots", "State", "born"],
+      ),
+      fc.anything(),
+    );
+    const left = fc.oneof(
+      fc.anything(),
+      patch.map((fields) => entry("x", fields).spec),
+    );
+    const event = fc.record({
+      spec: left,
+      how: fc.constantFrom("listed", "changed", "deleted"),
+    });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 20 }), (events) => {
+        follower.listed(good.map((name) => entry(name)));
+        for (const { spec, how } of events) {
+          const strange = { ...entry("x"), spec };
+          if (how === "listed") {
+            follower.listed([...good.map((name) => entry(name)), strange]);
+          } else follower[how](strange);
+          assert.deepEqual(namesOf().filter((name) => name !== "x"), good);
+          assert.ok(directory.size <= good.length + 1);
+          assert.ok(follower.unreadable <= 1);
+        }
+        follower.deleted(entry("x"));
+      }),
+      { seed: 11, numRuns: 300 },
+    );
+  });
 });
