Show that places at limited servers go unused after a press of many VMs

Cause: suspected: the turns that owners tell, each later than the one before. Ruled out: too little work (four callers without a pause).

--- a/src/core/routing/limit_admission_test.ts
+++ b/src/core/routing/limit_admission_test.ts
@@ -202,6 +202,41 @@
     }
   });
 
+  it("should be used by who has work after all others had", () => {
+    // Found by a trial with 65 VMs: after all of them had waited for places, one that went on alone
+    // used none for eight seconds. Owners had told each a later turn than the one before, up to ten
+    // seconds ahead, and VMs whose callers had left did not come for theirs.
+    for (const count of [7, 65, 195]) {
+      nowMs = 0;
+      const vms = fleetOf(count);
+      const byId = new Map(vms.map((vm) => [vm.id, vm]));
+      nowMs = SETTLED_MS;
+      const chance = seededChance(4);
+      const hear = () => {
+        for (const vm of vms) vm.hear(2);
+      };
+      press(vms, {
+        limitPerS: 2,
+        chance,
+        each: () => {
+          for (const vm of vms) if (chance() < 0.2) vm.borrow(byId);
+        },
+      });
+      for (const alone of vms.slice(0, 3)) {
+        const sentMs = press([alone], {
+          limitPerS: 2,
+          chance,
+          forMs: 8_000,
+          each: () => {
+            hear();
+            alone.borrow(byId);
+          },
+        });
+        assert.ok(sentMs.length >= 8, `${count}: ${sentMs.length} of 16 used`);
+      }
+    }
+  });
+
   it("should lend nothing of which an owner has nothing left, and say when it will", () => {
     const [vm] = fleetOf(1);
     nowMs = SETTLED_MS;
