Let no queue of turns keep a VM from places that nobody comes for

What callers saw: where many VMs had waited for places at servers that name limits, and then only some of them had work, these were refused for up to ten seconds beside places that nobody used. Cause: an owner told each that it refused a later turn than the one before, up to ten seconds ahead; who was told one did not ask before. VMs whose callers had left did not come for theirs, more of them the larger the fleet. Change: those that wait put a turn off by two seconds at most; the time until a place can be there is told as before. It holds for any fleet, as an owner lends what it has to whoever asks, and each asks again within two seconds; the bound of what is sent is that of the places, which stay the same. Ruled out: no turns at all (as many questions as requests); a call back to those that wait (a conversation for each place). Cost: in a fleet in which all VMs want more than servers give, each asks an owner of a server once in two seconds in place of ten.

--- a/src/core/routing/limit_admission.ts
+++ b/src/core/routing/limit_admission.ts
@@ -16,8 +16,13 @@
 const LOAN_MS = 200;
 /** How long the list of VMs that serve is kept before it is looked up anew, in milliseconds. */
 const KEEP_VMS_MS = 500;
-/** Longest time that an owner tells others to wait for a place, in milliseconds. */
+/** Longest time that is told until there may be a place, in milliseconds. */
 const LONGEST_WAIT_MS = 10_000;
+/**
+ * Longest time that others who wait for places are put before one that asks, in milliseconds. Not
+ * all of them come for their turns, and until its own turn who asked does not ask again.
+ */
+const LONGEST_QUEUE_MS = 2_000;
 
 /** VMs that this one knows and that may send requests. */
 export interface LivingVms {
@@ -221,8 +226,8 @@
   #promise(bucket: Bucket, { perMs }: LimitPart): number {
     const nowMs = this.#clock.monotonicMs();
     const missing = Math.max(0, 1 + bucket.waiting - bucket.tokens);
-    const opensInMs = Math.max(missing / perMs, bucket.promisedMs - nowMs);
-    return Math.min(LONGEST_WAIT_MS, opensInMs);
+    const queueMs = Math.min(LONGEST_QUEUE_MS, bucket.promisedMs - nowMs);
+    return Math.min(LONGEST_WAIT_MS, Math.max(missing / perMs, queueMs));
   }
 
   /** What is kept of a server, brought up to date. */
