Look for a server by time where many cannot be reached, not without end

What callers would see: since all servers that pass for sound are asked, a VM that is cut off from its servers, which are silent, asked one after the other for 0.4 s each and held its callers up, who get through at another VM. Cause: the mend of servers that are gone took every server that cannot be reached for one that has ended, which is refused within a millisecond. Change: a second bounds the search in place of the number of servers; four silent ones end it as they did before. Ruled out: a number of servers, which is wrong for some size of fleet. Result: run_tally_test: 100 servers that are gone are asked, three further ones that are silent (without end before); gone_servers_test holds. Found by reading, not seen in a run.

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -290,13 +290,11 @@
     }
   }
 
-  /**
-   * Whether to ask another server after one that could not be reached. Lists lag behind crashes of
-   * many servers, and those that are there must be found: all that passed for sound are asked.
-   */
+  /** Whether to ask another server after one that could not be reached. */
   #mayAskFurther(): boolean {
-    return this.#tally.notSent() ||
-      this.#sender.hasSound(this.#admitted, this.#choice);
+    const tookMs = this.#sender.lastTryMs;
+    const hasSound = this.#sender.hasSound(this.#admitted, this.#choice);
+    return this.#tally.notSent({ tookMs, hasSound });
   }
 
   #escalate(): Next {
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -10,6 +10,11 @@
  * two seconds. A caller cut off by this VM alone can then still go on at another one.
  */
 const MAX_WAITS = 8;
+/**
+ * Time that a request spends on servers that cannot be reached, in milliseconds. Where they are
+ * silent, the fault may be this VM's, and its caller gets through at another one.
+ */
+const LONGEST_SEARCH_MS = 1_000;
 /** Pause before a request that waits for a place asks for one again, in milliseconds. */
 const PLACE_PAUSE_MS = 250;
 
@@ -18,6 +23,7 @@
   #runs = 0;
   #refusals = 0;
   #unsent = 0;
+  #unsentMs = 0;
   #waits = 0;
   #mayHaveRun = false;
 
@@ -69,10 +75,18 @@
     return this.#refusals < this.#mostRefusals;
   }
 
-  /** Notes a try that was not sent; returns whether to make another. */
-  notSent(): boolean {
+  /**
+   * Notes a try that was not sent and took so long; returns whether to make another. Lists lag
+   * behind crashes of many servers, and those that are there must be found: while servers are
+   * left that pass for sound, time bounds the search, not their number.
+   */
+  notSent(
+    { tookMs, hasSound }: { tookMs: number; hasSound: boolean },
+  ): boolean {
     this.#unsent += 1;
-    return this.#unsent <= this.#mostRefusals;
+    this.#unsentMs += tookMs;
+    return this.#unsent <= this.#mostRefusals ||
+      (hasSound && this.#unsentMs < LONGEST_SEARCH_MS);
   }
 
   /** Whether the route allows a further run, besides those under way. */
@@ -117,5 +131,6 @@
   #forgetRefusals(): void {
     this.#refusals = 0;
     this.#unsent = 0;
+    this.#unsentMs = 0;
   }
 }
--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -38,6 +38,21 @@
     assert.equal(asked, 3);
   });
 
+  it("should look for long past servers that are gone, but not past silent ones", () => {
+    // A VM that is cut off from its servers tells its callers in time to go on at another one.
+    const cases: [number, boolean, number][] = [
+      [1, true, 100],
+      [1, false, 3],
+      [400, true, 3],
+    ];
+    for (const [tookMs, hasSound, asked] of cases) {
+      const tally = new RunTally();
+      let further = 0;
+      while (further < 100 && tally.notSent({ tookMs, hasSound })) further += 1;
+      assert.equal(further, asked);
+    }
+  });
+
   it("should ask one server a round once it has waited, and not wait without end", () => {
     const tally = new RunTally();
     tally.ran();
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -106,6 +106,12 @@
     return this.#current?.sent ?? false;
   }
 
+  /** Time since the last try began, in milliseconds. */
+  get lastTryMs(): number {
+    const nowMs = this.#deps.clock.monotonicMs();
+    return nowMs - (this.#tries.at(-1)?.startedMs ?? nowMs);
+  }
+
   /** Whether a byte of the answer has come in the last try. */
   get hasBegun(): boolean {
     return this.#tries.at(-1)?.firstByteMs !== undefined;
