Build the VMs of tests in one place

Cause: eight tests wrote out the same VM, field by field. Ruled out: a builder with steps: a patch says as much.

--- a/src/core/membership/fleet_relays_test.ts
+++ b/src/core/membership/fleet_relays_test.ts
@@ -1,22 +1,19 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { testMember } from "../../../tests/fixtures/test_member.ts";
 import { unitHash } from "../../runtime/hashing.ts";
 import type { DataCentreId, EntryId, Revision } from "../ids.ts";
 import { fleetRelays, rankReaders, storeReaders } from "./fleet_relays.ts";
 import type { Member } from "./member.ts";
 
 function fleetOf(count: number, changes: Partial<Member> = {}): Member[] {
-  return Array.from({ length: count }, (_, at) => ({
-    id: `vm-${at}` as EntryId,
-    data_centre: (at % 2 === 0 ? "north" : "south") as DataCentreId,
-    callers: "",
-    peers: "",
-    incarnation: 1,
-    state: "alive" as const,
-    revision: 1 as Revision,
-    cores: 0.3,
-    ...changes,
-  }));
+  return Array.from({ length: count }, (_, at) =>
+    testMember(`vm-${at}`, {
+      data_centre: (at % 2 === 0 ? "north" : "south") as DataCentreId,
+      revision: 1 as Revision,
+      cores: 0.3,
+      ...changes,
+    }));
 }
 
 function relaysIn(members: readonly Member[]): string[] {
--- a/src/core/membership/member_table_test.ts
+++ b/src/core/membership/member_table_test.ts
@@ -1,20 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import type { DataCentreId, EntryId, Revision } from "../ids.ts";
+import { testMember } from "../../../tests/fixtures/test_member.ts";
+import type { EntryId, Revision } from "../ids.ts";
 import type { Member, MemberState } from "./member.ts";
 import { MemberTable, SUSPICION_MS } from "./member_table.ts";
 
 function member(id: string, changes: Partial<Member> = {}): Member {
-  return {
-    id: id as EntryId,
-    data_centre: "qc-hall" as DataCentreId,
+  return testMember(id, {
     callers: "127.0.0.1:1",
     peers: "127.0.0.1:2",
-    incarnation: 1,
-    state: "alive",
-    revision: 0 as Revision,
     ...changes,
-  };
+  });
 }
 
 describe("a member table", () => {
--- a/src/core/routing/limit_admission_test.ts
+++ b/src/core/routing/limit_admission_test.ts
@@ -12,9 +12,10 @@
 } from "../../../tests/fixtures/limit_count.ts";
 import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 import { serverRecord } from "../../../tests/fixtures/server_record.ts";
+import { testMember } from "../../../tests/fixtures/test_member.ts";
 import { unitHash } from "../../runtime/hashing.ts";
-import { type DataCentreId, type EntryId, NO_REVISION } from "../ids.ts";
-import type { Member, MemberState } from "../membership/member.ts";
+import type { EntryId } from "../ids.ts";
+import type { Member } from "../membership/member.ts";
 import { ServerLimits } from "../servers/server_limits.ts";
 import { LimitAdmission } from "./limit_admission.ts";
 
@@ -38,16 +39,8 @@
   nowMs = 0;
 });
 
-function member(at: number, state: MemberState = "alive"): Member {
-  return {
-    id: `edge-${at}` as EntryId,
-    data_centre: "north" as DataCentreId,
-    callers: "",
-    peers: "",
-    incarnation: 1,
-    state,
-    revision: NO_REVISION,
-  };
+function member(at: number): Member {
+  return testMember(`edge-${at}`);
 }
 
 /** One VM, and the others as it knows them; both may change. */
--- a/src/core/routing/limit_lending_test.ts
+++ b/src/core/routing/limit_lending_test.ts
@@ -12,9 +12,9 @@
 } from "../../../tests/fixtures/limit_count.ts";
 import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 import { serverRecord } from "../../../tests/fixtures/server_record.ts";
+import { testMember } from "../../../tests/fixtures/test_member.ts";
 import { unitHash } from "../../runtime/hashing.ts";
-import { type DataCentreId, type EntryId, NO_REVISION } from "../ids.ts";
-import type { Member } from "../membership/member.ts";
+import type { EntryId } from "../ids.ts";
 import { ServerLimits } from "../servers/server_limits.ts";
 import { type Lent, LimitAdmission } from "./limit_admission.ts";
 
@@ -59,7 +59,10 @@
   constructor(play: Play) {
     this.#play = play;
     this.#chance = seededChance(play.seed);
-    const members = Array.from({ length: play.vms }, (_, at) => member(at));
+    const members = Array.from(
+      { length: play.vms },
+      (_, at) => testMember(`edge-${at}`),
+    );
     for (const self of members) {
       const serverLimits = new ServerLimits();
       this.#limits.push(serverLimits);
@@ -129,18 +132,6 @@
   }
 }
 
-function member(at: number): Member {
-  return {
-    id: `edge-${at}` as EntryId,
-    data_centre: "north" as DataCentreId,
-    callers: "",
-    peers: "",
-    incarnation: 1,
-    state: "alive",
-    revision: NO_REVISION,
-  };
-}
-
 const PLAYS = fc.record({
   vms: fc.integer({ min: 1, max: 24 }),
   limitPerS: fc.oneof(
--- a/src/fleet/digest_keeper_test.ts
+++ b/src/fleet/digest_keeper_test.ts
@@ -1,8 +1,7 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
+import { testMember } from "../../tests/fixtures/test_member.ts";
 import type {
-  DataCentreId,
-  EntryId,
   InstanceId,
   PromptPartId,
   ReleaseId,
@@ -11,7 +10,6 @@
   ServerLife,
   ServiceId,
 } from "../core/ids.ts";
-import { NO_REVISION } from "../core/ids.ts";
 import type { Crash } from "../core/crashes/crash.ts";
 import { CrashBook } from "../core/crashes/crash_book.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
@@ -63,15 +61,7 @@
       stateRelease: undefined,
     });
     this.#keeper = new DigestKeeper({
-      memberTable: new MemberTable({
-        id: id as EntryId,
-        data_centre: "north" as DataCentreId,
-        callers: "",
-        peers: "",
-        incarnation: 1,
-        state: "alive",
-        revision: NO_REVISION,
-      }),
+      memberTable: new MemberTable(testMember(id)),
       serverLoads: this.loads,
       promptHolders: this.holders,
       crashNews: new CrashNews({
--- a/src/fleet/fleet_relay_role_test.ts
+++ b/src/fleet/fleet_relay_role_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
+import { testMember } from "../../tests/fixtures/test_member.ts";
 import type { DataCentreId, EntryId, Revision } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
@@ -18,16 +19,12 @@
 let table: MemberTable;
 
 function member(at: number, cores = 1): Member {
-  return {
-    id: `vm-${at}` as EntryId,
-    data_centre: (at % 2 === 0 ? "north" : "south") as DataCentreId,
-    callers: "",
-    peers: "",
-    incarnation: 1,
-    state: "alive",
+  const dataCentre = at % 2 === 0 ? "north" : "south";
+  return testMember(`vm-${at}`, {
+    data_centre: dataCentre as DataCentreId,
     revision: 1 as Revision,
     cores,
-  };
+  });
 }
 
 /** A VM too small to be a relay among all the others. */
--- a/src/gateway/address_list_test.ts
+++ b/src/gateway/address_list_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { DataCentreId, EntryId, Revision } from "../core/ids.ts";
+import { testMember } from "../../tests/fixtures/test_member.ts";
+import type { DataCentreId, Revision } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
@@ -13,15 +14,11 @@
 const MOST_ADDRESSES = 64;
 
 function vmOf(at: number): Member {
-  return {
-    id: `vm-${at}` as EntryId,
+  return testMember(`vm-${at}`, {
     data_centre: DATA_CENTRES[at % 3] as DataCentreId,
     callers: `${DATA_CENTRES[at % 3]}:${at}`,
-    peers: "",
-    incarnation: 1,
-    state: "alive",
     revision: 1 as Revision,
-  };
+  });
 }
 
 /** What the first of so many VMs, a third in each data centre, names to callers. */
--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -1,13 +1,7 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import {
-  type EntryId,
-  type InstanceId,
-  NO_REVISION,
-  type PromptPartId,
-  type ReleaseId,
-} from "../core/ids.ts";
-import type { Member } from "../core/membership/member.ts";
+import { testMember } from "../../tests/fixtures/test_member.ts";
+import type { InstanceId, PromptPartId, ReleaseId } from "../core/ids.ts";
 import { ReleaseChoice } from "../core/rollout/release_choice.ts";
 import { ReleaseGate } from "../core/rollout/release_gate.ts";
 import { SessionBook } from "../core/rollout/session_book.ts";
@@ -60,15 +54,7 @@
 };
 const REST_MS = 3_000;
 const SETTLED_MS = 5_000;
-const SELF: Member = {
-  id: "edge-1" as EntryId,
-  data_centre: STABLE.dataCentre,
-  callers: "",
-  peers: "",
-  incarnation: 1,
-  state: "alive",
-  revision: NO_REVISION,
-};
+const SELF = testMember("edge-1", { data_centre: STABLE.dataCentre });
 
 describe("choice of a server while some rest", () => {
   let nowMs: number;
