Check what limited servers got in one place, and tell only what was shown of two failures

Change: one function with the same two bounds for all three cases; stories set right.

Result: 13 tests of the three files pass; the bundled program is not touched.

--- a/tests/gone_servers_test.ts
+++ b/tests/gone_servers_test.ts
@@ -1,9 +1,9 @@
 /**
- * Of many servers that a list still names, one is there. Seen once, in the first seconds of a fleet
- * whose VMs had not learnt yet that four of eight servers had ended: a request met these four one
- * after the other and was refused, beside four that would have served it. A request ended
- * with the fourth server that could not be reached. Shown by the times: a VM watches the list
- * from its third second on, and just four servers had ended.
+ * Of many servers that a list still names, one is there. Seen once, with a fleet that had just
+ * started: four of eight servers had ended, and a request was refused as four servers could not
+ * be reached, beside four that would have served it. A request ended with the fourth such
+ * server, however many were left. No log of that run was kept: that its list lagged, as lists do
+ * in a VM's first two seconds, is worked out from its times; the bound is shown by this test.
  */
 
 import assert from "node:assert/strict";
--- a/tests/limited_server_test.ts
+++ b/tests/limited_server_test.ts
@@ -72,6 +72,15 @@
   return statuses;
 }
 
+/** Checks what a server got while it was watched: no more than it named, and about that much. */
+function assertLimitUsed(server: LimitedServer, fromMs: number): void {
+  const arrived = server.arrivedSince(fromMs);
+  const most = mostInSpan(arrived);
+  assert.ok(most <= allowedInSpan(LIMIT_PER_S), `${most} in one span`);
+  const used = arrived.length * 1_000 / WATCHED_MS;
+  assert.ok(used >= USED_SHARE * LIMIT_PER_S, `${used} a second used`);
+}
+
 describe("a server that names a limit", () => {
   it("should get no more from all VMs together, while others serve all", async () => {
     const [limited] = servers as [LimitedServer];
@@ -79,12 +88,8 @@
     const statuses = await callFor(CONTACT_MS);
     const fromMs = performance.now();
     statuses.push(...await callFor(WATCHED_MS));
-    const arrived = limited.arrivedSince(fromMs);
-    const most = mostInSpan(arrived);
-    assert.ok(most <= allowedInSpan(LIMIT_PER_S), `${most} in one span`);
+    assertLimitUsed(limited, fromMs);
     assert.deepEqual(statuses.filter((status) => status !== 200), []);
-    const used = arrived.length * 1_000 / WATCHED_MS;
-    assert.ok(used >= USED_SHARE * LIMIT_PER_S, `${used} a second used`);
   });
 
   it("should get no more where all of its service name one, and get that much", async () => {
@@ -92,13 +97,7 @@
     await callFor(CONTACT_MS);
     const fromMs = performance.now();
     const statuses = await callFor(WATCHED_MS);
-    for (const server of servers) {
-      const arrived = server.arrivedSince(fromMs);
-      const most = mostInSpan(arrived);
-      assert.ok(most <= allowedInSpan(LIMIT_PER_S), `${most} in one span`);
-      const used = arrived.length * 1_000 / WATCHED_MS;
-      assert.ok(used >= USED_SHARE * LIMIT_PER_S, `${used} a second used`);
-    }
+    for (const server of servers) assertLimitUsed(server, fromMs);
     const others = statuses.filter((status) => status !== 200);
     assert.deepEqual(others.filter((status) => status !== 503), []);
   });
@@ -134,13 +133,7 @@
     for (const vm of fleet.vms.slice(0, 2)) {
       const fromMs = performance.now();
       await callFor(WATCHED_MS, [vm]);
-      for (const server of servers) {
-        const arrived = server.arrivedSince(fromMs);
-        const most = mostInSpan(arrived);
-        assert.ok(most <= allowedInSpan(LIMIT_PER_S), `${most} in one span`);
-        const used = arrived.length * 1_000 / WATCHED_MS;
-        assert.ok(used >= USED_SHARE * LIMIT_PER_S, `${used} a second used`);
-      }
+      for (const server of servers) assertLimitUsed(server, fromMs);
     }
   });
 });
--- a/tests/poison_request_test.ts
+++ b/tests/poison_request_test.ts
@@ -139,10 +139,10 @@
   });
 
   it("should not lose an answer that another copy of it is getting", async () => {
-    // A run that has gone on for longer than the culprit's would clears the request. Seen once:
-    // both copies ran at one server, and the ends meant for the first copy's runs were those of
-    // the other's, which had no answer to lose then. So runs are told by their callers, and
-    // copies that share a server are left to run to their end.
+    // A run that has gone on for longer than the culprit's would clears the request. This
+    // failed once, and in plays with a trace only where both copies ran at one server: the ends
+    // meant for the first copy's runs were those of the other's, which had no answer to lose then.
+    // So runs are told by their callers, and copies that share a server run to their end.
     const [first = "", second = ""] = fleet.vms;
     for (let n = 0;; n++) {
       const path = `/stock/${LONG}/copies/${n}`;
