Call a retry a retry: RetryBudget, RetryPermit

A pure rename on the way of a request (RepeatBudget, RepeatReservation and what they hold); the budget of 'fieldrack entry' is EntryRetryBudget until the two are one. Behaviour and tests are unchanged but for the reason in the log, 'retry budget exhausted'.

--- a/src/core/limits/limits_test.ts
+++ b/src/core/limits/limits_test.ts
@@ -2,7 +2,7 @@
 import { describe, test } from "node:test";
 import type { Account } from "../config/configuration.ts";
 import { InFlightLimits } from "./in_flight_limits.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { EntryRetryBudget } from "./entry_retry_budget.ts";
 
 describe("limits of requests in flight", () => {
   const small = { id: "small", max_in_flight: 1 } as unknown as Account;
@@ -31,7 +31,7 @@
 
 describe("a retry budget", () => {
   test("should keep retries at a tenth of the requests once savings are spent", () => {
-    const budget = new RetryBudget();
+    const budget = new EntryRetryBudget();
     while (budget.spend());
     let retries = 0;
     for (let request = 0; request < 1_000; request++) {
--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -1,23 +1,84 @@
-/** Keeps retries a small part of all requests, so that they never amplify a wave. */
+/** Bounds how often requests are sent to servers beyond their first time. */
 
-/** Retries earned by each request. */
-const EARNED_PER_REQUEST = 0.1;
-/** Retries that may be saved up. */
-const MOST_SAVED = 20;
+import type { ServiceId } from "../ids.ts";
 
-/** A budget that requests fill and retries spend. */
+/** What the fleet is allowed over one window. */
+export interface RetryBounds {
+  /** Retries as a share of the requests for the service. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Retries of the whole fleet beyond that share. */
+  readonly allowance: number;
+}
+
+/** Parts into which the window is cut; more follow the time more closely. */
+const SLICES = 20;
+/**
+ * Part of the bounds that is used. The rest covers requests that callers sent to VMs
+ * that died with them, and windows that lie between our slices.
+ */
+const USED_SHARE = 0.85;
+
+interface Slice {
+  readonly startMs: number;
+  requests: number;
+  retries: number;
+}
+
+/** Counts over a sliding window, for each service. */
 export class RetryBudget {
-  #saved = MOST_SAVED;
+  readonly #bounds: RetryBounds;
+  readonly #slices = new Map<ServiceId, Slice[]>();
+  #vms = 1;
+
+  constructor(bounds: RetryBounds) {
+    this.#bounds = bounds;
+  }
 
-  /** Counts a first try. */
-  earn(): void {
-    this.#saved = Math.min(MOST_SAVED, this.#saved + EARNED_PER_REQUEST);
+  /** Tells among how many VMs the allowance is split. */
+  setVms(vms: number): void {
+    this.#vms = Math.max(1, vms);
   }
 
-  /** Returns whether a retry may be made, and counts it. */
-  spend(): boolean {
-    if (this.#saved < 1) return false;
-    this.#saved -= 1;
+  /** Counts a caller's request. */
+  countRequest(service: ServiceId, nowMs: number): void {
+    this.#slice(service, nowMs).requests += 1;
+  }
+
+  /** Returns whether a request may be sent once more, and counts it if so. */
+  spend(service: ServiceId, nowMs: number): boolean {
+    if (this.left(service, nowMs) < 1) return false;
+    this.#slice(service, nowMs).retries += 1;
     return true;
   }
+
+  /** Retries that may still be made now. */
+  left(service: ServiceId, nowMs: number): number {
+    const { ratio, allowance } = this.#bounds;
+    const slices = this.#recent(service, nowMs);
+    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
+    const retries = slices.reduce((sum, slice) => sum + slice.retries, 0);
+    const allowed = ratio * requests + allowance / this.#vms;
+    return USED_SHARE * allowed - retries;
+  }
+
+  #slice(service: ServiceId, nowMs: number): Slice {
+    const slices = this.#recent(service, nowMs);
+    const newest = slices.at(-1);
+    const sliceMs = this.#bounds.windowMs / SLICES;
+    if (newest !== undefined && nowMs - newest.startMs < sliceMs) return newest;
+    const slice = { startMs: nowMs, requests: 0, retries: 0 };
+    slices.push(slice);
+    this.#slices.set(service, slices);
+    return slice;
+  }
+
+  #recent(service: ServiceId, nowMs: number): Slice[] {
+    const slices = this.#slices.get(service) ?? [];
+    const startMs = nowMs - this.#bounds.windowMs;
+    while (slices[0] !== undefined && slices[0].startMs < startMs) {
+      slices.shift();
+    }
+    return slices;
+  }
 }
--- a/src/core/limits/repeat_budget_test.ts
+++ b/src/core/limits/retry_budget_test.ts
@@ -2,55 +2,55 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import type { ServiceId } from "../ids.ts";
-import { RepeatBudget } from "./repeat_budget.ts";
+import { RetryBudget } from "./retry_budget.ts";
 
 const SERVICE = "tracker" as ServiceId;
 const BOUNDS = { ratio: 0.5, windowMs: 10_000, allowance: 8 };
 
-describe("repeat budget", () => {
+describe("retry budget", () => {
   it("should share the allowance among the VMs", () => {
-    const budget = new RepeatBudget(BOUNDS);
+    const budget = new RetryBudget(BOUNDS);
     budget.setVms(4);
     assert.equal(budget.spend(SERVICE, 0), true);
     assert.equal(budget.spend(SERVICE, 0), false);
   });
 
-  it("should earn repeats by requests and forget them after the window", () => {
-    const budget = new RepeatBudget({ ...BOUNDS, allowance: 0 });
+  it("should earn retries by requests and forget them after the window", () => {
+    const budget = new RetryBudget({ ...BOUNDS, allowance: 0 });
     for (let n = 0; n < 10; n++) budget.countRequest(SERVICE, 0);
     assert.equal(budget.spend(SERVICE, 100), true);
     assert.equal(budget.spend(SERVICE, 20_000), false);
   });
 
-  it("should never let repeats of a window exceed the bounds", () => {
+  it("should never let retries of a window exceed the bounds", () => {
     const events = fc.array(
       fc.record({
         gapMs: fc.integer({ min: 0, max: 900 }),
-        repeat: fc.boolean(),
+        retry: fc.boolean(),
       }),
       { maxLength: 200 },
     );
     fc.assert(
       fc.property(events, (list) => {
-        const budget = new RepeatBudget(BOUNDS);
+        const budget = new RetryBudget(BOUNDS);
         const requests: number[] = [];
-        const repeats: number[] = [];
+        const retries: number[] = [];
         let nowMs = 0;
-        for (const { gapMs, repeat } of list) {
+        for (const { gapMs, retry } of list) {
           nowMs += gapMs;
-          if (!repeat) {
+          if (!retry) {
             budget.countRequest(SERVICE, nowMs);
             requests.push(nowMs);
           } else if (budget.spend(SERVICE, nowMs)) {
-            repeats.push(nowMs);
+            retries.push(nowMs);
           }
         }
-        for (const end of repeats) {
+        for (const end of retries) {
           const inWindow = (at: number) =>
             at <= end && at > end - BOUNDS.windowMs;
           const allowed = BOUNDS.ratio * requests.filter(inWindow).length +
             BOUNDS.allowance;
-          assert.ok(repeats.filter(inWindow).length <= allowed);
+          assert.ok(retries.filter(inWindow).length <= allowed);
         }
       }),
       { seed: 1, numRuns: 200 },
--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -8,7 +8,7 @@
 import { isGoodEnough } from "../core/cascade/answer_judge.ts";
 import type { PlanStep } from "../core/cascade/cascade_plan.ts";
 import type { BackendServer } from "../core/config/configuration.ts";
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
 import { errorAfter, type RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { EntryMetrics } from "../metrics/entry_metrics.ts";
@@ -57,7 +57,7 @@
   readonly backendSelector: BackendSelector;
   readonly modelDispatcher: ModelDispatcher;
   readonly modelServers: ModelServers;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: EntryRetryBudget;
   readonly entryMetrics: EntryMetrics;
 }
 
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -16,7 +16,7 @@
 import { Freshness } from "../core/config/freshness.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { InFlightLimits } from "../core/limits/in_flight_limits.ts";
-import { RetryBudget } from "../core/limits/retry_budget.ts";
+import { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import { ProbeOrder } from "../core/membership/probe_order.ts";
 import { TwoChoicesChooser } from "../core/routing/server_chooser.ts";
@@ -103,7 +103,7 @@
     configurationStore: asClass(ConfigurationStore).singleton(),
     freshness: asClass(Freshness).singleton(),
     serverPool: asClass(ServerPool).singleton(),
-    retryBudget: asClass(RetryBudget).singleton(),
+    retryBudget: asClass(EntryRetryBudget).singleton(),
     inFlightLimits: asValue(new InFlightLimits(limits.max_in_flight)),
     serverChooser: asFunction(({ serverPool, chance }) =>
       new TwoChoicesChooser(serverPool, chance)
--- a/src/entry/model_dispatcher.ts
+++ b/src/entry/model_dispatcher.ts
@@ -4,7 +4,7 @@
 import type { ModelCall, ModelServers } from "../backends/model_servers.ts";
 import type { PlanStep } from "../core/cascade/cascade_plan.ts";
 import type { BackendId } from "../core/ids.ts";
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
 import type { RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { ServerPool, TryOutcome } from "../core/routing/server_pool.ts";
@@ -42,7 +42,7 @@
   readonly backendSelector: BackendSelector;
   readonly modelServers: ModelServers;
   readonly serverPool: ServerPool;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: EntryRetryBudget;
   readonly entryMetrics: EntryMetrics;
   readonly clock: Clock;
 }
--- a/src/entry/retry_policy.ts
+++ b/src/entry/retry_policy.ts
@@ -2,7 +2,7 @@
 
 import type { BackendError } from "../backends/backend_error.ts";
 import { describeBackendError } from "../backends/backend_error.ts";
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
 import type { RequestError } from "../core/request_error.ts";
 import type { TryOutcome } from "../core/routing/server_pool.ts";
 import type { Deadline } from "../runtime/deadline.ts";
@@ -14,7 +14,7 @@
 /** Whether another server may be tried after `err`. */
 export function mayRetry(
   err: BackendError,
-  { repeatable, budget }: { repeatable: boolean; budget: RetryBudget },
+  { repeatable, budget }: { repeatable: boolean; budget: EntryRetryBudget },
 ): boolean {
   switch (err.tag) {
     case "refused":
--- a/src/entry/service_dispatcher.ts
+++ b/src/entry/service_dispatcher.ts
@@ -11,7 +11,7 @@
   ServiceRoute,
 } from "../core/config/configuration.ts";
 import type { BackendId } from "../core/ids.ts";
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
 import type { RequestError } from "../core/request_error.ts";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { ServerPool } from "../core/routing/server_pool.ts";
@@ -48,7 +48,7 @@
   readonly backendSelector: BackendSelector;
   readonly plainServices: PlainServices;
   readonly serverPool: ServerPool;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: EntryRetryBudget;
   readonly entryMetrics: EntryMetrics;
   readonly clock: Clock;
 }
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -14,7 +14,7 @@
 import { CrashBook } from "../core/crashes/crash_book.ts";
 import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
-import { RepeatBudget } from "../core/limits/repeat_budget.ts";
+import { RetryBudget } from "../core/limits/retry_budget.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import { EvidenceBook } from "../core/rollout/evidence.ts";
 import { ReleaseChoice } from "../core/rollout/release_choice.ts";
@@ -111,7 +111,7 @@
   readonly storeSync: StoreSync;
   readonly digestExchanger: DigestExchanger;
   readonly storeFeed: StoreFeed;
-  readonly repeatBudget: RepeatBudget;
+  readonly retryBudget: RetryBudget;
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
   readonly stopState: StopState;
@@ -205,8 +205,8 @@
     limitAdmission: one(LimitAdmission),
     promptHolders: one(PromptHolders),
     affinityChoice: one(AffinityChoice),
-    repeatBudget: asValue(
-      new RepeatBudget({
+    retryBudget: asValue(
+      new RetryBudget({
         ratio: bounds.retryRatio,
         windowMs: bounds.retryWindowMs,
         allowance: bounds.retryAllowance,
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -8,7 +8,7 @@
 } from "../backends/backend_try.ts";
 import type { ModelPace } from "../core/cascade/model_pace.ts";
 import type { ServiceId } from "../core/ids.ts";
-import type { RepeatBudget } from "../core/limits/repeat_budget.ts";
+import type { RetryBudget } from "../core/limits/retry_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import { pause } from "../runtime/pause.ts";
@@ -21,7 +21,7 @@
 import { type NoServer, RequestEnd } from "./request_end.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { RequestLog } from "./request_log.ts";
-import { RepeatReservation } from "./repeat_reservation.ts";
+import { RetryPermit } from "./retry_permit.ts";
 import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -34,12 +34,12 @@
 /** Statuses from here on tell of errors. */
 const FIRST_ERROR_STATUS = 400;
 /** Why a request ends that may not be sent again. */
-const NO_REPEAT = "the service has no repeats left";
+const NO_RETRY = "retry budget exhausted";
 
 /** What all runs share. */
 export interface RequestRunDeps extends TrySenderDeps {
   readonly serverFollower: ServerFollower;
-  readonly repeatBudget: RepeatBudget;
+  readonly retryBudget: RetryBudget;
   readonly modelPace: ModelPace;
   readonly crashWatch: CrashWatch;
   readonly requestLog: RequestLog;
@@ -66,7 +66,7 @@
   readonly #identity: RequestIdentity;
   readonly #crashes: RequestCrashes;
   readonly #tally = new RunTally();
-  readonly #repeats: RepeatReservation;
+  readonly #retries: RetryPermit;
   readonly #end: RequestEnd;
   #expired = false;
   /** Whether this VM has given up a run that its server had not ended. */
@@ -85,7 +85,7 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#service = deps.serverSelector.serviceFor(admitted.route);
-    this.#repeats = new RepeatReservation(deps, this.#service);
+    this.#retries = new RetryPermit(deps, this.#service);
     const { head, method, host, url } = exchange;
     const { account, route } = admitted;
     this.#identity = new RequestIdentity({ method, host, url, account, body });
@@ -127,14 +127,14 @@
       configurationVersion: table.version,
       confirmedAgeMs,
       limitMs: this.#limitMs,
-      budgetLeft: this.#repeats.left(),
+      budgetLeft: this.#retries.left(),
       tries: this.#sender.tries,
     };
   }
 
   /** Runs to the end; the caller has its answer then, or is gone. */
   async run(): Promise<void> {
-    this.#repeats.countRequest();
+    this.#retries.countRequest();
     this.#timer = setTimeout(() => this.#expire(), this.#leftMs());
     this.#exchange.onGone(() => this.#sender.giveUp());
     try {
@@ -154,7 +154,7 @@
     if (this.#isOver) return "again";
     const server = this.#sender.choose(this.#admitted, this.#choice);
     if (server === undefined) return await this.#noChoice();
-    if (!this.#takeRepeat()) return this.#noFurther(NO_REPEAT);
+    if (!this.#acquireRetry()) return this.#noFurther(NO_RETRY);
     const outcome = await this.#try(server);
     const record = this.#sender.tries.at(-1);
     await this.#crashes.tryEnded(outcome, { server, record });
@@ -194,8 +194,8 @@
   }
 
   /** Whether the shared budget lets the request be sent once more. */
-  #takeRepeat(): boolean {
-    return !this.#wasSent || this.#repeats.take();
+  #acquireRetry(): boolean {
+    return !this.#wasSent || this.#retries.take();
   }
 
   /** Whether a try was made that a server may have seen. */
@@ -206,8 +206,8 @@
   }
 
   /** Gives back what was taken for a try that no server has seen, for the next one. */
-  #keepRepeat(): void {
-    if (this.#wasSent) this.#repeats.giveBack();
+  #keepRetry(): void {
+    if (this.#wasSent) this.#retries.giveBack();
   }
 
   #try(server: ServerRecord): Promise<TryOutcome> {
@@ -230,10 +230,10 @@
 
   #checkSilence(nowMs: number): void {
     // The run under way counts as well.
-    if (!this.#mayRepeat(1)) return;
+    if (!this.#mayRetry(1)) return;
     const reason = this.#sender.silence(this.#admitted, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
-    if (!this.#repeats.reserve()) return;
+    if (!this.#retries.reserve()) return;
     this.#leftRunning = true;
     this.#sender.leaveSilent(reason);
   }
@@ -249,7 +249,7 @@
   }
 
   #wantsLarger(confidence: number | undefined): boolean {
-    if (this.#repeats.left() < 1) return false;
+    if (this.#retries.left() < 1) return false;
     const { route } = this.#admitted;
     return this.#models.wantsLarger({
       route,
@@ -267,10 +267,10 @@
         this.#tally.ran();
         return "again";
       case "withheld":
-        this.#keepRepeat();
+        this.#keepRetry();
         return "again";
       case "not_sent":
-        this.#keepRepeat();
+        this.#keepRetry();
         return this.#mayAskFurther() ? "again" : this.#noFurther();
       case "not_run":
         return this.#tally.notRun() ? "again" : this.#noFurther();
@@ -309,7 +309,7 @@
       return this.#resume(`status ${head.status}`);
     }
     this.#tally.ran();
-    if (head.status >= 500 && this.#mayRepeat() && this.#hasOther()) {
+    if (head.status >= 500 && this.#mayRetry() && this.#hasOther()) {
       return "again";
     }
     const whole = head.status < FIRST_ERROR_STATUS && head.decoded.framed;
@@ -328,7 +328,7 @@
 
   #brokenOff(reason: string): Next {
     this.#tally.ran();
-    if (this.#mayRepeat()) return "again";
+    if (this.#mayRetry()) return "again";
     return this.#finish({ tag: "answer_lost", reason });
   }
 
@@ -342,13 +342,13 @@
   }
 
   /** Whether a request that may have run may be sent again. */
-  #mayRepeat(underWay = 0): boolean {
-    return this.#tally.mayRepeat(this.#admitted.route, underWay);
+  #mayRetry(underWay = 0): boolean {
+    return this.#tally.mayRetry(this.#admitted.route, underWay);
   }
 
   #hasOther(): boolean {
     const other = this.#sender.chooseOther(this.#admitted, this.#choice);
-    return other !== undefined && this.#repeats.left() >= 1;
+    return other !== undefined && this.#retries.left() >= 1;
   }
 
   /** Waits for a place, or ends a request that no server takes. */
--- /dev/null
+++ b/src/gateway/retry_permit_test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { ServiceId } from "../core/ids.ts";
+import { RetryBudget } from "../core/limits/retry_budget.ts";
+import { RetryPermit } from "./retry_permit.ts";
+
+const SERVICE = "tracker" as ServiceId;
+
+let retryBudget: RetryBudget;
+
+function reservation(): RetryPermit {
+  const clock = { monotonicMs: () => 1_000, wallMs: () => 1_000 };
+  return new RetryPermit({ retryBudget, clock }, SERVICE);
+}
+
+beforeEach(() => {
+  // Room for one retry: a part of the allowance is kept back.
+  retryBudget = new RetryBudget({
+    ratio: 0,
+    windowMs: 10_000,
+    allowance: 1.2,
+  });
+});
+
+describe("retry permit", () => {
+  it("should take what was reserved, and pay for it once", () => {
+    const retries = reservation();
+    assert.equal(retries.reserve(), true);
+    assert.equal(retries.reserve(), true);
+    assert.equal(retries.take(), true);
+    assert.equal(retries.take(), false);
+  });
+
+  it("should leave others nothing of what it has reserved", () => {
+    const retries = reservation();
+    retries.reserve();
+    assert.equal(reservation().reserve(), false);
+    assert.equal(reservation().take(), false);
+    assert.equal(retries.take(), true);
+  });
+
+  it("should use what was given back for the next try", () => {
+    const retries = reservation();
+    assert.equal(retries.take(), true);
+    retries.giveBack();
+    assert.equal(retries.take(), true);
+    assert.equal(retries.take(), false);
+  });
+});
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -18,7 +18,7 @@
   readonly confirmedAgeMs: number;
   /** Time within which the request had to end, in milliseconds. */
   readonly limitMs: number;
-  /** Repeats that the service could still have had. */
+  /** Retries that the service could still have had. */
   readonly budgetLeft: number;
   readonly tries: readonly TryRecord[];
 }
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -90,7 +90,7 @@
   }
 
   /** Whether the route allows a further run, besides those under way. */
-  mayRepeat(route: Route, underWay = 0): boolean {
+  mayRetry(route: Route, underWay = 0): boolean {
     return mayRunAgain(route) && this.#runs + underWay < route.maxRuns;
   }
 
@@ -122,7 +122,7 @@
     return this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" };
   }
 
-  /** After a wait one server is asked at a time, as each refusal costs a repeat. */
+  /** After a wait one server is asked at a time, as each refusal costs a retry. */
   get #mostRefusals(): number {
     return this.#waits > 0 ? 1 : MAX_REFUSALS;
   }
--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -20,16 +20,16 @@
 
   it("should count the run under way against those that the route allows", () => {
     const tally = new RunTally();
-    assert.equal(tally.mayRepeat(REPEATABLE, 1), true);
+    assert.equal(tally.mayRetry(REPEATABLE, 1), true);
     tally.ran();
-    assert.equal(tally.mayRepeat(REPEATABLE), true);
-    assert.equal(tally.mayRepeat(REPEATABLE, 1), false);
+    assert.equal(tally.mayRetry(REPEATABLE), true);
+    assert.equal(tally.mayRetry(REPEATABLE, 1), false);
     tally.ran();
-    assert.equal(tally.mayRepeat(REPEATABLE), false);
+    assert.equal(tally.mayRetry(REPEATABLE), false);
   });
 
   it("should never repeat what may run only once", () => {
-    assert.equal(new RunTally().mayRepeat(ONCE), false);
+    assert.equal(new RunTally().mayRetry(ONCE), false);
   });
 
   it("should stop asking servers after a few that did not run it", () => {
