Log what a VM's retry budget stood at: sent, got, VMs known

'budget_left' alone could not tell whether retries exceed the budget because a VM has just started (few requests, many retries), counts on too few VMs, or spends what it saved up. The line of a request names all three now. No change of logic.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -19,6 +19,17 @@
  */
 const USED_SHARE = 0.85;
 
+/** What a budget stands at, for the log. */
+export interface RetryBudgetState {
+  /** Retries that may still be sent now. */
+  readonly left: number;
+  /** Requests and retries of this VM in the window. */
+  readonly requests: number;
+  readonly retries: number;
+  /** VMs among which the allowance is split. */
+  readonly vms: number;
+}
+
 interface Slice {
   readonly startMs: number;
   requests: number;
@@ -54,12 +65,18 @@
 
   /** Retries that may still be made now. */
   left(service: ServiceId, nowMs: number): number {
+    return this.state(service, nowMs).left;
+  }
+
+  /** What the budget of a service stands at. */
+  state(service: ServiceId, nowMs: number): RetryBudgetState {
     const { ratio, allowance } = this.#bounds;
     const slices = this.#recent(service, nowMs);
     const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
     const retries = slices.reduce((sum, slice) => sum + slice.retries, 0);
     const allowed = ratio * requests + allowance / this.#vms;
-    return USED_SHARE * allowed - retries;
+    const left = USED_SHARE * allowed - retries;
+    return { left, requests, retries, vms: this.#vms };
   }
 
   #slice(service: ServiceId, nowMs: number): Slice {
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -1,5 +1,6 @@
 /** Log lines about requests: all that failed or were slow, and a sample of the others. */
 
+import type { RetryBudgetState } from "../core/limits/retry_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -89,7 +90,7 @@
       in_force: this.#routing.table?.version,
       confirmed_ms: Math.round(run.confirmedAgeMs),
       limit_ms: Math.round(run.limitMs),
-      budget_left: Math.floor(run.budgetLeft),
+      retry_budget: describeRetryBudget(run.retryBudget),
       parts: exchange.head.promptParts.map(({ id }) => id).join(","),
       status,
       state: exchange.state,
@@ -108,6 +109,13 @@
   }
 }
 
+function describeRetryBudget(
+  { left, requests, retries, vms }: RetryBudgetState,
+): string {
+  return `${left.toFixed(1)} left: ${retries} sent for ${requests} requests, ` +
+    `split among ${vms} VMs`;
+}
+
 function outcomeOf(exchange: CallerExchange): string {
   const { state } = exchange;
   if (state === "caller_gone" || state === "cut") return state;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -127,7 +127,7 @@
       configurationVersion: table.version,
       confirmedAgeMs,
       limitMs: this.#limitMs,
-      budgetLeft: this.#retries.left(),
+      retryBudget: this.#retries.state(),
       tries: this.#sender.tries,
     };
   }
--- a/src/gateway/retry_permit.ts
+++ b/src/gateway/retry_permit.ts
@@ -1,7 +1,10 @@
 /** The part of the shared budget of retries that one request uses. */
 
 import type { ServiceId } from "../core/ids.ts";
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
+import type {
+  RetryBudget,
+  RetryBudgetState,
+} from "../core/limits/retry_budget.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 interface Deps {
@@ -28,8 +31,13 @@
 
   /** Retries that the service may still have. */
   left(): number {
+    return this.state().left;
+  }
+
+  /** What the budget of the service stands at. */
+  state(): RetryBudgetState {
     const { retryBudget, clock } = this.#deps;
-    return retryBudget.left(this.#service, clock.monotonicMs());
+    return retryBudget.state(this.#service, clock.monotonicMs());
   }
 
   /**
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -1,6 +1,7 @@
 /** What decided a request, for the log. */
 
 import type { AccountId, RouteId, ServiceId } from "../core/ids.ts";
+import type { RetryBudgetState } from "../core/limits/retry_budget.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { TryRecord } from "./try_record.ts";
 
@@ -18,7 +19,7 @@
   readonly confirmedAgeMs: number;
   /** Time within which the request had to end, in milliseconds. */
   readonly limitMs: number;
-  /** Retries that the service could still have had. */
-  readonly budgetLeft: number;
+  /** What the retry budget of the service stood at. */
+  readonly retryBudget: RetryBudgetState;
   readonly tries: readonly TryRecord[];
 }
