Let a VM save up retries only by its requests of the last window

What callers saw: a service got up to 298 retries in ten seconds where 234 are allowed, as servers failed in pulses and callers moved from some VMs to others (simulated, 7 VMs, 20 requests a second).

Cause: each VM let the requests of its own last ten seconds pay for retries with nearly the whole ratio, at any moment. Two VMs that share callers one after the other so paid twice in one window for what the bound counts once.

A request earns 0.49 of the ratio now, and no more than 0.49 of the ratio for each request of the last window is saved up. Whatever window is looked at, retries in it are at most what was saved at its beginning, by requests of the window before, and what requests in it earn: together 0.98 of the ratio of the larger of the two, which the bound allows, however callers move, VMs end and requests are counted late. Nothing has to be agreed between VMs.

Price: a burst of retries has 0.44 a request of the last ten seconds (0.77 before), retries without end 0.44 a request. Shown by retry_budget_fleet_test: pulses and drawn histories pass, which failed before.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -1,65 +1,91 @@
-/** Bounds how often requests are sent to servers beyond their first time. */
+/**
+ * Bounds the retries that a service gets from all VMs together, without a word between VMs: each
+ * VM earns a part of a retry with each request of its own callers, and saves up only so much.
+ */
 
 import type { ServiceId } from "../ids.ts";
+import { WindowCount } from "./window_count.ts";
 
-/** What the fleet is allowed over one window. */
+/** What the fleet is allowed over each window. */
 export interface RetryBounds {
-  /** Retries as a share of the requests for the service. */
+  /** Retries for each request for the service. */
   readonly ratio: number;
   readonly windowMs: number;
-  /** Retries of the whole fleet beyond that share. */
+  /** Retries of the whole fleet beyond that. */
   readonly allowance: number;
 }
 
-/** Parts into which the window is cut; more follow the time more closely. */
-const SLICES = 20;
-/**
- * Part of the bounds that is used. The rest covers requests that callers sent to VMs
- * that died with them, and windows that lie between our slices.
- */
-const USED_SHARE = 0.85;
-
 /** What a budget stands at, for the log. */
 export interface RetryBudgetState {
   /** Retries that may still be sent now. */
   readonly left: number;
-  /** Requests and retries of this VM in the window. */
+  /** Retries earned by requests and not sent yet. */
+  readonly earned: number;
+  /** What this VM may still send out of the fleet's allowance. */
+  readonly allowance: number;
+  /** Requests of this VM in the window. */
   readonly requests: number;
-  readonly retries: number;
   /** VMs among which the allowance is split. */
   readonly vms: number;
 }
 
-interface Slice {
-  readonly startMs: number;
-  requests: number;
-  retries: number;
+/** Part of the ratio that a request earns. */
+const EARNED_SHARE = 0.49;
+/**
+ * Part of the ratio that may be saved up for each request of the last window. Where callers move
+ * to other VMs, what was saved here and what is earned there are sent in one window; so the two
+ * parts together stay within the ratio.
+ */
+const SAVED_SHARE = 0.49;
+/** Part of the allowance that is used; the rest covers what is late on its way to servers. */
+const ALLOWANCE_SHARE = 0.85;
+
+/** Part of a retry that was sent out of the allowance. */
+interface Charge {
+  readonly atMs: number;
+  readonly amount: number;
+}
+
+interface Account {
+  readonly requests: WindowCount;
+  earned: number;
+  /** Charges on the allowance in the window, in the order of their times. */
+  charges: Charge[];
 }
 
-/** Counts over a sliding window, for each service. */
+/** The retry budgets of one VM, one for each service. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
-  readonly #slices = new Map<ServiceId, Slice[]>();
+  readonly #accounts = new Map<ServiceId, Account>();
   #vms = 1;
 
   constructor(bounds: RetryBounds) {
     this.#bounds = bounds;
   }
 
-  /** Tells among how many VMs the allowance is split. */
+  /** Sets among how many VMs the allowance is split. */
   setVms(vms: number): void {
     this.#vms = Math.max(1, vms);
   }
 
-  /** Counts a caller's request. */
+  /** Counts a caller's request, which earns a part of a retry. */
   countRequest(service: ServiceId, nowMs: number): void {
-    this.#slice(service, nowMs).requests += 1;
+    const account = this.#account(service);
+    account.requests.add(nowMs);
+    account.earned = Math.min(
+      account.earned + EARNED_SHARE * this.#bounds.ratio,
+      this.#mostSaved(account, nowMs),
+    );
   }
 
   /** Returns whether a request may be sent once more, and counts it if so. */
   spend(service: ServiceId, nowMs: number): boolean {
-    if (this.left(service, nowMs) < 1) return false;
-    this.#slice(service, nowMs).retries += 1;
+    const { left, earned } = this.state(service, nowMs);
+    if (left < 1) return false;
+    const account = this.#account(service);
+    const paid = Math.min(1, earned);
+    account.earned = earned - paid;
+    if (paid < 1) account.charges.push({ atMs: nowMs, amount: 1 - paid });
     return true;
   }
 
@@ -70,32 +96,43 @@
 
   /** What the budget of a service stands at. */
   state(service: ServiceId, nowMs: number): RetryBudgetState {
-    const { ratio, allowance } = this.#bounds;
-    const slices = this.#recent(service, nowMs);
-    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
-    const retries = slices.reduce((sum, slice) => sum + slice.retries, 0);
-    const allowed = ratio * requests + allowance / this.#vms;
-    const left = USED_SHARE * allowed - retries;
-    return { left, requests, retries, vms: this.#vms };
+    const account = this.#account(service);
+    const earned = Math.min(account.earned, this.#mostSaved(account, nowMs));
+    const allowance = this.#allowanceLeft(account, nowMs);
+    return {
+      left: earned + allowance,
+      earned,
+      allowance,
+      requests: account.requests.total(nowMs),
+      vms: this.#vms,
+    };
+  }
+
+  #mostSaved({ requests }: Account, nowMs: number): number {
+    return SAVED_SHARE * this.#bounds.ratio * requests.total(nowMs);
   }
 
-  #slice(service: ServiceId, nowMs: number): Slice {
-    const slices = this.#recent(service, nowMs);
-    const newest = slices.at(-1);
-    const sliceMs = this.#bounds.windowMs / SLICES;
-    if (newest !== undefined && nowMs - newest.startMs < sliceMs) return newest;
-    const slice = { startMs: nowMs, requests: 0, retries: 0 };
-    slices.push(slice);
-    this.#slices.set(service, slices);
-    return slice;
+  #allowanceLeft(account: Account, nowMs: number): number {
+    const { allowance, windowMs } = this.#bounds;
+    account.charges = account.charges.filter(({ atMs }) =>
+      nowMs - atMs <= windowMs
+    );
+    const charged = account.charges.reduce(
+      (sum, { amount }) => sum + amount,
+      0,
+    );
+    return Math.max(0, ALLOWANCE_SHARE * allowance / this.#vms - charged);
   }
 
-  #recent(service: ServiceId, nowMs: number): Slice[] {
-    const slices = this.#slices.get(service) ?? [];
-    const startMs = nowMs - this.#bounds.windowMs;
-    while (slices[0] !== undefined && slices[0].startMs < startMs) {
-      slices.shift();
-    }
-    return slices;
+  #account(service: ServiceId): Account {
+    const known = this.#accounts.get(service);
+    if (known !== undefined) return known;
+    const account = {
+      requests: new WindowCount(this.#bounds.windowMs),
+      earned: 0,
+      charges: [],
+    };
+    this.#accounts.set(service, account);
+    return account;
   }
 }
--- a/src/core/limits/retry_budget_fleet_test.ts
+++ b/src/core/limits/retry_budget_fleet_test.ts
@@ -1,7 +1,12 @@
 /**
  * Servers got more retries in ten seconds from all VMs together than are allowed: 245 of 234 where
  * seven VMs were killed three times beside servers that turned requests away, 402 of 234 where
- * none of seven reached another.
+ * none of seven reached another. Three causes, each a bound that a VM kept for itself and that does
+ * not hold as a sum:
+ *
+ * - Each VM let its own window of requests pay for retries at any time. As callers moved to other
+ *   VMs, what the old VMs had not sent and what the new ones earned came in one window. Shown by
+ *   failures in pulses around such moves: 298 of 234, without any restart and with one view.
  */
 
 import assert from "node:assert/strict";
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -110,10 +110,11 @@
 }
 
 function describeRetryBudget(
-  { left, requests, retries, vms }: RetryBudgetState,
+  { left, earned, allowance, requests, vms }: RetryBudgetState,
 ): string {
-  return `${left.toFixed(1)} left: ${retries} sent for ${requests} requests, ` +
-    `split among ${vms} VMs`;
+  return `${left.toFixed(1)} left: ${earned.toFixed(1)} earned, ` +
+    `${allowance.toFixed(1)} of the allowance among ${vms} VMs, ` +
+    `${requests} requests`;
 }
 
 function outcomeOf(exchange: CallerExchange): string {
