Wait until the server is asked before a test of its rest

The test took a 503 with Retry-After for the word of its server. A gateway that does not know the server yet answers so, too: with a pause of 100 ms at its start, also on the code as it landed, the test went on before the server had been asked, and failed (3 of 3; by an empty body or a request 'within the rest'). It asks for an arrival at the server now, and that callers are still refused after it: as strict as it was meant.

--- a/tests/resting_server_test.ts
+++ b/tests/resting_server_test.ts
@@ -147,19 +147,24 @@
     await gateway.start([STREAM_ROUTE]);
     let full = true;
     const resumed: number[] = [];
-    await gateway.addServer("i-full", ({ text, socket }) => {
-      if (full) return socket.write(restBytes(REST_S));
-      resumed.push(performance.now());
-      const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
-      socket.write(streamBytes(after === 0 ? "" : eventText(after + 1)));
-      socket.write(chunkBytes(""));
-    });
+    const { requests } = await gateway.addServer(
+      "i-full",
+      ({ text, socket }) => {
+        if (full) return socket.write(restBytes(REST_S));
+        resumed.push(performance.now());
+        const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
+        socket.write(streamBytes(after === 0 ? "" : eventText(after + 1)));
+        socket.write(chunkBytes(""));
+      },
+    );
     let fullMs = 0;
     await until(async () => {
       fullMs = performance.now();
+      // Before the server is known, requests are refused as well.
       return (await gateway.call("/stock/1")).headers["retry-after"] !==
-          undefined && (await gateway.call("/stock/1")).status === 503;
+          undefined && requests.length > 0;
     });
+    assert.equal((await gateway.call("/stock/1")).status, 503);
     full = false;
     let broken = false;
     await gateway.addServer("i-breaks", ({ socket }) => {
