--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -140,8 +140,12 @@
   });
 
   it("should leave paused servers only for as many streams as may be repeated", async () => {
-    // Three streams pause at once; the fleet's bounds allow one repeat.
-    await gateway.start([STREAM_ROUTE], { retryRatio: 0, retryAllowance: 1.2 });
+    // Three streams pause at once; the fleet's bounds allow one retry.
+    await gateway.start([STREAM_ROUTE], {
+      retryRatio: 0,
+      retryAllowance: 1.2,
+      retryWindowMs: 6_000,
+    });
     await gateway.addServer("i-1", beginStream);
     await untilStatus(200);
     const streams = [1, 2, 3].map((n) =>
--- a/tests/gone_servers_test.ts
+++ b/tests/gone_servers_test.ts
@@ -31,7 +31,11 @@
 
   it("should use up no repeats of others on its way there", async () => {
     // Found by reading the mend above: each server that was not reached cost a repeat.
-    const bounds = { retryAllowance: 1, retryRatio: 0 };
+    const bounds = {
+      retryAllowance: 1,
+      retryRatio: 0,
+      retryWindowMs: 1_000,
+    };
     for (let play = 0; play < PLAYS; play++) {
       assert.deepEqual(await callAmongGone(bounds), { status: 200, runs: 1 });
     }
