Split the allowance of retries among all VMs there may be, heard or not

Cause: each VM split the fleet's allowance among the VMs that it heard at the moment. One that heard none took all of it, and where links were cut each side did.

The allowance is split among all VMs that were seen in the last ten minutes and have not said that they leave (FleetSize), so a cut makes no part larger; a VM that has heard none of those that its settings name has no part. VMs that start while a cut divides the fleet know one side only: less than half of the allowance is split, so that two sides together stay within it; three would not, and have what they earn besides.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -25,8 +25,16 @@
   readonly allowance: number;
   /** Requests of this VM in the window. */
   readonly requests: number;
-  /** VMs among which the allowance is split. */
-  readonly vms: number;
+  /** VMs among which the allowance is split; undefined where it is not known. */
+  readonly vms: number | undefined;
+}
+
+/** What a budget is kept by, besides the bounds. */
+export interface RetryBudgetOptions {
+  /** When the process started. */
+  readonly startedMs: number;
+  /** How many VMs there may be; undefined where it is not known. */
+  readonly vms: () => number | undefined;
 }
 
 /** Part of the ratio that a request earns. */
@@ -37,8 +45,11 @@
  * parts together stay within the ratio.
  */
 const SAVED_SHARE = 0.49;
-/** Part of the allowance that is used; the rest covers what is late on its way to servers. */
-const ALLOWANCE_SHARE = 0.85;
+/**
+ * Part of the allowance that is split among the VMs known. VMs that start while a cut divides the
+ * fleet know their own side only; the parts of two sides together stay within the allowance.
+ */
+const ALLOWANCE_SHARE = 0.45;
 
 /** Part of a retry that was sent out of the allowance. */
 interface Charge {
@@ -56,18 +67,12 @@
 /** The retry budgets of one VM, one for each service. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
-  readonly #startedMs: number;
+  readonly #options: RetryBudgetOptions;
   readonly #accounts = new Map<ServiceId, Account>();
-  #vms = 1;
 
-  constructor(bounds: RetryBounds, { startedMs }: { startedMs: number }) {
+  constructor(bounds: RetryBounds, options: RetryBudgetOptions) {
     this.#bounds = bounds;
-    this.#startedMs = startedMs;
-  }
-
-  /** Sets among how many VMs the allowance is split. */
-  setVms(vms: number): void {
-    this.#vms = Math.max(1, vms);
+    this.#options = options;
   }
 
   /** Counts a caller's request, which earns a part of a retry. */
@@ -106,7 +111,7 @@
       earned,
       allowance,
       requests: account.requests.total(nowMs),
-      vms: this.#vms,
+      vms: this.#options.vms(),
     };
   }
 
@@ -116,8 +121,11 @@
 
   #allowanceLeft(account: Account, nowMs: number): number {
     const { allowance, windowMs } = this.#bounds;
+    const vms = this.#options.vms();
+    // A VM that hears no other cannot tell how many of them have a part, too.
+    if (vms === undefined) return 0;
     // What the process before this one has sent is not known, and may still count.
-    if (nowMs - this.#startedMs <= windowMs) return 0;
+    if (nowMs - this.#options.startedMs <= windowMs) return 0;
     account.charges = account.charges.filter(({ atMs }) =>
       nowMs - atMs <= windowMs
     );
@@ -125,7 +133,7 @@
       (sum, { amount }) => sum + amount,
       0,
     );
-    return Math.max(0, ALLOWANCE_SHARE * allowance / this.#vms - charged);
+    return Math.max(0, ALLOWANCE_SHARE * allowance / vms - charged);
   }
 
   #account(service: ServiceId): Account {
--- a/src/core/limits/retry_budget_fleet_test.ts
+++ b/src/core/limits/retry_budget_fleet_test.ts
@@ -10,20 +10,27 @@
  * - Each process began with a share of the allowance, whatever its predecessor had sent. Shown by the
  *   logs of such a day, in which each process sends more retries than it gets requests, and by
  *   simulated restarts of a single VM: 144 of 117.
+ * - Each VM split the allowance among the VMs that it heard, so one that heard none took all of it.
+ *   Shown by gateways that do not reach each other, without any restart.
  */
 
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { RetryFleet } from "../../../tests/fixtures/retry_fleet.ts";
+import { type Hears, RetryFleet } from "../../../tests/fixtures/retry_fleet.ts";
 import { worstRetryWindow } from "../../../tests/fixtures/retry_count.ts";
 import { seededChance } from "../../../tests/fixtures/seeded_chance.ts";
 
 const FLEETS = [1, 7, 65, 195];
 /** Requests a second, of a quiet and of a busy service. */
-const RATES = [7, 20, 70, 700];
-/** Time after which callers move to other VMs: two such moments lie in one window. */
-const MOVE_MS = 9_000;
+const RATES = [5, 20, 70, 700];
+/** Time between restarts, and until a VM that has started hears others. */
+const RESTART_MS = 1_500;
+const HEARD_MS = 500;
+/** Callers leave VMs that have saved up all they can, and come back so soon that both lie in one window. */
+const AWAY_MS = 9_000;
+const PERIOD_MS = 36_000;
+const PULSE_MS = 1_500;
 const STEP_MS = 100;
 const STEPS_PER_S = 1_000 / STEP_MS;
 
@@ -61,14 +68,6 @@
   );
 }
 
-/** Whether a moment lies in the first part of a period. */
-function isIn(
-  nowMs: number,
-  { everyMs, firstMs }: { everyMs: number; firstMs: number },
-): boolean {
-  return nowMs % everyMs < firstMs;
-}
-
 function forEachFleet(
   test: (fleet: { vms: number; perS: number; label: string }) => void,
 ): void {
@@ -82,14 +81,14 @@
 describe("retry budgets of a fleet", () => {
   it("should keep retries within the bound where VMs restart again and again", () => {
     forEachFleet(({ vms, perS, label }) => {
-      // A VM that has just started knows itself alone for a second.
+      // A VM that has just started knows itself alone for a while.
       let startedMs = 0;
-      const known = (_vm: number, nowMs: number) =>
-        nowMs - startedMs < 1_000 ? 1 : vms;
-      const fleet = new RetryFleet(vms, { known });
+      const hears = (_vm: number, _other: number, nowMs: number) =>
+        nowMs - startedMs >= HEARD_MS;
+      const fleet = new RetryFleet(vms, { hears });
       fleet.isFailing = true;
       const step = (_fleet: RetryFleet, nowMs: number) => {
-        if (nowMs < 20_000 || nowMs % 3_000 !== 0) return;
+        if (nowMs < 20_000 || nowMs % RESTART_MS !== 0) return;
         startedMs = nowMs;
         for (let vm = 0; vm < vms; vm++) fleet.restart(vm);
       };
@@ -99,30 +98,36 @@
   });
 
   it("should keep retries within the bound where VMs do not know each other", () => {
-    forEachFleet(({ vms, perS, label }) => {
-      const fleet = new RetryFleet(vms, { known: () => 1 });
-      fleet.isFailing = true;
-      play(fleet, { vms, perS, seconds: 30, step: () => {} });
-      assertWithinBound(fleet, label);
-    });
+    const cuts: Record<string, Hears> = {
+      "none hears another": () => false,
+      "two sides, from their start on": (vm, other) => vm % 2 === other % 2,
+      "none hears another any more": (_vm, _other, nowMs) => nowMs < 15_000,
+    };
+    for (const [cut, hears] of Object.entries(cuts)) {
+      forEachFleet(({ vms, perS, label }) => {
+        const fleet = new RetryFleet(vms, { hears });
+        fleet.isFailing = true;
+        play(fleet, { vms, perS, seconds: 35, step: () => {} });
+        assertWithinBound(fleet, `${cut}, ${label}`);
+      });
+    }
   });
 
   it("should keep retries within the bound where callers move as servers fail in pulses", () => {
     forEachFleet(({ vms, perS, label }) => {
-      const fleet = new RetryFleet(vms);
+      const shape = { lastsMs: 8_000, retries: 2 };
+      const fleet = new RetryFleet(vms, { shape });
       const half = Math.ceil(vms / 2);
+      const isAway = (nowMs: number) =>
+        nowMs % PERIOD_MS >= PERIOD_MS - AWAY_MS;
       const target = (drawn: number, nowMs: number) =>
-        vms > 1 && isIn(nowMs, { everyMs: 2 * MOVE_MS, firstMs: MOVE_MS })
-          ? drawn * half
-          : half + drawn * (vms - half);
+        vms > 1 && isAway(nowMs) ? drawn * half : vms - half + drawn * half;
       const step = (_fleet: RetryFleet, nowMs: number) => {
-        // The last seconds before callers move, and before they move again.
-        fleet.isFailing = isIn(nowMs + 1_000, {
-          everyMs: MOVE_MS,
-          firstMs: 1_500,
-        });
+        // The last second before callers move.
+        fleet.isFailing = isAway(nowMs + 1_000) !== isAway(nowMs) ||
+          isAway(nowMs - PULSE_MS + 1_000) !== isAway(nowMs);
       };
-      play(fleet, { vms, perS, seconds: 65, step, target });
+      play(fleet, { vms, perS, seconds: 85, step, target });
       assertWithinBound(fleet, label);
     });
   });
--- a/src/core/limits/retry_budget_test.ts
+++ b/src/core/limits/retry_budget_test.ts
@@ -7,14 +7,17 @@
 const SERVICE = "tracker" as ServiceId;
 const BOUNDS = { ratio: 0.5, windowMs: 10_000, allowance: 8 };
 /** Of a VM whose predecessor has sent nothing that still counts. */
-const OLD = { startedMs: -Infinity };
+const OLD = { startedMs: -Infinity, vms: () => 1 };
 
 describe("retry budget", () => {
   it("should share the allowance among the VMs", () => {
-    const budget = new RetryBudget(BOUNDS, OLD);
-    budget.setVms(4);
-    assert.equal(budget.spend(SERVICE, 0), true);
-    assert.equal(budget.spend(SERVICE, 0), false);
+    // Of 8, less than half is used.
+    for (const [vms, retries] of [[1, 3], [2, 1], [4, 0], [undefined, 0]]) {
+      const budget = new RetryBudget(BOUNDS, { ...OLD, vms: () => vms });
+      let sent = 0;
+      while (budget.spend(SERVICE, 0)) sent += 1;
+      assert.equal(sent, retries);
+    }
   });
 
   it("should earn retries by requests and forget them after the window", () => {
@@ -25,7 +28,7 @@
   });
 
   it("should earn its first retries by requests where it has just started", () => {
-    const budget = new RetryBudget(BOUNDS, { startedMs: 0 });
+    const budget = new RetryBudget(BOUNDS, { ...OLD, startedMs: 0 });
     assert.equal(budget.spend(SERVICE, 9_999), false);
     for (let n = 0; n < 5; n++) budget.countRequest(SERVICE, 9_999);
     assert.equal(budget.spend(SERVICE, 9_999), true);
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -1,7 +1,7 @@
 /** Exchanges digests with other VMs again and again, and so finds who has failed. */
 
-import type { RetryBudget } from "../core/limits/retry_budget.ts";
 import type { Member } from "../core/membership/member.ts";
+import type { FleetSize } from "../core/membership/fleet_size.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ProbeOrder } from "../core/membership/probe_order.ts";
 import { digestAnswerSchema } from "../protocol/digest_schema.ts";
@@ -65,7 +65,7 @@
   readonly probeOrder: ProbeOrder;
   readonly digestKeeper: DigestKeeper;
   readonly crashNews: CrashNews;
-  readonly retryBudget: RetryBudget;
+  readonly fleetSize: FleetSize;
   readonly clock: Clock;
   readonly trustClock: TrustClock;
   readonly logger: Logger;
@@ -162,8 +162,8 @@
     if (members.length === 0 || this.#rounds % SEED_EVERY_ROUNDS === 0) {
       this.#askSeeds(members);
     }
-    this.#deps.retryBudget.setVms(members.length + 1);
     const nowMs = clock.monotonicMs();
+    this.#deps.fleetSize.observe(memberTable.everyone(), nowMs);
     for (const id of memberTable.expire(nowMs, { keepDead: false })) {
       logger.warn("VM is taken as dead", { peer: id });
     }
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -15,6 +15,7 @@
 import { ModelPace } from "../core/cascade/model_pace.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { RetryBudget } from "../core/limits/retry_budget.ts";
+import { FleetSize } from "../core/membership/fleet_size.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import { EvidenceBook } from "../core/rollout/evidence.ts";
 import { ReleaseChoice } from "../core/rollout/release_choice.ts";
@@ -205,12 +206,26 @@
     limitAdmission: one(LimitAdmission),
     promptHolders: one(PromptHolders),
     affinityChoice: one(AffinityChoice),
-    retryBudget: asFunction(({ clock }: { clock: Clock }) =>
+    fleetSize: asFunction((
+      { memberTable, seedList }: {
+        memberTable: MemberTable;
+        seedList: SeedList;
+      },
+    ) =>
+      new FleetSize({
+        self: memberTable.self.id,
+        hasOtherSeeds: () =>
+          seedList.seeds.some((seed) => seed !== memberTable.self.peers),
+      })
+    ).singleton(),
+    retryBudget: asFunction((
+      { clock, fleetSize }: { clock: Clock; fleetSize: FleetSize },
+    ) =>
       new RetryBudget({
         ratio: bounds.retryRatio,
         windowMs: bounds.retryWindowMs,
         allowance: bounds.retryAllowance,
-      }, { startedMs: clock.monotonicMs() })
+      }, { startedMs: clock.monotonicMs(), vms: () => fleetSize.count })
     ).singleton(),
     memberTable: asFunction(({ clock }: { clock: Clock }) =>
       new MemberTable({
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -113,7 +113,7 @@
   { left, earned, allowance, requests, vms }: RetryBudgetState,
 ): string {
   return `${left.toFixed(1)} left: ${earned.toFixed(1)} earned, ` +
-    `${allowance.toFixed(1)} of the allowance among ${vms} VMs, ` +
+    `${allowance.toFixed(1)} of the allowance among ${vms ?? "unknown"} VMs, ` +
     `${requests} requests`;
 }
 
--- a/src/gateway/retry_permit_test.ts
+++ b/src/gateway/retry_permit_test.ts
@@ -21,8 +21,8 @@
   retryBudget = new RetryBudget({
     ratio: 0,
     windowMs: 10_000,
-    allowance: 1.2,
-  }, { startedMs: -Infinity });
+    allowance: 3,
+  }, { startedMs: -Infinity, vms: () => 1 });
 });
 
 describe("retry permit", () => {
--- a/tests/accepted_requests_test.ts
+++ b/tests/accepted_requests_test.ts
@@ -140,10 +140,10 @@
   });
 
   it("should leave paused servers only for as many streams as may be repeated", async () => {
-    // Three streams pause at once; the fleet's bounds allow one retry.
+    // Three streams pause at once; less than half of the allowance is used: one retry.
     await gateway.start([STREAM_ROUTE], {
       retryRatio: 0,
-      retryAllowance: 1.2,
+      retryAllowance: 3,
       retryWindowMs: 6_000,
     });
     await gateway.addServer("i-1", beginStream);
