Count a retry as its first byte leaves, not as it is chosen

What callers saw: by reading and by a test of one VM, a retry that had waited for a server for longer than a window was sent beside all that the next window had paid for already.

Cause: a retry was counted when it was reserved. Servers count it when they get it: after a wait for a place, for the end of a backoff, for a connection.

A request holds a permit now, which keeps others from acquiring it for as long as it waits, and the budget is charged as the first byte leaves; where the requests that it was acquired by are forgotten meanwhile, nothing is sent. A permit that is not used, as the caller has left or no server took the request, is given back when the request ends.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -17,12 +17,14 @@
 
 /** What a budget stands at, for the log. */
 export interface RetryBudgetState {
-  /** Retries that may still be sent now. */
+  /** Retries that may still be acquired now. */
   readonly left: number;
   /** Retries earned by requests and not sent yet. */
   readonly earned: number;
   /** What this VM may still send out of the fleet's allowance. */
   readonly allowance: number;
+  /** Permits that were acquired and not sent yet. */
+  readonly held: number;
   /** Requests of this VM in the window. */
   readonly requests: number;
   /** VMs among which the allowance is split; undefined where it is not known. */
@@ -60,6 +62,8 @@
 interface Account {
   readonly requests: WindowCount;
   earned: number;
+  /** Permits that were acquired and not sent yet. */
+  held: number;
   /** Charges on the allowance in the window, in the order of their times. */
   charges: Charge[];
 }
@@ -85,10 +89,21 @@
     );
   }
 
-  /** Returns whether a request may be sent once more, and counts it if so. */
-  spend(service: ServiceId, nowMs: number): boolean {
-    const { left, earned } = this.state(service, nowMs);
-    if (left < 1) return false;
+  /** Holds a permit for one retry; returns whether it could. */
+  acquire(service: ServiceId, nowMs: number): boolean {
+    if (this.state(service, nowMs).left < 1) return false;
+    this.#account(service).held += 1;
+    return true;
+  }
+
+  /**
+   * Uses up a permit that is held, as the first byte leaves; returns whether the window bears the
+   * retry. A retry counts when servers get it, and may have waited since it was acquired.
+   */
+  send(service: ServiceId, nowMs: number): boolean {
+    this.release(service);
+    const { earned, allowance } = this.state(service, nowMs);
+    if (earned + allowance < 1) return false;
     const account = this.#account(service);
     const paid = Math.min(1, earned);
     account.earned = earned - paid;
@@ -96,9 +111,9 @@
     return true;
   }
 
-  /** Retries that may still be made now. */
-  left(service: ServiceId, nowMs: number): number {
-    return this.state(service, nowMs).left;
+  /** Gives back a permit that is held. */
+  release(service: ServiceId): void {
+    this.#account(service).held -= 1;
   }
 
   /** What the budget of a service stands at. */
@@ -107,9 +122,10 @@
     const earned = Math.min(account.earned, this.#mostSaved(account, nowMs));
     const allowance = this.#allowanceLeft(account, nowMs);
     return {
-      left: earned + allowance,
+      left: earned + allowance - account.held,
       earned,
       allowance,
+      held: account.held,
       requests: account.requests.total(nowMs),
       vms: this.#options.vms(),
     };
@@ -142,6 +158,7 @@
     const account = {
       requests: new WindowCount(this.#bounds.windowMs),
       earned: 0,
+      held: 0,
       charges: [],
     };
     this.#accounts.set(service, account);
--- a/src/core/limits/retry_budget_test.ts
+++ b/src/core/limits/retry_budget_test.ts
@@ -9,13 +9,18 @@
 /** Of a VM whose predecessor has sent nothing that still counts. */
 const OLD = { startedMs: -Infinity, vms: () => 1 };
 
+/** Acquires and sends a retry; returns whether both could be done. */
+function send(budget: RetryBudget, nowMs: number): boolean {
+  return budget.acquire(SERVICE, nowMs) && budget.send(SERVICE, nowMs);
+}
+
 describe("retry budget", () => {
   it("should share the allowance among the VMs", () => {
     // Of 8, less than half is used.
     for (const [vms, retries] of [[1, 3], [2, 1], [4, 0], [undefined, 0]]) {
       const budget = new RetryBudget(BOUNDS, { ...OLD, vms: () => vms });
       let sent = 0;
-      while (budget.spend(SERVICE, 0)) sent += 1;
+      while (send(budget, 0)) sent += 1;
       assert.equal(sent, retries);
     }
   });
@@ -23,17 +28,17 @@
   it("should earn retries by requests and forget them after the window", () => {
     const budget = new RetryBudget({ ...BOUNDS, allowance: 0 }, OLD);
     for (let n = 0; n < 10; n++) budget.countRequest(SERVICE, 0);
-    assert.equal(budget.spend(SERVICE, 100), true);
-    assert.equal(budget.spend(SERVICE, 20_000), false);
+    assert.equal(send(budget, 100), true);
+    assert.equal(send(budget, 20_000), false);
   });
 
   it("should earn its first retries by requests where it has just started", () => {
     const budget = new RetryBudget(BOUNDS, { ...OLD, startedMs: 0 });
-    assert.equal(budget.spend(SERVICE, 9_999), false);
+    assert.equal(send(budget, 9_999), false);
     for (let n = 0; n < 5; n++) budget.countRequest(SERVICE, 9_999);
-    assert.equal(budget.spend(SERVICE, 9_999), true);
-    assert.equal(budget.spend(SERVICE, 9_999), false);
-    assert.equal(budget.spend(SERVICE, 10_001), true);
+    assert.equal(send(budget, 9_999), true);
+    assert.equal(send(budget, 9_999), false);
+    assert.equal(send(budget, 10_001), true);
   });
 
   it("should never let retries of a window exceed the bounds", () => {
@@ -55,7 +60,7 @@
           if (!retry) {
             budget.countRequest(SERVICE, nowMs);
             requests.push(nowMs);
-          } else if (budget.spend(SERVICE, nowMs)) {
+          } else if (send(budget, nowMs)) {
             retries.push(nowMs);
           }
         }
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -110,11 +110,11 @@
 }
 
 function describeRetryBudget(
-  { left, earned, allowance, requests, vms }: RetryBudgetState,
+  { left, earned, allowance, held, requests, vms }: RetryBudgetState,
 ): string {
   return `${left.toFixed(1)} left: ${earned.toFixed(1)} earned, ` +
     `${allowance.toFixed(1)} of the allowance among ${vms ?? "unknown"} VMs, ` +
-    `${requests} requests`;
+    `${held} held, ${requests} requests`;
 }
 
 function outcomeOf(exchange: CallerExchange): string {
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -66,7 +66,7 @@
   readonly #identity: RequestIdentity;
   readonly #crashes: RequestCrashes;
   readonly #tally = new RunTally();
-  readonly #retries: RetryPermit;
+  readonly #retryPermit: RetryPermit;
   readonly #end: RequestEnd;
   #expired = false;
   /** Whether this VM has given up a run that its server had not ended. */
@@ -85,7 +85,7 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#service = deps.serverSelector.serviceFor(admitted.route);
-    this.#retries = new RetryPermit(deps, this.#service);
+    this.#retryPermit = new RetryPermit(deps, this.#service);
     const { head, method, host, url } = exchange;
     const { account, route } = admitted;
     this.#identity = new RequestIdentity({ method, host, url, account, body });
@@ -127,20 +127,21 @@
       configurationVersion: table.version,
       confirmedAgeMs,
       limitMs: this.#limitMs,
-      retryBudget: this.#retries.state(),
+      retryBudget: this.#retryPermit.state(),
       tries: this.#sender.tries,
     };
   }
 
   /** Runs to the end; the caller has its answer then, or is gone. */
   async run(): Promise<void> {
-    this.#retries.countRequest();
+    this.#retryPermit.countRequest();
     this.#timer = setTimeout(() => this.#expire(), this.#leftMs());
     this.#exchange.onGone(() => this.#sender.giveUp());
     try {
       while (await this.#step() === "again");
     } finally {
       clearTimeout(this.#timer);
+      this.#retryPermit.release();
     }
   }
 
@@ -195,7 +196,7 @@
 
   /** Whether the shared budget lets the request be sent once more. */
   #acquireRetry(): boolean {
-    return !this.#wasSent || this.#retries.take();
+    return !this.#wasSent || this.#retryPermit.acquire();
   }
 
   /** Whether a try was made that a server may have seen. */
@@ -205,17 +206,13 @@
     );
   }
 
-  /** Gives back what was taken for a try that no server has seen, for the next one. */
-  #keepRetry(): void {
-    if (this.#wasSent) this.#retries.giveBack();
-  }
-
   #try(server: ServerRecord): Promise<TryOutcome> {
     return this.#sender.send(server, {
       admitted: this.#admitted,
       apart: this.#crashes.isSuspected,
       leftMs: this.#leftMs(),
       judge: (head) => this.#judge(head),
+      permit: this.#wasSent ? this.#retryPermit : undefined,
       isExpired: () => this.#expired,
     });
   }
@@ -233,7 +230,7 @@
     if (!this.#mayRetry(1)) return;
     const reason = this.#sender.silence(this.#admitted, nowMs);
     if (reason === undefined || !this.#hasOther()) return;
-    if (!this.#retries.reserve()) return;
+    if (!this.#retryPermit.acquire()) return;
     this.#leftRunning = true;
     this.#sender.leaveSilent(reason);
   }
@@ -249,7 +246,7 @@
   }
 
   #wantsLarger(confidence: number | undefined): boolean {
-    if (this.#retries.left() < 1) return false;
+    if (!this.#retryPermit.isAvailable) return false;
     const { route } = this.#admitted;
     return this.#models.wantsLarger({
       route,
@@ -267,10 +264,8 @@
         this.#tally.ran();
         return "again";
       case "withheld":
-        this.#keepRetry();
         return "again";
       case "not_sent":
-        this.#keepRetry();
         return this.#mayAskFurther() ? "again" : this.#noFurther();
       case "not_run":
         return this.#tally.notRun() ? "again" : this.#noFurther();
@@ -348,7 +343,7 @@
 
   #hasOther(): boolean {
     const other = this.#sender.chooseOther(this.#admitted, this.#choice);
-    return other !== undefined && this.#retries.left() >= 1;
+    return other !== undefined && this.#retryPermit.isAvailable;
   }
 
   /** Waits for a place, or ends a request that no server takes. */
--- a/src/gateway/retry_permit.ts
+++ b/src/gateway/retry_permit.ts
@@ -1,4 +1,4 @@
-/** The part of the shared budget of retries that one request uses. */
+/** Leave for one request to be sent again, out of the service's retry budget. */
 
 import type { ServiceId } from "../core/ids.ts";
 import type {
@@ -12,11 +12,11 @@
   readonly clock: Clock;
 }
 
-/** Asks the budget for one request, and keeps what was reserved. */
+/** Acquires permits for one request, one at a time. */
 export class RetryPermit {
   readonly #deps: Deps;
   readonly #service: ServiceId;
-  #reserved = false;
+  #isHeld = false;
 
   constructor(deps: Deps, service: ServiceId) {
     this.#deps = deps;
@@ -29,9 +29,9 @@
     retryBudget.countRequest(this.#service, clock.monotonicMs());
   }
 
-  /** Retries that the service may still have. */
-  left(): number {
-    return this.state().left;
+  /** Whether a permit is held or can be acquired. */
+  get isAvailable(): boolean {
+    return this.#isHeld || this.state().left >= 1;
   }
 
   /** What the budget of the service stands at. */
@@ -41,29 +41,27 @@
   }
 
   /**
-   * Reserves a retry before what runs is given up for it; returns whether it could. Many
-   * streams of one server pause together, and all but the first would otherwise find the
-   * budget spent when their run is gone already.
+   * Holds a permit, the same one if one is held; returns whether it could. An attempt under way
+   * is given up only for a permit that is held: many streams of one server pause together, and all
+   * but the first would find the budget spent.
    */
-  reserve(): boolean {
-    this.#reserved ||= this.#spend();
-    return this.#reserved;
-  }
-
-  /** Takes a retry, the reserved one if there is one; returns whether it could. */
-  take(): boolean {
-    if (!this.#reserved) return this.#spend();
-    this.#reserved = false;
-    return true;
+  acquire(): boolean {
+    const { retryBudget, clock } = this.#deps;
+    this.#isHeld ||= retryBudget.acquire(this.#service, clock.monotonicMs());
+    return this.#isHeld;
   }
 
-  /** Keeps a retry that was taken for the next try, as nothing was sent. */
-  giveBack(): void {
-    this.#reserved = true;
+  /** Uses up the permit as the first byte is written; returns whether the budget still bears it. */
+  send(): boolean {
+    if (!this.#isHeld) return false;
+    const { retryBudget, clock } = this.#deps;
+    this.#isHeld = false;
+    return retryBudget.send(this.#service, clock.monotonicMs());
   }
 
-  #spend(): boolean {
-    const { retryBudget, clock } = this.#deps;
-    return retryBudget.spend(this.#service, clock.monotonicMs());
+  /** Gives back a permit that is held. */
+  release(): void {
+    if (this.#isHeld) this.#deps.retryBudget.release(this.#service);
+    this.#isHeld = false;
   }
 }
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -20,6 +20,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
+import type { RetryPermit } from "./retry_permit.ts";
 import type { ServerGate } from "./server_gate.ts";
 import type { ServerNotices } from "./server_notices.ts";
 import type { Selection, ServerSelector } from "./server_selector.ts";
@@ -77,6 +78,8 @@
   readonly judge: (head: AnswerHead) => HeadVerdict;
   /** Whether others under which servers have ended keep away from this one. */
   readonly apart: boolean;
+  /** Pays for the attempt at its first byte, where it is a retry. */
+  readonly permit: RetryPermit | undefined;
   /** Whether the time of the request is up, asked when the try has ended. */
   readonly isExpired: () => boolean;
 }
@@ -213,7 +216,8 @@
       // What must not run twice is not risked on a connection that may just be closing.
       fresh: !mayRunAgain(terms.admitted.route),
       // While the connection came up, its server may have asked for rest or less, or may leave.
-      maySend: () => serverGate.maySend(server, place),
+      maySend: () =>
+        serverGate.maySend(server, place) && (terms.permit?.send() ?? true),
       sink: {
         judge: (head) => {
           observed.record.confidence = head.decoded.confidence;
