--- a/src/core/limits/retry_budget_fleet_test.ts
+++ b/src/core/limits/retry_budget_fleet_test.ts
@@ -31,6 +31,8 @@
 const AWAY_MS = 9_000;
 const PERIOD_MS = 36_000;
 const PULSE_MS = 1_500;
+const SUSPENDED_MS = 20_000;
+const RESUMED_MS = 26_000;
 const STEP_MS = 100;
 const STEPS_PER_S = 1_000 / STEP_MS;
 
@@ -132,6 +134,23 @@
     });
   });
 
+  it("should keep retries within the bound after VMs were suspended", () => {
+    forEachFleet(({ vms, perS, label }) => {
+      const shape = { lastsMs: 8_000, retries: 2 };
+      const fleet = new RetryFleet(vms, { shape });
+      const step = (_fleet: RetryFleet, nowMs: number) => {
+        if (nowMs === SUSPENDED_MS || nowMs === RESUMED_MS) {
+          const isSuspended = nowMs === SUSPENDED_MS;
+          for (let vm = 1; vm < vms; vm++) fleet.suspend(vm, isSuspended);
+        }
+        // What was sent to suspended VMs is as old as a window then.
+        fleet.isFailing = nowMs >= RESUMED_MS + AWAY_MS;
+      };
+      play(fleet, { vms, perS, seconds: 45, step });
+      assertWithinBound(fleet, label);
+    });
+  });
+
   it("should keep retries within the bound in any history of a fleet", () => {
     fc.assert(
       fc.property(fc.array(FLEET_EVENT, { maxLength: 60 }), (events) => {
