Keep a part of the saved retries for answers that would be lost

A retry for a better answer is made only while a quarter of what may be saved is left besides. A request earns 0.58 of the ratio and 0.4 of it may be saved up (0.49 both before): what is read late earns nothing, so neither has to be the larger one.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -19,6 +19,8 @@
 export interface RetryBudgetState {
   /** Retries that may still be acquired now. */
   readonly left: number;
+  /** Those of them that are not kept for answers that would be lost. */
+  readonly spare: number;
   /** Retries earned by requests and not sent yet. */
   readonly earned: number;
   /** What this VM may still send out of the fleet's allowance. */
@@ -40,13 +42,15 @@
 }
 
 /** Part of the ratio that a request earns. */
-const EARNED_SHARE = 0.49;
+const EARNED_SHARE = 0.58;
 /**
  * Part of the ratio that may be saved up for each request of the last window. Where callers move
  * to other VMs, what was saved here and what is earned there are sent in one window; so the two
  * parts together stay within the ratio.
  */
-const SAVED_SHARE = 0.49;
+const SAVED_SHARE = 0.4;
+/** Part of what may be saved up that is kept for requests whose answer would be lost without it. */
+const RESERVED_SHARE = 0.25;
 /**
  * Part of the allowance that is split among the VMs known. VMs that start while a cut divides the
  * fleet know their own side only; the parts of two sides together stay within the allowance.
@@ -137,10 +141,15 @@
   /** What the budget of a service stands at. */
   state(service: ServiceId, nowMs: number): RetryBudgetState {
     const account = this.#account(service);
-    const earned = Math.min(account.earned, this.#mostSaved(account, nowMs));
-    const allowance = this.#allowanceLeft(account, nowMs);
+    const mostSaved = this.#mostSaved(account, nowMs);
+    const earned = Math.min(account.earned, mostSaved);
+    const mostAllowance = this.#mostAllowance(nowMs);
+    const charged = this.#charged(account, nowMs);
+    const allowance = Math.max(0, mostAllowance - charged);
+    const left = earned + allowance - account.held;
     return {
-      left: earned + allowance - account.held,
+      left,
+      spare: left - RESERVED_SHARE * (mostSaved + mostAllowance),
       earned,
       allowance,
       held: account.held,
@@ -158,21 +167,24 @@
     return SAVED_SHARE * this.#bounds.ratio * requests.total(nowMs);
   }
 
-  #allowanceLeft(account: Account, nowMs: number): number {
+  /** This VM's part of the fleet's allowance for one window. */
+  #mostAllowance(nowMs: number): number {
     const { allowance, windowMs } = this.#bounds;
     const vms = this.#options.vms();
     // A VM that hears no other cannot tell how many of them have a part, too.
     if (vms === undefined) return 0;
     // What the process before this one has sent is not known, and may still count.
     if (nowMs - this.#options.startedMs <= windowMs) return 0;
+    return ALLOWANCE_SHARE * allowance / vms;
+  }
+
+  /** What the window that ends now has taken out of that part. */
+  #charged(account: Account, nowMs: number): number {
+    const { windowMs } = this.#bounds;
     account.charges = account.charges.filter(({ atMs }) =>
       nowMs - atMs <= windowMs
     );
-    const charged = account.charges.reduce(
-      (sum, { amount }) => sum + amount,
-      0,
-    );
-    return Math.max(0, ALLOWANCE_SHARE * allowance / vms - charged);
+    return account.charges.reduce((sum, { amount }) => sum + amount, 0);
   }
 
   #account(service: ServiceId): Account {
--- a/src/core/limits/retry_budget_test.ts
+++ b/src/core/limits/retry_budget_test.ts
@@ -51,6 +51,18 @@
     assert.equal(send(budget, 10_001), true);
   });
 
+  it("should keep a part of what is saved for lost answers", () => {
+    const budget = new RetryBudget({ ...BOUNDS, allowance: 0 }, OLD);
+    runUntil(budget, 0);
+    for (let n = 0; n < 100; n++) budget.countRequest(SERVICE, 0);
+    // Saved are 20, of which a quarter is kept.
+    let sent = 0;
+    while (budget.state(SERVICE, 0).spare >= 1 && send(budget, 0)) sent += 1;
+    assert.equal(sent, 15);
+    while (send(budget, 0)) sent += 1;
+    assert.equal(sent, 20);
+  });
+
   it("should earn nothing by requests that came while the process was suspended", () => {
     const budget = new RetryBudget({ ...BOUNDS, allowance: 0 }, OLD);
     runUntil(budget, 0);
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -246,7 +246,8 @@
   }
 
   #wantsLarger(confidence: number | undefined): boolean {
-    if (!this.#retryPermit.isAvailable) return false;
+    // A better answer costs a retry, which others may need to get one at all.
+    if (!this.#retryPermit.isSpare) return false;
     const { route } = this.#admitted;
     return this.#models.wantsLarger({
       route,
--- a/src/gateway/retry_permit.ts
+++ b/src/gateway/retry_permit.ts
@@ -34,6 +34,11 @@
     return this.#isHeld || this.state().left >= 1;
   }
 
+  /** Whether a permit is there that no request needs whose answer would be lost without it. */
+  get isSpare(): boolean {
+    return this.state().spare >= 1;
+  }
+
   /** What the budget of the service stands at. */
   state(): RetryBudgetState {
     const { retryBudget, clock } = this.#deps;
