Count the retries of all gateways in the soak

No check looked at the sum over all VMs, and no run of the soak met a service that is full while gateways restart. Servers note each arrival now, also those that they turn away; the check takes the worst window, and nothing excuses a gateway. A phase of its own has all servers turn everything away for longer than a window, while all gateways are killed three times and one is frozen.

--- a/soak/history.ts
+++ b/soak/history.ts
@@ -46,6 +46,12 @@
   readonly poison: boolean;
 }
 
+/** A request as it reached a server, whether or not it ran there. */
+export interface ArrivalRecord {
+  readonly attempt: string;
+  readonly atMs: number;
+}
+
 /** The end of a server by the request that it had begun to run. */
 export interface PoisonedServer {
   readonly server: string;
@@ -120,6 +126,7 @@
 export class History {
   readonly callers: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
+  readonly arrivals: ArrivalRecord[] = [];
   /** Attempts at the request that ends servers. */
   readonly poisonCallers: CallerRecord[] = [];
   readonly poisonedServers: PoisonedServer[] = [];
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -11,6 +11,7 @@
 import { checkInnocents, checkPoison } from "./poison_check.ts";
 import { checkLimits } from "./limit_check.ts";
 import { checkLeavingWords, checkRests } from "./notice_check.ts";
+import { checkRetries } from "./retry_check.ts";
 import { ACCOUNT, BOUNDS, MS_PER_SECOND, WARMUP } from "./soak_settings.ts";
 import {
   isNextToPlannedStop,
@@ -41,6 +42,7 @@
     ...checkRests(history),
     ...checkLeavingWords(history),
     ...checkLimits(history),
+    ...checkRetries(history),
   ];
 }
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -13,6 +13,7 @@
   type PlannedFault,
   planNotices,
   planPoison,
+  planRetries,
   planUnseenRemoval,
 } from "./fault_plan.ts";
 import { History } from "./history.ts";
@@ -115,6 +116,9 @@
   await pause(CONTACT_MS);
   await injector.run(planLimits(size));
   await pause(CONTACT_MS);
+  await injector.run(planRetries(size));
+  await untilAllServe(fleet);
+  await pause(CONTACT_MS);
   await injector.run(planUnseenRemoval());
   await pause(CONTACT_MS);
   await injector.run(planEvacuation());
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -84,6 +84,7 @@
     res.on("error", () => res.destroy());
     const attempt = headerOf(req, "fieldrack-attempt-id") ?? "";
     res.setHeader("fieldrack-attempt-id", attempt);
+    this.#history.arrivals.push({ attempt, atMs: performance.now() });
     const expected = headerOf(req, "fieldrack-expect-instance");
     if (expected !== undefined && expected !== this.name) {
       res.writeHead(421).end();
