Have the soak count retries at a service that rejects every request

A service of its own, whose servers reject all, gets 40 requests a second throughout each run now, with all faults and four kills of all gateways at its end.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -7,6 +7,7 @@
 import { EVERYONE } from "../tests/fixtures/cuttable_proxy.ts";
 import type { Fault, PlannedFault } from "./fault_plan.ts";
 import type { History, ServerTrouble, Trouble, Victim } from "./history.ts";
+import type { RejectingService } from "./rejecting_service.ts";
 import type { SoakGateway } from "./soak_gateway.ts";
 import { SoakServer } from "./soak_server.ts";
 import { BOUNDS, MS_PER_SECOND, WARMUP } from "./soak_settings.ts";
@@ -27,6 +28,7 @@
   readonly gateways: readonly SoakGateway[];
   /** Changes as servers crash and new ones come. */
   readonly servers: SoakServer[];
+  readonly rejecting: RejectingService;
 }
 
 /** Carries out one plan. */
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -3,7 +3,6 @@
 import type { Draw } from "./draw.ts";
 import type { ServerMode } from "./soak_server.ts";
 import { SPAN_MS } from "../tests/fixtures/limit_count.ts";
-import { RETRY_BOUND } from "../tests/fixtures/retry_count.ts";
 import { BOUNDS, CONTACT_MS } from "./soak_settings.ts";
 
 /** One fault. Gateways and servers are told by their number. */
@@ -80,9 +79,8 @@
 /** Time in which servers ask for rest: several rests follow each other. */
 const NOTICE_MS = 5_000;
 const MOST_TIME_MS = 3_500;
-/** Times that all gateways are killed while servers turn everything away. */
-const RETRY_KILLS = 3;
-const BETWEEN_KILLS_MS = 2_000;
+const RESTARTS = 4;
+const BETWEEN_RESTARTS_MS = 2_500;
 
 /** Draws the faults of a run. */
 export function planFaults(
@@ -233,29 +231,18 @@
 }
 
 /**
- * All servers turn everything away for longer than a window of retries, while all gateways are killed
- * again and again and one is frozen. Drawn for no seed, as above.
+ * All gateways are killed again and again, each time as soon as they serve: what each life of a process
+ * may send adds up. Drawn for no seed, as above.
  */
-export function planRetries(
-  { gateways, servers }: { gateways: number; servers: number },
+export function planRestarts(
+  { gateways }: { gateways: number },
 ): PlannedFault[] {
-  const full = Array.from({ length: servers }, (_, server) => ({
-    atMs: LEAST_PAUSE_MS,
-    forMs: RETRY_BOUND.windowMs + LEAST_TIME_MS,
-    fault: { tag: "server", server, mode: "full" } as const,
-  }));
   const all = Array.from({ length: gateways }, (_, at) => at);
-  const kills = Array.from({ length: RETRY_KILLS }, (_, at) => ({
-    atMs: (at + 1) * BETWEEN_KILLS_MS,
+  return Array.from({ length: RESTARTS }, (_, at) => ({
+    atMs: at * BETWEEN_RESTARTS_MS,
     forMs: 0,
-    fault: { tag: "kill", gateways: all } as const,
+    fault: { tag: "kill", gateways: all },
   }));
-  const frozen = {
-    atMs: (RETRY_KILLS + 1) * BETWEEN_KILLS_MS,
-    forMs: MOST_TIME_MS,
-    fault: { tag: "freeze", gateway: gateways - 1 } as const,
-  };
-  return [...full, ...kills, frozen];
 }
 
 /**
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -1,5 +1,6 @@
 /** What callers and backend servers have seen, and what was done to the fleet. */
 
+import type { RetryHistory } from "../tests/fixtures/retry_count.ts";
 import type { GatewayName } from "./ids.ts";
 
 /** Kinds of requests. */
@@ -127,6 +128,8 @@
   readonly callers: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly arrivals: ArrivalRecord[] = [];
+  /** Requests and retries of the service that rejects all of them. */
+  rejected: RetryHistory = { sentMs: [], retriesMs: [] };
   /** Attempts at the request that ends servers. */
   readonly poisonCallers: CallerRecord[] = [];
   readonly poisonedServers: PoisonedServer[] = [];
--- a/soak/retry_check.ts
+++ b/soak/retry_check.ts
@@ -6,15 +6,18 @@
 
 /** No trouble excuses a gateway: neither restarts nor kills, freezes or cuts. */
 export function checkRetries(history: History): Violation[] {
-  const { retries, allowed } = worstRetryWindow({
+  const served = {
     sentMs: [...history.callers, ...history.poisonCallers]
       .map(({ sentMs }) => sentMs)
       .sort((a, b) => a - b),
     retriesMs: retriesOf(history),
+  };
+  return [served, history.rejected].flatMap((service) => {
+    const { retries, allowed } = worstRetryWindow(service);
+    if (retries <= allowed) return [];
+    const what = `${retries} in a window, ${Math.floor(allowed)} allowed`;
+    return [{ promise: "retries of all gateways", what }];
   });
-  if (retries <= allowed) return [];
-  const what = `${retries} in a window, ${Math.floor(allowed)} allowed`;
-  return [{ promise: "retries of all gateways", what }];
 }
 
 /** When requests arrived at servers that had arrived at one before. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -13,12 +13,13 @@
   type PlannedFault,
   planNotices,
   planPoison,
-  planRetries,
+  planRestarts,
   planUnseenRemoval,
 } from "./fault_plan.ts";
 import { History } from "./history.ts";
 import { checkPromises } from "./promise_checker.ts";
 import { PoisonCaller } from "./poison_caller.ts";
+import { RejectingService } from "./rejecting_service.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakGateway } from "./soak_gateway.ts";
 import { CONTACT_MS, type SoakSize } from "./soak_settings.ts";
@@ -56,9 +57,11 @@
     { length: size.gateways },
     (_, at) => new SoakGateway(at, options),
   );
-  const fleet: Fleet = { history, store, gateways, servers: [] };
+  const rejecting = new RejectingService();
+  const fleet: Fleet = { history, store, gateways, servers: [], rejecting };
   try {
     const faults = await play(fleet, { seed, size });
+    history.rejected = rejecting.history;
     const violations = [...checkPromises(history), ...unrecovered(fleet)];
     const answered = history.callers.filter(({ ending }) =>
       ending.tag === "answered" && ending.status === 200
@@ -68,6 +71,7 @@
   } finally {
     await Promise.all(gateways.map((gateway) => gateway.stop()));
     for (const server of fleet.servers) server.close();
+    await rejecting.close();
     await store.close();
   }
 }
@@ -83,12 +87,13 @@
   fleet: Fleet,
   { seed, size }: { seed: number; size: SoakSize },
 ): Promise<PlannedFault[]> {
-  const { history, store, gateways } = fleet;
+  const { history, store, gateways, rejecting } = fleet;
   const draw = new Draw(seed);
   const plan = planFaults(draw, size);
   const injector = new FaultInjector(fleet);
   store.configure();
   for (let at = 0; at < size.servers; at++) await injector.startServer(at);
+  await rejecting.start(store);
   for (const gateway of gateways) await gateway.prepare();
   const seeds = gateways.slice(0, 2).map(({ peers }) => peers);
   for (const gateway of gateways) await gateway.start(seeds);
@@ -106,6 +111,9 @@
   );
   const watch = new VersionWatch({ history, store, gateways });
   const working = [...callers, watch].map((one) => one.run(() => stopped));
+  working.push(
+    rejecting.run({ gateways, draw: new Draw(seed), stopped: () => stopped }),
+  );
   await injector.run(plan);
   history.recovered = await untilAllServe(fleet);
   // Limits of time hold only for gateways in touch, which they hardly are before this.
@@ -116,9 +124,6 @@
   await pause(CONTACT_MS);
   await injector.run(planLimits(size));
   await pause(CONTACT_MS);
-  await injector.run(planRetries(size));
-  await untilAllServe(fleet);
-  await pause(CONTACT_MS);
   await injector.run(planUnseenRemoval());
   await pause(CONTACT_MS);
   await injector.run(planEvacuation());
@@ -131,6 +136,7 @@
   working.push(poison.run(() => stopped));
   await injector.run(planPoison(size));
   await pause(CONTACT_MS);
+  await injector.run(planRestarts(size));
   stopped = true;
   await Promise.race([Promise.all(working), pause(LAST_REQUESTS_MS)]);
   await Promise.all(callers.map((caller) => caller.close()));
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -49,8 +49,11 @@
 export const POISON_LIMIT = 3;
 /** Name of the one client account. */
 export const ACCOUNT = "garden";
-/** The one service. */
+/** The service that serves. */
 export const SERVICE = "model";
+/** The service whose servers reject every request, and the path of its route. */
+export const REJECTING_SERVICE = "rejecting";
+export const REJECTED_PATH = "/rejected/";
 /** Rest that a server asks for, in milliseconds. */
 export const REST_MS = 1_500;
 /** Time for what is on its way to a server as it asks for rest, as the users allow it. */
--- a/soak/soak_store.ts
+++ b/soak/soak_store.ts
@@ -7,7 +7,15 @@
 } from "../src/standins/object_store_standin.ts";
 import type { History } from "./history.ts";
 import type { SoakServer } from "./soak_server.ts";
-import { ACCOUNT, HOST, ROUTE, SERVICE, WARMUP } from "./soak_settings.ts";
+import {
+  ACCOUNT,
+  HOST,
+  REJECTED_PATH,
+  REJECTING_SERVICE,
+  ROUTE,
+  SERVICE,
+  WARMUP,
+} from "./soak_settings.ts";
 
 /** Removed keys that callers still try. */
 const REMOVED_KEYS_USED = 1;
@@ -90,12 +98,20 @@
             RouteType: "streaming",
             StreamResumption: true,
           },
+          {
+            ...route,
+            Name: "x",
+            PathPrefix: REJECTED_PATH,
+            RouteType: "idempotent",
+            Anonymous: true,
+            Service: REJECTING_SERVICE,
+          },
         ],
         Services: [{
           Name: SERVICE,
           WarmupS: WARMUP.durationS,
           WarmupPerS: WARMUP.requestsPerSecond,
-        }],
+        }, { Name: REJECTING_SERVICE }],
         Tenants: [{ Name: ACCOUNT, ApiKeys: this.#keys }],
       },
     });
@@ -115,9 +131,13 @@
   }
 
   /** Writes a server down, as it does itself. */
-  list(server: SoakServer, address: string): void {
+  list(
+    server: { readonly name: string },
+    address: string,
+    service = SERVICE,
+  ): void {
     const spec = {
-      Service: SERVICE,
+      Service: service,
       Address: address,
       Zone: DATA_CENTRE,
       Version: "v1",
