--- a/src/core/membership/fleet_size.ts
+++ b/src/core/membership/fleet_size.ts
@@ -18,6 +18,7 @@
   readonly #self: EntryId;
   readonly #hasOtherSeeds: () => boolean;
   readonly #seen = new Map<EntryId, Seen>();
+  #hearsOthers = false;
 
   /** `hasOtherSeeds` says whether the settings name other VMs. */
   constructor(
@@ -29,8 +30,9 @@
 
   /** Takes in the members that are known, dead ones included. */
   observe(members: readonly Member[], nowMs: number): void {
-    for (const { id, state } of members) {
-      if (id === this.#self) continue;
+    const others = members.filter(({ id }) => id !== this.#self);
+    this.#hearsOthers = others.some(({ state }) => state !== "dead");
+    for (const { id, state } of others) {
       if (state === "dead" && this.#seen.has(id)) continue;
       this.#seen.set(id, { atMs: nowMs, isLeaving: state === "leaving" });
     }
@@ -44,4 +46,9 @@
     if (this.#seen.size === 0 && this.#hasOtherSeeds()) return undefined;
     return this.#seen.size + 1;
   }
+
+  /** Whether there may be other VMs, none of which is heard. */
+  get isAlone(): boolean {
+    return !this.#hearsOthers && this.count !== 1;
+  }
 }
--- a/src/core/membership/fleet_size_test.ts
+++ b/src/core/membership/fleet_size_test.ts
@@ -49,4 +49,15 @@
     size.observe([testMember("vm-1")], 2 * MINUTE_MS);
     assert.equal(size.count, 2);
   });
+
+  it("should say that others may be there while none is heard", () => {
+    assert.equal(size.isAlone, true);
+    size.observe([testMember("vm-1")], 0);
+    assert.equal(size.isAlone, false);
+    size.observe([testMember("vm-1", { state: "dead" })], 1_000);
+    assert.equal(size.isAlone, true);
+    hasOtherSeeds = false;
+    size.observe([], 20 * MINUTE_MS);
+    assert.equal(size.isAlone, false);
+  });
 });
--- a/src/core/routing/cold_admission.ts
+++ b/src/core/routing/cold_admission.ts
@@ -28,18 +28,27 @@
   everyone(): readonly { readonly id: EntryId }[];
 }
 
+/** What is known of the fleet as a whole. */
+export interface FleetView {
+  /** Whether there may be other VMs, none of which is heard. */
+  readonly isAlone: boolean;
+}
+
 /** Says which cold servers this VM may send a request now. */
 export class ColdAdmission {
+  readonly #fleet: FleetView;
   readonly #owners: ServerOwners;
   readonly #sentMs = new Map<InstanceId, number[]>();
 
   constructor(
-    { memberTable, unitHash, clock }: {
+    { memberTable, fleetSize, unitHash, clock }: {
       memberTable: KnownVms;
+      fleetSize: FleetView;
       unitHash: UnitHash;
       clock: { monotonicMs(): number };
     },
   ) {
+    this.#fleet = fleetSize;
     this.#owners = new ServerOwners({
       self: memberTable.self.id,
       vms: () => memberTable.everyone(),
--- a/src/core/routing/cold_admission_test.ts
+++ b/src/core/routing/cold_admission_test.ts
@@ -30,9 +30,10 @@
 /** A VM that started `ageMs` before the servers turned cold. */
 function vm(
   id: EntryId,
-  { known = IDS, ageMs = SETTLED_MS }: {
+  { known = IDS, ageMs = SETTLED_MS, isAlone = false }: {
     known?: readonly EntryId[];
     ageMs?: number;
+    isAlone?: boolean;
   } = {},
 ): ColdAdmission {
   return new ColdAdmission({
@@ -40,6 +41,7 @@
       self: { id },
       everyone: () => known.map((other) => ({ id: other })),
     },
+    fleetSize: { isAlone },
     unitHash,
     clock: { monotonicMs: () => -ageMs },
   });
@@ -125,6 +127,13 @@
     assert.ok(most <= MOST_IN_A_SECOND, `${most}`);
   });
 
+  it("should hold where no VM hears another for long", () => {
+    // By reading: each took itself for an owner of all servers once it had settled.
+    const vms = IDS.map((id) => vm(id, { known: [id], isAlone: true }));
+    const most = busiest(press(vms, seededChance(1)));
+    assert.ok(most <= MOST_IN_A_SECOND, `${most}`);
+  });
+
   it("should let a lone VM use its servers", () => {
     const id = IDS[0] as EntryId;
     const sent = press([vm(id, { known: [id] })], seededChance(1));
