Lose the platform right after an apply in each run of the configuration proof

Cause of the change: the listed failure needs a revision that is accepted just before an outage and that no entry has seen. Change: after the faults of before, the platform is lost right after an apply for 4, 14 and 30 s: with watches stuck, with all entries cut off, or at once, in an order and after gaps drawn by a seed (--seed, printed); then all entries are cut from a platform that operators reach. Calls that are answered and refused in each phase are counted. An operator whose apply ended as unknown is not satisfied by "unavailable" afterwards. The checker and its bound are as they were.

--- a/prove/configuration_proof.ts
+++ b/prove/configuration_proof.ts
@@ -7,7 +7,10 @@
 import { SystemClock } from "../src/runtime/clock.ts";
 import { Deadline } from "../src/runtime/deadline.ts";
 import { type Answer, Caller } from "../tests/fixtures/caller.ts";
+import { seededChance } from "../tests/fixtures/seeded_chance.ts";
 import { getJson, hashKey } from "../tests/fixtures/test_fleet.ts";
+import { AcceptanceLosses } from "./acceptance_losses.ts";
+import { CallTally } from "./call_tally.ts";
 import {
   checkConfigurationHistory,
   contentOf,
@@ -42,15 +45,24 @@
     "watches stuck",
     "cut from platform, peers, both",
     "frozen and woken",
+    "platform lost right after an apply",
+    "all entries cut from the platform",
   ];
+  readonly #seed: number;
   readonly #history = new ConfigurationHistory();
   readonly #fleet = new CuttableFleet(ENTRIES);
+  readonly #callTally = new CallTally();
   #calling = true;
   #applying = true;
   #content = 0;
   #quietCalls = 0;
   #changeCalls = 0;
 
+  /** `seed` draws in which order, and when, the platform is lost. */
+  constructor(seed: number) {
+    this.#seed = seed;
+  }
+
   async run(): Promise<ProofResult> {
     try {
       await this.#fleet.start(
@@ -64,6 +76,7 @@
       );
       const callers = ENTRIES.map((entry) => this.#keepCalling(entry));
       await this.#injectFaults();
+      await this.#loseAcceptances();
       this.#applying = false;
       await Promise.all(operators);
       await this.#freezeOne();
@@ -77,7 +90,9 @@
       operations: this.#history.size,
       violations: checkConfigurationHistory(this.#history),
       figures: {
+        "seed": String(this.#seed),
         ...inForceFigures(this.#history),
+        ...this.#callTally.figures(),
         "platform calls a second, quiet": this.#quietCalls.toFixed(1),
         "platform calls a second, in change": this.#changeCalls.toFixed(1),
       },
@@ -115,6 +130,16 @@
     await pause(3_000);
   }
 
+  async #loseAcceptances(): Promise<void> {
+    const losses = new AcceptanceLosses({
+      fleet: this.#fleet,
+      callTally: this.#callTally,
+      apply: (label) => this.#applyOnce(label),
+      chance: seededChance(this.#seed),
+    });
+    await losses.play();
+  }
+
   /** The last content stays, so that whatever the woken entry does wrong shows. */
   async #freezeOne(): Promise<void> {
     this.#fleet.signal("e1", "SIGSTOP");
@@ -139,8 +164,13 @@
     this.#content += 1;
     const content = this.#content;
     let outcome: ApplyOutcome;
-    do outcome = await this.#tryApply(content, `${label}-${content}`); while (
-      outcome.tag === "unknown"
+    let wasUnknown = false;
+    do {
+      outcome = await this.#tryApply(content, `${label}-${content}`);
+      wasUnknown ||= outcome.tag === "unknown";
+      // Once an outcome is unknown, an unavailable platform settles nothing.
+    } while (
+      outcome.tag === "unknown" || (wasUnknown && outcome.tag === "unavailable")
     );
     if (outcome.tag === "accepted") {
       this.#recordApplied(content, outcome.revision);
@@ -183,7 +213,9 @@
     const caller = new Caller(this.#fleet.callersOf(entry), KEY);
     const invokedMs = Date.now();
     try {
-      this.#recordAnswer(await caller.chat("m"), { entry, invokedMs });
+      const answer = await caller.chat("m");
+      this.#callTally.note(answer.status);
+      this.#recordAnswer(answer, { entry, invokedMs });
       const cascadeMs = Date.now();
       this.#recordAnswer(await caller.chat("both"), {
         entry,
--- a/prove/cuttable_fleet.ts
+++ b/prove/cuttable_fleet.ts
@@ -119,6 +119,11 @@
     this.#links.get(id)?.platform.cut(EVERYONE);
   }
 
+  /** Cuts all entries from the platform; operators reach it. */
+  cutAllFromPlatform(): void {
+    for (const id of this.#ids) this.cutFromPlatform(id);
+  }
+
   /** Cuts an entry from all others, both ways. */
   cutFromPeers(id: string): void {
     const { host = "" } = this.#links.get(id) ?? {};
--- a/prove/main.ts
+++ b/prove/main.ts
@@ -1,25 +1,28 @@
 /** Runs the proofs of what must always hold: all, or the one that is named. */
 
 import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
 import { ConfigurationProof } from "./configuration_proof.ts";
 import { PlannedStopProof } from "./planned_stop_proof.ts";
 import { knownRedLine, readKnownRed } from "../scripts/known_red.ts";
 import type { Proof } from "./proof.ts";
 
-const PROOFS: readonly Proof[] = [
-  new ConfigurationProof(),
-  new PlannedStopProof(),
-];
+const DEFAULT_SEED = 1;
 const VIOLATIONS_SHOWN = 10;
 
 async function main(): Promise<void> {
-  const wanted = process.argv[2];
-  const proofs = PROOFS.filter(({ name }) =>
+  const { seed, name: wanted } = await readArguments();
+  const all: readonly Proof[] = [
+    new ConfigurationProof(seed),
+    new PlannedStopProof(),
+  ];
+  const proofs = all.filter(({ name }) =>
     wanted === undefined || wanted === name
   );
   if (proofs.length === 0) {
     console.error(
-      `No proof is named ${wanted}; there are ${PROOFS.map((p) => p.name)}`,
+      `No proof is named ${wanted}; there are ${all.map((p) => p.name)}`,
     );
     process.exit(2);
   }
@@ -46,6 +49,19 @@
   process.exit(failed === 0 ? 0 : 1);
 }
 
+async function readArguments(): Promise<{ seed: number; name?: string }> {
+  const { seed, _: [name] } = await yargs(hideBin(process.argv))
+    .usage("npm run prove -- [NAME] [--seed N]")
+    .option("seed", {
+      type: "number",
+      default: DEFAULT_SEED,
+      describe: "Seed of the faults that are drawn by chance",
+    })
+    .strictOptions()
+    .parse();
+  return { seed, name: name === undefined ? undefined : String(name) };
+}
+
 async function runOne(proof: Proof): Promise<boolean> {
   const { operations, violations, figures } = await proof.run();
   const verdict = violations.length === 0
