Notice changes of the store that no watch tells of

Callers saw: an evacuation, a draining server and a removed server that were ordered while the watches of the store told nothing stayed without effect: their work went on to servers that were to get none. With the stand-in's stuck watches the order came into force never; a watch that answered without the event, but with a later revision, moved the copy past the order, also once watches worked again. Cause: servers, evacuations, roll-outs and trials were known by watches of 25 s alone. Only the configuration was read beside its watch. An empty answer was taken as proof that nothing had changed up to its revision, and handed on to other VMs as such. Change: the read that confirms the configuration (every 1.2 to 1.7 s, as before) is a list, which also tells the store's revision. Where not every change up to it was seen, each kind is listed; a kind whose changes were all seen costs no call. An empty answer of a watch proves nothing any more. Holds for any kind, as the store has one counter for all. Ruled out: shorter watches (as dear in calls as the reads, and still an answer of a watch); lists that may be stale (seconds old, where 2 s are allowed).

--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -52,6 +52,8 @@
 import type { Logger } from "../runtime/logger.ts";
 import { TrustClock } from "../runtime/trust_clock.ts";
 import { CrashRegistry } from "../store/crash_registry.ts";
+import { MissedChangeDetector } from "../store/missed_change_detector.ts";
+import { SeenRevisions } from "../store/seen_revisions.ts";
 import { EvacuationFollower } from "../store/evacuation_follower.ts";
 import { RollOutFollower } from "../store/roll_out_follower.ts";
 import { RoutingFollower } from "../store/routing_follower.ts";
@@ -250,6 +252,8 @@
   container.register({
     objectStore: asValue(new HttpObjectStore(vmSettings.store.address)),
     storeHealth: one(StoreHealthKeeper),
+    seenRevisions: asFunction(() => new SeenRevisions()).singleton(),
+    missedChangeDetector: one(MissedChangeDetector),
     routingFollower: one(RoutingFollower),
     serverFollower: one(ServerFollower),
     rollOutFollower: one(RollOutFollower),
--- a/src/standins/object_store_standin.ts
+++ b/src/standins/object_store_standin.ts
@@ -22,6 +22,8 @@
   readonly loseWriteAnswers?: boolean;
   /** Watches never answer. */
   readonly watchesStuck?: boolean;
+  /** Watches answer at a change, but without it. */
+  readonly watchesEmpty?: boolean;
 }
 
 interface Params {
@@ -143,8 +145,9 @@
       stuck,
       gone: () => closed,
     });
+    const told = this.#faults.watchesEmpty === true ? [] : events;
     return reply.send({
-      events: events.map(({ object, deleted }) => ({
+      events: told.map(({ object, deleted }) => ({
         Object: encode(object),
         Deleted: deleted,
       })),
--- a/src/store/evacuation_follower.ts
+++ b/src/store/evacuation_follower.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /**
@@ -27,6 +28,7 @@
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
   readonly serverDirectory: ServerDirectory;
   readonly bounds: DeploymentBounds;
   readonly clock: Clock;
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -11,6 +11,7 @@
 import { type CopyNews, type KindChanges, KindCopy } from "./kind_copy.ts";
 import type { KindListener } from "./kind_listener.ts";
 import { asksStore, retryPauseMs, type StoreAccess } from "./store_access.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Longest wait of one watch; the store counts each watch as a call, and takes 30 s. */
@@ -38,6 +39,7 @@
 export interface KindFollowerDeps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly chance: () => number;
@@ -54,6 +56,8 @@
   #access: StoreAccess = "reader";
   #mustList = true;
   #settled = false;
+  /** Revision up to which own reads have shown that the copy misses nothing. */
+  #verifiedRevision = 0;
   #onNews: () => void = () => {};
   /** Ends the wait of a VM that does not ask the store. */
   #wake: () => void = () => {};
@@ -82,6 +86,27 @@
     return this.#copy.revision;
   }
 
+  /** Revision up to which own reads have shown that nothing was missed. */
+  get verifiedRevision(): number {
+    return this.#verifiedRevision;
+  }
+
+  /** Whether changes are expected from a watch, rather than from a list or from other VMs. */
+  get watches(): boolean {
+    return asksStore(this.#access) && this.#settled && !this.#mustList;
+  }
+
+  /** Notes that the store is at a revision; returns whether no change up to it was missed. */
+  verify(revision: number): boolean {
+    const after = this.#verifiedRevision;
+    if (revision <= after) return true;
+    if (!this.#deps.seenRevisions.hasAll({ after, upTo: revision })) {
+      return false;
+    }
+    this.#verifiedRevision = revision;
+    return true;
+  }
+
   /** Starts to follow. */
   start(): void {
     void this.#run();
@@ -123,6 +148,10 @@
   hear(changes: KindChanges): void {
     const isFirst = this.#copy.revision === undefined;
     this.#settled = true;
+    // Removed objects may bear the revision of the list in which they were missed.
+    for (const { revision } of changes.objects) {
+      this.#deps.seenRevisions.note(revision);
+    }
     this.#tell(() => this.#copy.takeChanges(changes));
     // All that a list would bring; what came since, a watch brings.
     if (isFirst && this.#copy.revision !== undefined) this.#mustList = false;
@@ -157,7 +186,9 @@
       return listing.error;
     }
     this.#deps.storeHealth.answered();
+    const { revision } = listing.value;
     this.#tell(() => this.#copy.takeList(listing.value));
+    this.#verifiedRevision = Math.max(this.#verifiedRevision, revision);
     this.#listener.read?.(startedMs);
     return undefined;
   }
@@ -171,7 +202,7 @@
     this.#watch = new AbortController();
     const { signal } = this.#watch;
     const changes = await this.#deps.objectStore.watch(this.kind, {
-      revision,
+      revision: Math.max(revision, this.#verifiedRevision),
       waitMs: WATCH_WAIT_MS,
       timeoutMs: WATCH_WAIT_MS,
       signal,
@@ -179,8 +210,13 @@
     if (signal.aborted) return undefined;
     if (!changes.ok) return changes.error;
     const { events, revision: until } = changes.value;
+    // A watch that was stuck answers nothing at a later revision: only reads go on from there.
+    if (events.length === 0) return undefined;
+    for (const { object } of events) {
+      this.#deps.seenRevisions.note(object.revision);
+    }
     this.#tell(() => this.#copy.takeEvents(events, until));
-    if (events.length > 0) await pause(BATCH_PAUSE_MS);
+    await pause(BATCH_PAUSE_MS);
     return undefined;
   }
 
--- /dev/null
+++ b/src/store/missed_change_detector_test.ts
@@ -0,0 +1,174 @@
+/**
+ * Watches tell of some changes and lose others, in any order. Whatever they lose, a read of the
+ * store's revision brings each kind's copy up to the store.
+ */
+
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { ok } from "../core/result.ts";
+import type {
+  ObjectStore,
+  StoreChanges,
+  StoredObject,
+  StoreEvent,
+} from "../platform/object_store.ts";
+import { SilentLogger } from "../runtime/logger.ts";
+import { KindFollower } from "./kind_follower.ts";
+import { MissedChangeDetector } from "./missed_change_detector.ts";
+import { SeenRevisions } from "./seen_revisions.ts";
+import { StoreHealthKeeper } from "./store_health.ts";
+import { until } from "../../tests/fixtures/test_fleet.ts";
+
+const KINDS = ["servers", "evacuations"];
+const CLOCK = { monotonicMs: () => performance.now(), wallMs: () => 0 };
+
+interface Change {
+  readonly kind: string;
+  readonly name: string;
+  readonly deleted: boolean;
+  /** What the watch of the kind makes of the change. */
+  readonly watch: "tells" | "answers without it" | "hears nothing";
+}
+
+/** A store whose watches tell what a test lets them tell. */
+class LossyStore {
+  readonly #kinds = new Map<string, Map<string, StoredObject>>();
+  readonly #watches = new Map<string, (changes: StoreChanges) => void>();
+  revision = 0;
+  lists = 0;
+
+  asObjectStore(): ObjectStore {
+    return {
+      list: (kind: string) => {
+        this.lists += 1;
+        const objects = [...this.#objects(kind).values()];
+        return Promise.resolve(ok({ objects, revision: this.revision }));
+      },
+      watch: (kind: string, { signal }: { signal: AbortSignal }) =>
+        new Promise((resolve) => {
+          const tell = (changes: StoreChanges) => resolve(ok(changes));
+          this.#watches.set(kind, tell);
+          signal.onabort = () => tell({ events: [], revision: 0 });
+        }),
+    } as unknown as ObjectStore;
+  }
+
+  namesOf(kind: string): string[] {
+    return [...this.#objects(kind).keys()].sort();
+  }
+
+  isWatched(kind: string): boolean {
+    return this.#watches.has(kind);
+  }
+
+  change({ kind, name, deleted, watch }: Change): void {
+    this.revision += 1;
+    const { revision } = this;
+    const object = { name, revision, spec: {}, status: null };
+    if (deleted) this.#objects(kind).delete(name);
+    else this.#objects(kind).set(name, object);
+    if (watch === "hears nothing") return;
+    const events: StoreEvent[] = watch === "tells" ? [{ object, deleted }] : [];
+    const tell = this.#watches.get(kind);
+    this.#watches.delete(kind);
+    tell?.({ events, revision });
+  }
+
+  #objects(kind: string): Map<string, StoredObject> {
+    const objects = this.#kinds.get(kind) ?? new Map<string, StoredObject>();
+    this.#kinds.set(kind, objects);
+    return objects;
+  }
+}
+
+function followAll(store: LossyStore) {
+  const seenRevisions = new SeenRevisions();
+  const logger = new SilentLogger();
+  const deps = {
+    objectStore: store.asObjectStore(),
+    storeHealth: new StoreHealthKeeper({ clock: CLOCK, logger }),
+    seenRevisions,
+    clock: CLOCK,
+    logger,
+    chance: () => 0,
+  };
+  const known = new Map<string, Set<string>>();
+  const followers = KINDS.map((kind) => {
+    const names = new Set<string>();
+    known.set(kind, names);
+    const add = ({ name }: StoredObject) => void names.add(name);
+    return new KindFollower(deps, {
+      kind,
+      listener: {
+        listed: (objects) => objects.forEach(add),
+        changed: add,
+        deleted: ({ name }) => void names.delete(name),
+      },
+    });
+  });
+  const detector = new MissedChangeDetector({ clock: CLOCK, logger });
+  detector.setFollowers(followers);
+  return { followers, detector, known };
+}
+
+/** Starts the followers before an empty store, and waits for their watches. */
+async function watchAll(
+  store: LossyStore,
+  followers: readonly KindFollower[],
+): Promise<void> {
+  const nothing = { whole: true, revision: 0, objects: [], removed: [] };
+  for (const follower of followers) {
+    follower.hear({ kind: follower.kind, ...nothing });
+    follower.start();
+  }
+  const areWatched = () => KINDS.every((kind) => store.isWatched(kind));
+  await until(() => Promise.resolve(areWatched()));
+}
+
+const changes = fc.array(
+  fc.record({
+    kind: fc.constantFrom(...KINDS),
+    name: fc.constantFrom("a", "b", "c"),
+    deleted: fc.boolean(),
+    watch: fc.constantFrom(
+      "tells" as const,
+      "answers without it" as const,
+      "hears nothing" as const,
+    ),
+  }),
+  { minLength: 1, maxLength: 12 },
+);
+
+describe("detector of missed changes", () => {
+  it("should bring each copy up to the store, whatever watches lose", async () => {
+    await fc.assert(
+      fc.asyncProperty(changes, async (played) => {
+        const store = new LossyStore();
+        const { followers, detector, known } = followAll(store);
+        await watchAll(store, followers);
+        for (const change of played) store.change(change);
+        await detector.check(store.revision);
+        const isTrue = (kind: string) =>
+          [...known.get(kind) ?? []].sort().join() ===
+            store.namesOf(kind).join();
+        await until(() => Promise.resolve(KINDS.every(isTrue)));
+        for (const follower of followers) follower.stop();
+      }),
+      { seed: 1, numRuns: 40 },
+    );
+  });
+
+  it("should list nothing where watches have told of all changes", async () => {
+    const store = new LossyStore();
+    const { followers, detector } = followAll(store);
+    await watchAll(store, followers);
+    const { lists } = store;
+    for (const kind of KINDS) {
+      store.change({ kind, name: "a", deleted: false, watch: "tells" });
+    }
+    await detector.check(store.revision);
+    assert.equal(store.lists, lists);
+    for (const follower of followers) follower.stop();
+  });
+});
--- a/src/store/roll_out_follower.ts
+++ b/src/store/roll_out_follower.ts
@@ -21,6 +21,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Longest wait for the answer to a write. */
@@ -29,6 +30,7 @@
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
   readonly releaseGate: ReleaseGate;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/src/store/roll_out_follower_test.ts
+++ b/src/store/roll_out_follower_test.ts
@@ -6,6 +6,7 @@
 import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
 import { SilentLogger } from "../runtime/logger.ts";
 import { RollOutFollower } from "./roll_out_follower.ts";
+import { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 const SERVICE = "tracker" as ServiceId;
@@ -18,6 +19,7 @@
   follower = new RollOutFollower({
     objectStore: {} as ObjectStore,
     storeHealth: { onBack: () => {} } as unknown as StoreHealthKeeper,
+    seenRevisions: new SeenRevisions(),
     releaseGate: gate,
     clock: { monotonicMs: () => 1, wallMs: () => 1 },
     logger: new SilentLogger(),
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -21,6 +21,8 @@
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
 import { asksStore, retryPauseMs, type StoreAccess } from "./store_access.ts";
+import type { MissedChangeDetector } from "./missed_change_detector.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /**
@@ -49,6 +51,8 @@
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
+  readonly missedChangeDetector: MissedChangeDetector;
   readonly bounds: DeploymentBounds;
   readonly clock: Clock;
   /** By which confirmations are dated: they bind a VM also after it was suspended. */
@@ -191,17 +195,20 @@
     const startedMs = clock.monotonicMs();
     const datedMs = trustClock.nowMs();
     this.#reading = true;
-    const read = await objectStore.get(
-      { kind: CONFIGURATION_KIND, name: CONFIGURATION_NAME },
-      { timeoutMs: CONFIRM_TIMEOUT_MS },
-    );
+    // A list costs as much as a read of its one object, and tells the store's revision.
+    const read = await objectStore.list(CONFIGURATION_KIND, {
+      timeoutMs: CONFIRM_TIMEOUT_MS,
+    });
     this.#reading = false;
     if (this.#stopped) return;
     if (read.ok) {
       storeHealth.answered();
-      if (this.#apply(read.value)) this.#confirmedBy(datedMs);
-    } else if (read.error.tag === "missing") {
-      storeHealth.answered();
+      const { objects, revision } = read.value;
+      const current = objects.find(({ name }) => name === CONFIGURATION_NAME);
+      if (current !== undefined && this.#apply(current)) {
+        this.#confirmedBy(datedMs);
+      }
+      void this.#deps.missedChangeDetector.check(revision);
     } else {
       storeHealth.failed(describeStoreError(read.error));
     }
--- a/src/store/routing_follower_test.ts
+++ b/src/store/routing_follower_test.ts
@@ -10,6 +10,8 @@
 import { SilentLogger } from "../runtime/logger.ts";
 import { TrustClock } from "../runtime/trust_clock.ts";
 import { RoutingFollower } from "./routing_follower.ts";
+import type { MissedChangeDetector } from "./missed_change_detector.ts";
+import { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 const SUSPENDED_MS = 6_000;
@@ -27,6 +29,8 @@
   follower = new RoutingFollower({
     objectStore: {} as ObjectStore,
     storeHealth: { onBack: () => {} } as unknown as StoreHealthKeeper,
+    seenRevisions: new SeenRevisions(),
+    missedChangeDetector: {} as MissedChangeDetector,
     bounds: {} as DeploymentBounds,
     clock,
     trustClock,
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -19,6 +19,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Time between looks for servers that were not listed again. */
@@ -30,6 +31,7 @@
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
   readonly serverDirectory: ServerDirectory;
   readonly coldServers: ColdServers;
   readonly clock: Clock;
--- a/src/store/server_follower_test.ts
+++ b/src/store/server_follower_test.ts
@@ -7,6 +7,7 @@
 import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
 import { SilentLogger } from "../runtime/logger.ts";
 import { ServerFollower } from "./server_follower.ts";
+import { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 const SERVICE = "tracker" as ServiceId;
@@ -34,6 +35,7 @@
       health: { reachable: true, backSinceMs: 0 },
       onBack: () => {},
     } as unknown as StoreHealthKeeper,
+    seenRevisions: new SeenRevisions(),
     serverDirectory: directory,
     coldServers: new ColdServers(),
     clock: { monotonicMs: () => 1, wallMs: () => 1 },
--- a/src/store/store_sync.ts
+++ b/src/store/store_sync.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { EvacuationFollower } from "./evacuation_follower.ts";
 import type { KindFollower } from "./kind_follower.ts";
+import type { MissedChangeDetector } from "./missed_change_detector.ts";
 import type { RollOutFollower } from "./roll_out_follower.ts";
 import type { RoutingFollower } from "./routing_follower.ts";
 import type { ServerFollower } from "./server_follower.ts";
@@ -18,6 +19,7 @@
   readonly rollOutFollower: RollOutFollower;
   readonly trialFollower: TrialFollower;
   readonly evacuationFollower: EvacuationFollower;
+  readonly missedChangeDetector: MissedChangeDetector;
   readonly releaseGate: ReleaseGate;
   readonly storeHealth: StoreHealthKeeper;
   readonly clock: Clock;
@@ -40,6 +42,7 @@
         ? [deps.evacuationFollower.follower]
         : []),
     ];
+    deps.missedChangeDetector.setFollowers(this.#followers);
     deps.rollOutFollower.onChange(() => this.#accessTrials());
     this.#accessTrials();
   }
--- a/src/store/trial_follower.ts
+++ b/src/store/trial_follower.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "../runtime/logger.ts";
 import { KindFollower } from "./kind_follower.ts";
 import type { KindListener } from "./kind_listener.ts";
+import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreHealthKeeper } from "./store_health.ts";
 
 /** Kind of the objects. */
@@ -29,6 +30,7 @@
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthKeeper;
+  readonly seenRevisions: SeenRevisions;
   readonly releaseGate: ReleaseGate;
   readonly clock: Clock;
   readonly logger: Logger;
