Let no list confirm a configuration that can't be decoded

Callers saw: nothing yet; found by reading. A key that a configuration of an unknown form withdraws would have gone on to open routes for as long as lists come. Cause: each list of the kind renewed the confirmation, whatever came of its object; the read of the configuration did not. Evidence: the new case of routing_follower_test fails on the code before (age 0 in place of Infinity) and passes now. Why it works: a list and a read confirm by the same condition: the newest object seen was decoded, or is the one in force.

--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -71,6 +71,8 @@
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
   #reading = false;
+  /** Whether the newest configuration that was read could be decoded. */
+  #decoded = true;
   #access: StoreAccess = "reader";
   readonly #listeners: ((table: RouteTable) => void)[] = [];
   #onConfirmed: () => void = () => {};
@@ -166,7 +168,8 @@
   }
 
   read(startedMs: number): void {
-    if (this.#table === undefined) return;
+    // What was read may withdraw a key, also where it can't be decoded here.
+    if (this.#table === undefined || !this.#decoded) return;
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, startedMs);
   }
 
@@ -243,6 +246,7 @@
   #apply(object: StoredObject): boolean {
     const { logger } = this.#deps;
     const decoded = decodeConfiguration(object.spec);
+    this.#decoded = decoded.ok;
     if (!decoded.ok) {
       logger.warn("Configuration is not understood; the last one stays", {
         reason: describeDecodeError(decoded.error),
--- a/src/store/routing_follower_test.ts
+++ b/src/store/routing_follower_test.ts
@@ -48,6 +48,20 @@
     assert.ok(follower.confirmedAgeMs() >= SUSPENDED_MS);
   });
 
+  // A list confirmed the configuration whatever had come of its object, so that a key which a
+  // configuration of an unknown form had withdrawn went on to open routes.
+  it("should not be renewed by a list that can't be decoded", () => {
+    const spec = { Version: 2, Routes: "unknown" };
+    follower.changed({ name: "main", revision: 2, spec, status: null });
+    follower.read(trustClock.nowMs());
+    assert.equal(follower.confirmedAgeMs(), Infinity);
+    const readable = { Version: 3, Routes: [], Services: [] };
+    const object = { name: "main", revision: 3, spec: readable, status: null };
+    follower.changed(object);
+    follower.read(trustClock.nowMs());
+    assert.equal(follower.confirmedAgeMs(), 0);
+  });
+
   it("should count it also where the answer was asked for before", () => {
     const askedMs = trustClock.nowMs();
     wallMs += SUSPENDED_MS;
