Accept a configuration once majorities of the entries hold it

Cause: while the platform is away an entry serves on if a peer, in a fleet of which it sees more than half, has no later revision. That none has one says nothing of what was accepted: an apply was accepted as the head was written, whether or not any entry had seen it. One peer's word was enough, and was lent on as if the platform had confirmed. The stuck watch of the listed entry is one way for a revision to stay unseen; entries cut off, or an outage at once, are others. Change: relays report to the platform what entries hold, and of which entries (roster) they would ask a majority in an outage. An apply is accepted once a majority of every roster holds the revision; until then its outcome is unknown, settled by the same id. An entry without the platform is confirmed by direct statements of a majority of its roster, dated by the oldest of them, in place of one peer's. A process that started again says nothing of what it holds until it has read the platform; a roster counts only once the head was read after it was written. Entries ask each other beside the platform once that has given no answer, since its calls may hang for 2 s. Ruled out: leases (callers pay), shorter watches (narrow the gap), all entries in place of a majority (one lost entry stops operators).

--- /dev/null
+++ b/src/configuration/acceptance_check.ts
@@ -0,0 +1,75 @@
+/** Tells when enough entry VMs hold a revision for it to outlast any outage of the platform. */
+
+import {
+  HOLDER_REPORT_PREFIX,
+  type HolderReport,
+  rostersBehind,
+} from "../core/config/holder_report.ts";
+import type { Revision } from "../core/ids.ts";
+import { fail, ok, type Result } from "../core/result.ts";
+import type { Platform, PlatformError } from "../platform/platform.ts";
+import { holderReportSchema } from "../protocol/stored_schema.ts";
+
+/** Reads the reports of entry VMs. To be made once the head with the revision is written. */
+export class AcceptanceCheck {
+  readonly #platform: Platform;
+  readonly #revision: Revision;
+  /** Keys of all reports. Who reports later reads the head after that, and so the revision. */
+  #keys: readonly string[] | undefined;
+  readonly #reports = new Map<string, HolderReport>();
+
+  constructor(platform: Platform, revision: Revision) {
+    this.#platform = platform;
+    this.#revision = revision;
+  }
+
+  /** Returns the reports whose rosters lack a majority that holds the revision. */
+  async behind(): Promise<Result<readonly HolderReport[], PlatformError>> {
+    if (this.#keys === undefined) {
+      const listed = await this.#platform.listKeys(HOLDER_REPORT_PREFIX);
+      if (!listed.ok) return listed;
+      this.#keys = listed.value;
+    }
+    const due = this.#keys.filter((key) => this.#lacksRevision(key));
+    const read = await Promise.all(due.map((key) => this.#read(key)));
+    const failed = read.find((result) => !result.ok);
+    if (failed !== undefined && !failed.ok) return failed;
+    const behind = rostersBehind([...this.#reports.values()], this.#revision);
+    return behind.length === 0 ? ok([]) : await this.#stillThere(behind);
+  }
+
+  #lacksRevision(key: string): boolean {
+    const report = this.#reports.get(key);
+    return report === undefined ||
+      report.held.some(({ revision }) => revision < this.#revision);
+  }
+
+  async #read(key: string): Promise<Result<undefined, PlatformError>> {
+    const object = await this.#platform.get(key);
+    if (!object.ok) return object;
+    const report = parseReport(object.value.value);
+    if (report === undefined) {
+      return fail({ tag: "uncertain", reason: `${key} is of an unknown form` });
+    }
+    this.#reports.set(key, report);
+    return ok(undefined);
+  }
+
+  /** Leaves out entry VMs that the platform has listed and lists no more: they are removed. */
+  async #stillThere(
+    reports: readonly HolderReport[],
+  ): Promise<Result<readonly HolderReport[], PlatformError>> {
+    const answer = await this.#platform.listVms({ etag: "" });
+    if (!answer.ok) return answer;
+    const vms = new Set<string>(answer.value.list?.vms.map(({ id }) => id));
+    return ok(reports.filter(({ entry, listed }) => !listed || vms.has(entry)));
+  }
+}
+
+function parseReport(text: string): HolderReport | undefined {
+  try {
+    return holderReportSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/configuration/applier.ts
+++ b/src/configuration/applier.ts
@@ -1,6 +1,7 @@
 /** Applies a configuration as a whole: objects first, then one conditional update. */
 
 import type { Configuration } from "../core/config/configuration.ts";
+import type { HolderReport } from "../core/config/holder_report.ts";
 import {
   splitConfiguration,
   type StoredObject,
@@ -22,12 +23,17 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Deadline } from "../runtime/deadline.ts";
 import { sha256 } from "../runtime/hashing.ts";
+import { pause } from "../runtime/pause.ts";
+import { AcceptanceCheck } from "./acceptance_check.ts";
 import { type HeadRecord, readHead } from "./head_reader.ts";
 
 const RETRY_MS = 200;
+/** Time between looks whether enough entry VMs hold a revision. */
+const HELD_POLL_MS = 100;
 
 /** How an apply ended. */
 export type ApplyOutcome =
+  /** Enough entry VMs hold it: from now on none serves by an earlier one for long. */
   | { readonly tag: "accepted"; readonly revision: Revision }
   /** The same configuration is in force already. */
   | { readonly tag: "unchanged"; readonly revision: Revision }
@@ -39,7 +45,7 @@
   }
   /** Platform could not be asked in time, before anything was accepted. */
   | { readonly tag: "unavailable"; readonly reason: string }
-  /** Platform took the update or did not; nobody could be asked in time. */
+  /** Platform may have taken the update, or too few entry VMs were known to hold it in time. */
   | { readonly tag: "unknown"; readonly reason: string };
 
 /** What to apply. */
@@ -73,7 +79,9 @@
     );
     if (!current.ok) return { tag: "unavailable", reason: current.error };
     const already = acceptedRevision(current.value.head, input.applyId);
-    if (already !== undefined) return { tag: "accepted", revision: already };
+    if (already !== undefined) {
+      return await this.#awaitHeld(already, { tag: "accepted", input });
+    }
     const basedOn = current.value.head?.revision ?? NO_REVISION;
     if (
       input.expectedRevision !== undefined && input.expectedRevision !== basedOn
@@ -86,7 +94,7 @@
     }
     const objects = splitConfiguration(input.configuration, sha256);
     if (isSame(current.value.head, objects)) {
-      return { tag: "unchanged", revision: basedOn };
+      return await this.#awaitHeld(basedOn, { tag: "unchanged", input });
     }
     const stored = await this.#storeObjects(objects, {
       head: current.value.head,
@@ -151,7 +159,7 @@
       };
     }
     if (written.value !== undefined) {
-      return { tag: "accepted", revision: head.revision };
+      return await this.#awaitHeld(head.revision, { tag: "accepted", input });
     }
     return await this.#settle(input, {
       basedOn: current.head?.revision ?? NO_REVISION,
@@ -168,7 +176,9 @@
     );
     if (!now.ok) return { tag: "unknown", reason: now.error };
     const revision = acceptedRevision(now.value.head, input.applyId);
-    if (revision !== undefined) return { tag: "accepted", revision };
+    if (revision !== undefined) {
+      return await this.#awaitHeld(revision, { tag: "accepted", input });
+    }
     return {
       tag: "conflict",
       basedOn,
@@ -176,6 +186,29 @@
     };
   }
 
+  /**
+   * Waits until a majority of every roster holds the revision. Entry VMs that lose the platform
+   * at any later moment then learn of it from each other.
+   */
+  async #awaitHeld(
+    revision: Revision,
+    { tag, input }: { tag: "accepted" | "unchanged"; input: ApplyInput },
+  ): Promise<ApplyOutcome> {
+    const { platform } = this.#deps;
+    const check = new AcceptanceCheck(platform, revision);
+    for (;;) {
+      const behind = await check.behind();
+      if (behind.ok && behind.value.length === 0) return { tag, revision };
+      if (input.deadline.remainingMs() < HELD_POLL_MS) {
+        const reason = behind.ok
+          ? describeBehind(revision, behind.value)
+          : describePlatformError(behind.error);
+        return { tag: "unknown", reason };
+      }
+      await pause(HELD_POLL_MS);
+    }
+  }
+
   /** Repeats a call while the platform is away and there is time. */
   async #retry<T>(
     deadline: Deadline,
@@ -192,6 +225,15 @@
   }
 }
 
+function describeBehind(
+  revision: Revision,
+  behind: readonly HolderReport[],
+): string {
+  const entries = behind.map(({ entry }) => entry).join(", ");
+  return `Revision ${revision} is written, but too few of the entry VMs that ` +
+    `${entries} would ask in an outage have reported it`;
+}
+
 function isSame(
   head: Head | undefined,
   objects: readonly StoredObject[],
--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -3,6 +3,7 @@
 import { pause } from "../runtime/pause.ts";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
+import type { PlatformContact } from "../core/config/platform_contact.ts";
 import { applyHeadDelta } from "../core/config/head_delta.ts";
 import { type Head, HEAD_KEY } from "../core/config/stored_configuration.ts";
 import type { Result } from "../core/result.ts";
@@ -40,6 +41,7 @@
   readonly configurationStore: ConfigurationStore;
   readonly configurationLoader: ConfigurationLoader;
   readonly freshness: Freshness;
+  readonly platformContact: PlatformContact;
   readonly clock: Clock;
   readonly entryMetrics: EntryMetrics;
   readonly logger: Logger;
@@ -103,14 +105,14 @@
   }
 
   async #confirmByRead(kind: AskKind): Promise<boolean> {
-    const { platform, clock, freshness } = this.#deps;
+    const { platform, clock } = this.#deps;
     const startedMs = clock.monotonicMs();
     const { signal } = this.#stop;
     const answer = await platform.get(HEAD_KEY, { signal });
     if (!answer.ok && answer.error.tag === "missing") {
       this.#notePlatform(undefined);
       if (this.#headVersion > 0) return false;
-      freshness.confirm(startedMs);
+      this.#confirm(startedMs);
       return true;
     }
     if (!this.#noteAnswer(kind, answer)) return false;
@@ -135,10 +137,16 @@
   ): Promise<boolean> {
     const known = object.version <= this.#headVersion;
     if (!known && !await this.#takeObject(object)) return false;
-    this.#deps.freshness.confirm(startedMs);
+    this.#confirm(startedMs);
     return true;
   }
 
+  #confirm(startedMs: number): void {
+    const { freshness, platformContact } = this.#deps;
+    freshness.confirm(startedMs);
+    platformContact.noteHeadRead();
+  }
+
   async #takeObject({ value, version }: PlatformObject): Promise<boolean> {
     const head = parseHead(value);
     if (head === undefined) {
--- a/src/configuration/configuration_follower_test.ts
+++ b/src/configuration/configuration_follower_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { HEAD_KEY } from "../core/config/stored_configuration.ts";
+import { PlatformContact } from "../core/config/platform_contact.ts";
 import { Freshness } from "../core/config/freshness.ts";
 import { NO_REVISION, type Revision } from "../core/ids.ts";
 import { ok } from "../core/result.ts";
@@ -43,6 +44,7 @@
       },
       prober: { announce: () => Promise.resolve() },
       freshness,
+      platformContact: new PlatformContact(),
       clock: { monotonicMs: () => 1_000, wallMs: () => 0 },
       entryMetrics: new EntryMetrics(),
       logger: new SilentLogger(),
--- a/src/configuration/freshness_keeper.ts
+++ b/src/configuration/freshness_keeper.ts
@@ -2,32 +2,46 @@
 
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { FRESH_FOR_MS, type Freshness } from "../core/config/freshness.ts";
+import type { WitnessLog } from "../core/config/witness_log.ts";
+import type { Member } from "../core/membership/member.ts";
+import type { EntryId } from "../core/ids.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { ProbeOrder } from "../core/membership/probe_order.ts";
+import type { RelayRole } from "../peers/relay_role.ts";
 import type { Prober } from "../peers/prober.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { ConfigurationFollower } from "./configuration_follower.ts";
+import type { HolderReporter } from "./holder_reporter.ts";
 
 const CHECK_INTERVAL_MS = 500;
 /** Age above which nobody else can be counted on to confirm. */
 const ASK_AT_AGE_MS = 0.7 * FRESH_FOR_MS;
-/** Other entry VMs asked at once while the platform is away. */
+/** The same after the platform gave no answer; calls of it may then hang for seconds. */
+const ASK_AT_AGE_AWAY_MS = 0.3 * FRESH_FOR_MS;
+/** Entry VMs asked at once by one that can't ask a majority. */
 const PEERS_ASKED = 3;
+/** Members of a roster asked at once, at least. */
+const FEWEST_ASKED = 12;
+/** Checks in which a whole roster is asked once. */
+const CHECKS_PER_ROSTER = 2;
 
 interface Deps {
   readonly configurationStore: ConfigurationStore;
   readonly configurationFollower: ConfigurationFollower;
+  readonly holderReporter: HolderReporter;
+  readonly witnessLog: WitnessLog;
   readonly freshness: Freshness;
   readonly memberTable: MemberTable;
   readonly probeOrder: ProbeOrder;
+  readonly relayRole: RelayRole;
   readonly prober: Prober;
   readonly clock: Clock;
   readonly logger: Logger;
 }
 
-/** Asks the platform, then a majority of the entry VMs. */
+/** Asks the platform, or a majority of the entry VMs, or those that could. */
 export class FreshnessKeeper {
   readonly #deps: Deps;
   readonly #task = new RepeatedTask({
@@ -35,6 +49,9 @@
     run: () => this.#check(),
   });
   #wasFresh = true;
+  #platformAway = false;
+  /** Members of the roster that were not asked yet in this turn. */
+  #toAsk: EntryId[] = [];
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -52,39 +69,73 @@
 
   async #check(): Promise<void> {
     const { freshness, clock } = this.#deps;
-    const nowMs = clock.monotonicMs();
-    if (
-      freshness.ageMs(nowMs) > ASK_AT_AGE_MS && !await this.#askPlatform()
-    ) {
-      await this.#askMajority();
-    }
+    const askAtMs = this.#platformAway ? ASK_AT_AGE_AWAY_MS : ASK_AT_AGE_MS;
+    if (freshness.ageMs(clock.monotonicMs()) > askAtMs) await this.#ask();
     this.#note(freshness.isFresh(clock.monotonicMs()));
   }
 
-  /** Returns whether the platform answered. */
-  async #askPlatform(): Promise<boolean> {
-    const { configurationFollower, freshness, clock } = this.#deps;
-    const startedMs = clock.monotonicMs();
+  /** Asks the platform, and others as well where it lately gave no answer. */
+  async #ask(): Promise<void> {
+    const { configurationFollower } = this.#deps;
+    const others = this.#platformAway ? this.#askOthers() : undefined;
     const answered = await configurationFollower.ask("confirm", 0);
-    if (!answered) freshness.notePlatformAway(startedMs);
-    return answered;
+    this.#platformAway = !answered;
+    await (answered ? others : others ?? this.#askOthers());
   }
 
-  async #askMajority(): Promise<void> {
-    const { memberTable, probeOrder, prober } = this.#deps;
-    if (!memberTable.seesMajority()) return;
-    const members = probeOrder.some(memberTable.others(), {
-      count: PEERS_ASKED,
-      except: memberTable.self.id,
-    });
-    if (members.length === 0) return this.#confirmAlone();
-    await Promise.all(members.map((member) => prober.confirmBy(member)));
+  async #askOthers(): Promise<void> {
+    const { holderReporter, prober } = this.#deps;
+    const { rosters } = holderReporter;
+    if (rosters.length === 0) return await prober.ask(this.#lenders());
+    await prober.ask(this.#nextOf(new Set(rosters.flat())));
+    this.#confirmByMajority();
   }
 
-  /** A fleet of one has nobody to disagree with. */
-  #confirmAlone(): void {
-    const { freshness, clock } = this.#deps;
-    freshness.confirmByMajority(clock.monotonicMs());
+  #confirmByMajority(): void {
+    const {
+      configurationStore,
+      memberTable,
+      holderReporter,
+      witnessLog,
+      freshness,
+      clock,
+    } = this.#deps;
+    const { revision } = configurationStore;
+    const { id: entry } = memberTable.self;
+    witnessLog.note({ entry, revision }, clock.monotonicMs());
+    const atMs = witnessLog.confirmedAtMs(holderReporter.rosters, revision);
+    if (atMs !== undefined) freshness.confirm(atMs);
+  }
+
+  /** Members of a roster by turns, so that a large one is not asked all at once. */
+  #nextOf(roster: ReadonlySet<EntryId>): Member[] {
+    const { memberTable, probeOrder } = this.#deps;
+    const { id: except } = memberTable.self;
+    const byId = new Map(
+      memberTable.others().filter(({ id }) => roster.has(id))
+        .map((member) => [member.id, member]),
+    );
+    const count = Math.max(
+      FEWEST_ASKED,
+      Math.ceil(byId.size / CHECKS_PER_ROSTER),
+    );
+    if (this.#toAsk.length === 0) {
+      const all = { count: byId.size, except };
+      this.#toAsk = probeOrder.some([...byId.values()], all)
+        .map(({ id }) => id);
+    }
+    return this.#toAsk.splice(0, count).flatMap((id) => byId.get(id) ?? []);
+  }
+
+  /** Entry VMs whose confirmations one that is in no position to ask a majority takes over. */
+  #lenders(): Member[] {
+    const { memberTable, probeOrder, relayRole } = this.#deps;
+    const { id: except } = memberTable.self;
+    const options = { count: PEERS_ASKED, except };
+    return [
+      ...relayRole.toAsk().slice(0, PEERS_ASKED),
+      ...probeOrder.some(memberTable.others(), options),
+    ];
   }
 
   #note(fresh: boolean): void {
--- a/src/core/config/freshness.ts
+++ b/src/core/config/freshness.ts
@@ -14,27 +14,12 @@
  */
 export class Freshness {
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
-  #platformAwayAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Notes a confirmation by the platform, or by a peer that had one. */
+  /** Notes a confirmation by the platform, by a majority, or by a peer that had one. */
   confirm(atMs: number): void {
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
   }
 
-  /** Notes that this entry asked the platform and got no answer. */
-  notePlatformAway(atMs: number): void {
-    this.#platformAwayAtMs = Math.max(this.#platformAwayAtMs, atMs);
-  }
-
-  /**
-   * Notes that a peer in a majority has nothing later. That counts only while the
-   * platform is away, since then nothing can be accepted.
-   */
-  confirmByMajority(atMs: number): void {
-    if (atMs - this.#platformAwayAtMs > FRESH_FOR_MS) return;
-    this.confirm(atMs);
-  }
-
   /** Age of the last confirmation. */
   ageMs(nowMs: number): number {
     return nowMs - this.#confirmedAtMs;
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -110,15 +110,11 @@
       this.#setState(id, { from: ["leaving"], to: "dead", nowMs });
   }
 
-  /**
-   * Whether more than half of the entry VMs that are known, this one included, are
-   * not dead. Those that left as planned do not count.
-   */
-  seesMajority(): boolean {
-    const dead = [...this.#rows.values()].filter(({ member, left }) =>
-      member.state === "dead" && !left
-    );
-    return this.others().length + 1 > dead.length;
+  /** Other entry VMs that are there or are missed: all that are known, but those that left. */
+  expected(): Member[] {
+    return [...this.#rows.values()]
+      .filter(({ member, left }) => member.state !== "leaving" && !left)
+      .map(({ member }) => member);
   }
 
   /**
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -10,10 +10,13 @@
 } from "awilix";
 import { Agent } from "undici";
 import { FreshnessKeeper } from "../configuration/freshness_keeper.ts";
+import { HolderReporter } from "../configuration/holder_reporter.ts";
 import { HttpModelServers } from "../backends/http_model_servers.ts";
 import { HttpPlainServices } from "../backends/http_plain_services.ts";
 import { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { Freshness } from "../core/config/freshness.ts";
+import { PlatformContact } from "../core/config/platform_contact.ts";
+import { WitnessLog } from "../core/config/witness_log.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { InFlightLimits } from "../core/limits/in_flight_limits.ts";
 import { EntryRetryBudget } from "../core/limits/entry_retry_budget.ts";
@@ -69,6 +72,7 @@
   readonly prober: Prober;
   readonly configurationFollower: ConfigurationFollower;
   readonly freshnessKeeper: FreshnessKeeper;
+  readonly holderReporter: HolderReporter;
   readonly vmListFollower: VmListFollower;
   readonly loadReportFollower: LoadReportFollower;
   readonly callerServer: CallerServer;
@@ -102,6 +106,8 @@
   container.register({
     configurationStore: asClass(ConfigurationStore).singleton(),
     freshness: asClass(Freshness).singleton(),
+    platformContact: asClass(PlatformContact).singleton(),
+    witnessLog: asClass(WitnessLog).singleton(),
     serverPool: asClass(ServerPool).singleton(),
     retryBudget: asClass(EntryRetryBudget).singleton(),
     inFlightLimits: asValue(new InFlightLimits(limits.max_in_flight)),
@@ -158,6 +164,7 @@
     configurationLoader: asPart(ConfigurationLoader),
     configurationFollower: asPart(ConfigurationFollower),
     freshnessKeeper: asPart(FreshnessKeeper),
+    holderReporter: asPart(HolderReporter),
     vmListFollower: asPart(VmListFollower),
     loadReportFollower: asPart(LoadReportFollower),
     backendSelector: asPart(BackendSelector),
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -51,6 +51,7 @@
     parts.prober.start();
     parts.configurationFollower.start();
     parts.freshnessKeeper.start();
+    parts.holderReporter.start();
     parts.vmListFollower.start();
     parts.loadReportFollower.start();
     this.#logger.info("Entry serves", addresses);
@@ -79,6 +80,8 @@
     await closed;
     parts.loadReportFollower.stop();
     parts.freshnessKeeper.stop();
+    parts.holderReporter.stop();
+    await parts.holderReporter.withdraw();
     parts.vmListFollower.stop();
     parts.configurationFollower.stop();
     parts.prober.stop();
--- a/src/peers/peer_router.ts
+++ b/src/peers/peer_router.ts
@@ -3,6 +3,7 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
+import type { PlatformContact } from "../core/config/platform_contact.ts";
 import { headDelta } from "../core/config/head_delta.ts";
 import type { Sha256 } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
@@ -25,6 +26,7 @@
   readonly configurationStore: ConfigurationStore;
   readonly vmViewHolder: VmViewHolder;
   readonly freshness: Freshness;
+  readonly platformContact: PlatformContact;
   readonly clock: Clock;
   /** Probes another entry VM for one that cannot reach it. */
   readonly probeFor: (target: string) => Promise<boolean>;
@@ -35,6 +37,8 @@
   readonly self: Member;
   readonly news: Member[];
   readonly confirmed_age_ms: number;
+  /** Whether this VM has read the head from the platform since it started. */
+  readonly is_witness: boolean;
 }
 
 /** Stands for "never", which JSON cannot say. */
@@ -58,6 +62,7 @@
           self: memberTable.self,
           news,
           confirmed_age_ms: confirmedAgeMs(),
+          is_witness: deps.platformContact.hasReadHead,
         };
       },
     ),
--- a/src/peers/prober.ts
+++ b/src/peers/prober.ts
@@ -2,6 +2,7 @@
 
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
+import type { WitnessLog } from "../core/config/witness_log.ts";
 import type { EntryId } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
@@ -25,6 +26,7 @@
   readonly peers: Peers;
   readonly configurationStore: ConfigurationStore;
   readonly freshness: Freshness;
+  readonly witnessLog: WitnessLog;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly entryMetrics: EntryMetrics;
@@ -63,20 +65,16 @@
     return await this.#probe(target, false);
   }
 
-  /** Asks an entry VM of a majority whether it has a later configuration. */
-  async confirmBy(member: Member): Promise<void> {
-    const startedMs = this.#deps.clock.monotonicMs();
-    const answer = await this.#probe(member.peers, false);
-    if (answer && this.#hasNothingLater(member.id)) {
-      this.#deps.freshness.confirmByMajority(startedMs);
-    }
+  /** Asks entry VMs what they hold, and how lately that was confirmed. */
+  async ask(members: readonly Member[]): Promise<void> {
+    await Promise.all(
+      members.map((member) => this.#probe(member.peers, false)),
+    );
   }
 
   /** Tells `members` the newest about this entry VM, without waiting for a round. */
   async announce(members: readonly Member[]): Promise<void> {
-    await Promise.all(
-      members.map((member) => this.#probe(member.peers, false)),
-    );
+    await this.ask(members);
   }
 
   async #round(): Promise<void> {
@@ -126,8 +124,15 @@
   }
 
   async #probe(address: string, joining: boolean): Promise<boolean> {
-    const { peers, memberTable, freshness, clock, entryMetrics, logger } =
-      this.#deps;
+    const {
+      peers,
+      memberTable,
+      freshness,
+      witnessLog,
+      clock,
+      entryMetrics,
+      logger,
+    } = this.#deps;
     const news = memberTable.newsToTell();
     const startedMs = clock.monotonicMs();
     const answer = await peers.probe(address, { news, joining });
@@ -135,7 +140,7 @@
       outcome: answer.ok ? "answered" : answer.error.tag,
     });
     if (!answer.ok) return false;
-    const { self, confirmed_age_ms } = answer.value;
+    const { self, confirmed_age_ms, is_witness } = answer.value;
     const told = [self, ...answer.value.news];
     for (const member of memberTable.merge(told, clock.monotonicMs())) {
       logger.info("Entry changed state", {
@@ -143,6 +148,8 @@
         state: member.state,
       });
     }
+    const { id: entry, revision } = self;
+    if (is_witness) witnessLog.note({ entry, revision }, startedMs);
     if (this.#hasNothingLater(self.id)) {
       freshness.confirm(startedMs - confirmed_age_ms);
     }
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -5,6 +5,7 @@
 import { fail, ok, type Result } from "../core/result.ts";
 import {
   platformConflictSchema,
+  platformKeysSchema,
   type PlatformObject,
   platformObjectSchema,
   platformWriteSchema,
@@ -131,6 +132,21 @@
     return parseAnswer(answer.value, platformObjectSchema);
   }
 
+  async listKeys(
+    prefix: string,
+    limits: CallLimits = {},
+  ): Promise<Result<readonly string[], PlatformError>> {
+    const answer = await this.#call({
+      method: "GET",
+      path: `/v1/objects?prefix=${encodeURIComponent(prefix)}`,
+      timeoutMs: this.#timeoutMs,
+      ...limits,
+    });
+    if (!answer.ok) return answer;
+    const listed = parseAnswer(answer.value, platformKeysSchema);
+    return listed.ok ? ok(listed.value.keys) : listed;
+  }
+
   async listVms(
     { etag, signal }: ListInput,
   ): Promise<Result<ListedVms, PlatformError>> {
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -58,6 +58,11 @@
     key: string,
     input: WatchInput,
   ): Promise<Result<PlatformObject | undefined, PlatformError>>;
+  /** Returns all keys with a prefix. */
+  listKeys(
+    prefix: string,
+    limits?: CallLimits,
+  ): Promise<Result<readonly string[], PlatformError>>;
   listVms(input: ListInput): Promise<Result<ListedVms, PlatformError>>;
 }
 
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -39,6 +39,8 @@
   self: memberSchema,
   /** Age of the last confirmation that no later configuration is in force. */
   confirmed_age_ms: z.number(),
+  /** Entry VMs of an earlier release don't tell, and are no witnesses. */
+  is_witness: z.boolean().default(false),
   news: z.array(memberSchema),
 });
 
--- a/src/protocol/platform_schema.ts
+++ b/src/protocol/platform_schema.ts
@@ -23,6 +23,9 @@
   current_version: z.int(),
 });
 
+/** Keys of stored objects. */
+export const platformKeysSchema = z.object({ keys: z.array(z.string()) });
+
 /** The lagging list of VMs. */
 export const vmListSchema = z.object({
   vms: z.array(z.object({
--- a/src/protocol/stored_schema.ts
+++ b/src/protocol/stored_schema.ts
@@ -4,7 +4,8 @@
 import type { Head } from "../core/config/stored_configuration.ts";
 import type { HeadDelta } from "../core/config/head_delta.ts";
 import { SECTIONS } from "../core/config/configuration.ts";
-import type { Revision, Sha256 } from "../core/ids.ts";
+import type { HolderReport } from "../core/config/holder_report.ts";
+import type { EntryId, Revision, Sha256 } from "../core/ids.ts";
 import { sha256Schema } from "./ids_schema.ts";
 
 const revisionSchema = z.int().min(1).transform((n) => n as Revision);
@@ -23,6 +24,19 @@
   changed: z.array(objectRefSchema),
 });
 
+const entryIdSchema = z.string().transform((id) => id as EntryId);
+
+/** Schema of an entry VM's report of what is held. */
+export const holderReportSchema: z.ZodType<HolderReport, unknown> = z.object({
+  entry: entryIdSchema,
+  roster: z.array(entryIdSchema),
+  held: z.array(z.object({
+    entry: entryIdSchema,
+    revision: z.int().min(0).transform((n) => n as Revision),
+  })),
+  listed: z.boolean(),
+});
+
 /** Schema of the head. */
 export const headSchema: z.ZodType<Head, unknown> = z.object({
   revision: revisionSchema,
