Let no read of an earlier head confirm the configuration

A read that answers with an earlier head than the known one confirmed the known one, though it says nothing of the time since. Evidence: the new case of configuration_follower_test fails on the code before. Why it works: an answer confirms only at or above the known version of the head.

--- a/src/configuration/configuration_follower.ts
+++ b/src/configuration/configuration_follower.ts
@@ -135,7 +135,9 @@
     object: PlatformObject,
     startedMs: number,
   ): Promise<boolean> {
-    const known = object.version <= this.#headVersion;
+    // An answer from before what is known says nothing of the time since.
+    if (object.version < this.#headVersion) return false;
+    const known = object.version === this.#headVersion;
     if (!known && !await this.#takeObject(object)) return false;
     this.#confirm(startedMs);
     return true;
--- a/src/configuration/configuration_follower_test.ts
+++ b/src/configuration/configuration_follower_test.ts
@@ -12,13 +12,13 @@
 type Deps = ConstructorParameters<typeof ConfigurationFollower>[0];
 
 /** A follower whose watches never hear anything, though the head is at `version`. */
-function fixture({ version }: { version: number }) {
-  const head = {
-    revision: version,
+function fixture(state: { version: number }) {
+  const head = () => ({
+    revision: state.version,
     objects: [],
     accepted: [],
     accepted_at_ms: 0,
-  };
+  });
   const taken: number[] = [];
   const freshness = new Freshness();
   const store = { revision: NO_REVISION, head: undefined };
@@ -28,7 +28,11 @@
         watch: () => Promise.resolve(ok(undefined)),
         get: () =>
           Promise.resolve(
-            ok({ key: HEAD_KEY, version, value: JSON.stringify(head) }),
+            ok({
+              key: HEAD_KEY,
+              version: state.version,
+              value: JSON.stringify(head()),
+            }),
           ),
       },
       configurationStore: {
@@ -36,7 +40,7 @@
         offer: ({ revision }: { revision: Revision }) =>
           taken.push(revision) > 0,
       },
-      configurationLoader: { load: () => Promise.resolve(ok(head)) },
+      configurationLoader: { load: () => Promise.resolve(ok(head())) },
       memberTable: {
         others: () => [],
         self: { data_centre: "north", revision: NO_REVISION },
@@ -66,4 +70,14 @@
     assert.deepEqual(taken, [3]);
     assert.equal(freshness.isFresh(1_000), true);
   });
+
+  // Found by reading: any answer at or below the known version confirmed, so that one from
+  // before a change, as by a reply that was long on its way, vouched for the time after it.
+  it("should not be confirmed by a read of an earlier head", async () => {
+    const state = { version: 7 };
+    const { follower } = fixture(state);
+    assert.equal(await follower.ask("confirm", 0), true);
+    state.version = 6;
+    assert.equal(await follower.ask("confirm", 0), false);
+  });
 });
