Evacuate in the soak while watches tell nothing of it

The soak's evacuation was one that watches tell of. It comes again now while the store's watches are stuck and all other calls are answered, which excuses nothing.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -108,7 +108,7 @@
       case "key_removed":
         return store.removeKey();
       case "evacuation":
-        return await this.#evacuate(forMs);
+        return await this.#evacuate(forMs, fault);
     }
   }
 
@@ -207,10 +207,17 @@
     if (this.#server(at) === server) await this.startServer(at);
   }
 
-  async #evacuate(forMs: number): Promise<void> {
+  async #evacuate(
+    forMs: number,
+    { unwatched = false }: { unwatched?: boolean },
+  ): Promise<void> {
     const { store } = this.#fleet;
+    // Excuses nothing: the store answers all other calls.
+    const faults = { watchesStuck: unwatched };
+    store.begin("evacuation", faults);
     store.evacuate();
     await pause(forMs);
+    store.end("evacuation");
     store.takeBack();
     await pause(MS_PER_SECOND * WARMUP.durationS);
   }
--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -29,7 +29,11 @@
   | { readonly tag: "server_says_it_leaves"; readonly server: number }
   | { readonly tag: "configuration" }
   | { readonly tag: "key_removed" }
-  | { readonly tag: "evacuation" };
+  | {
+    readonly tag: "evacuation";
+    /** Whether the watches of the store tell nothing of the order. */
+    readonly unwatched?: boolean;
+  };
 
 /** A fault in its place and time. */
 export interface PlannedFault {
@@ -164,12 +168,17 @@
 }
 
 /**
- * All servers are evacuated for longer than news of it may take, and come back cold. Drawn
- * for no seed: what seeds of old have shown must stay as it was.
+ * All servers are evacuated for longer than news of it may take, and come back cold; then again
+ * while watches tell nothing of the order. Drawn for no seed: what seeds of old have shown must
+ * stay as it was.
  */
 export function planEvacuation(): PlannedFault[] {
   const forMs = 2 * BOUNDS.evacuationMs;
-  return [{ atMs: 0, forMs, fault: { tag: "evacuation" } }];
+  const fault = { tag: "evacuation" } as const;
+  return [
+    { atMs: 0, forMs, fault },
+    { atMs: 2 * forMs, forMs, fault: { ...fault, unwatched: true } },
+  ];
 }
 
 /**
