Withdraw a roster again where a report was under way

Operators saw: nothing; found by reading. An entry that stops as planned withdraws its roster with a conditional write. A report still under way makes that fail, and the roster of an entry that is gone would have held applies up until enough of it came back. Change: the withdrawal is sent a second time, by the version then read. Test: "should be accepted after all entries but one have left as planned" (simulated time) holds the whole of a planned stop; the race itself has no test.

--- a/src/configuration/holder_reporter.ts
+++ b/src/configuration/holder_reporter.ts
@@ -24,6 +24,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** Wait after a report that the platform did not take. */
 const RETRY_MS = 500;
+/** Attempts to withdraw the roster; an entry VM that stops doesn't wait for the platform. */
+const WITHDRAW_ATTEMPTS = 2;
 
 interface Deps {
   readonly platform: Platform;
@@ -71,8 +73,13 @@
 
   /** Withdraws the roster of an entry VM that stops as planned and asks nobody any more. */
   async withdraw(): Promise<void> {
-    if (this.#reported === undefined) return;
-    await this.#write({ ...this.#reported, roster: [], held: [] });
+    const reported = this.#reported;
+    if (reported === undefined) return;
+    // A report that is still under way may come first, and be in the way of this one.
+    for (let attempt = 0; attempt < WITHDRAW_ATTEMPTS; attempt++) {
+      if (await this.#write({ ...reported, roster: [], held: [] })) return;
+      await pause(RETRY_MS);
+    }
   }
 
   /** Rosters of each of which a majority must confirm; none where this entry VM can't ask. */
--- a/tests/accepted_revision_test.ts
+++ b/tests/accepted_revision_test.ts
@@ -175,6 +175,19 @@
     assert.ok(playing.isWhole);
   });
 
+  it("should be accepted after all entries but one have left as planned", async () => {
+    const playing = await startFleet(5);
+    for (const at of [1, 2, 3, 4]) void playing.leave(at);
+    await playing.pass(5_000);
+    void playing.apply();
+    await playing.pass(2_000);
+    assert.equal(playing.accepted, 2);
+    playing.network.platformDown = true;
+    playing.takeServingShare();
+    await playing.pass(14_000);
+    assert.equal(playing.takeServingShare(), 1);
+  });
+
   it("should not be missed by an entry that reports for the first time as it is accepted", async () => {
     for (let startMs = 0; startMs < 40; startMs += 2) {
       for (let seed = 1; seed <= 5; seed++) {
