Read the change of the configuration's proof and reports as a newcomer

The proof's operators stand in a file of their own (332 lines before the split); it prints how long an apply took until it was accepted. No decision and no check is changed.

--- a/prove/configuration_checker_test.ts
+++ b/prove/configuration_checker_test.ts
@@ -118,7 +118,7 @@
     ["a revision accepted twice", [
       applied(2, { revision: 2, invokedMs: 2_990, atMs: 3_000 }),
     ], /accepted twice/],
-    ["a model that is allowed only by what nobody has sent yet", [
+    ["a model that is allowed only by what no operator has sent yet", [
       applied(2, { revision: 3, invokedMs: 6_000 + DUE, atMs: 6_010 + DUE }),
       {
         kind: "guarded",
--- a/prove/configuration_proof.ts
+++ b/prove/configuration_proof.ts
@@ -1,33 +1,24 @@
 /** Accepted configurations are in force everywhere within seconds, as a whole, for good. */
 
 import { pause } from "../src/runtime/pause.ts";
-import { Applier, type ApplyOutcome } from "../src/configuration/applier.ts";
-import type { Configuration } from "../src/core/config/configuration.ts";
-import { HttpPlatform } from "../src/platform/http_platform.ts";
-import { SystemClock } from "../src/runtime/clock.ts";
-import { Deadline } from "../src/runtime/deadline.ts";
 import { type Answer, Caller } from "../tests/fixtures/caller.ts";
 import { seededChance } from "../tests/fixtures/seeded_chance.ts";
-import { getJson, hashKey } from "../tests/fixtures/test_fleet.ts";
+import { getJson } from "../tests/fixtures/test_fleet.ts";
 import { AcceptanceLosses } from "./acceptance_losses.ts";
 import { CallTally } from "./call_tally.ts";
-import {
-  checkConfigurationHistory,
-  contentOf,
-} from "./configuration_checker.ts";
+import { checkConfigurationHistory } from "./configuration_checker.ts";
 import { ConfigurationHistory } from "./configuration_history.ts";
+import { ConfigurationOperators } from "./configuration_operators.ts";
 import { CuttableFleet } from "./cuttable_fleet.ts";
 import { inForceFigures } from "./in_force_figures.ts";
 import type { Proof, ProofResult } from "./proof.ts";
 
 const KEY = "key-of-the-proof";
 const OPERATORS = 2;
-const APPLY_EVERY_MS = 600;
 const CALL_EVERY_MS = 25;
 /** Entries that the faults name; fewer only meet losses of the platform. */
 const NAMED_ENTRIES = 5;
 const RATE_MS = 3_000;
-const APPLY_LIMIT_MS = 1_500;
 /** Longer than any confirmation, and than the promise itself. */
 const FREEZE_MS = 11_000;
 /** Requests sent to the frozen entry just before it is woken. */
@@ -62,10 +53,9 @@
   readonly #history = new ConfigurationHistory();
   readonly #entries: readonly string[];
   readonly #fleet: CuttableFleet;
+  readonly #operators: ConfigurationOperators;
   readonly #callTally = new CallTally();
   #calling = true;
-  #applying = true;
-  #content = 0;
   #quietCalls = 0;
   #changeCalls = 0;
 
@@ -76,26 +66,24 @@
       (_, at) => `e${at + 1}`,
     );
     this.#fleet = new CuttableFleet(this.#entries);
+    this.#operators = new ConfigurationOperators({
+      fleet: this.#fleet,
+      history: this.#history,
+      key: KEY,
+    });
   }
 
   async run(): Promise<ProofResult> {
-    const startedMs = Date.now();
     try {
-      await this.#fleet.start(
-        configurationOf(0) as unknown as Record<string, unknown>,
-      );
-      this.#recordApplied(0, { revision: 1, invokedMs: startedMs });
+      await this.#operators.startFleet();
       this.#quietCalls = await this.#platformCallRate();
-      const operators = Array.from(
-        { length: OPERATORS },
-        () => this.#operate(),
-      );
+      const operators = this.#operators.race(OPERATORS);
       const callers = this.#entries.map((entry) => this.#keepCalling(entry));
       const isNamed = this.#entries.length >= NAMED_ENTRIES;
       if (isNamed) await this.#injectFaults();
       await this.#loseAcceptances();
-      this.#applying = false;
-      await Promise.all(operators);
+      this.#operators.stopRacing();
+      await operators;
       if (isNamed) await this.#freezeOne();
       this.#calling = false;
       await Promise.all(callers);
@@ -154,7 +142,7 @@
     const losses = new AcceptanceLosses({
       fleet: this.#fleet,
       callTally: this.#callTally,
-      apply: (label) => this.#applyOnce(label),
+      apply: (label) => this.#operators.apply(label),
       chance: seededChance(this.#options.seed),
     });
     await losses.play();
@@ -163,7 +151,7 @@
   /** The last content stays, so that whatever the woken entry does wrong shows. */
   async #freezeOne(): Promise<void> {
     this.#fleet.signal("e1", "SIGSTOP");
-    await this.#applyOnce("last");
+    await this.#operators.apply("last");
     await pause(FREEZE_MS);
     const late = Array.from({ length: LATE_CALLS }, () => this.#callOnce("e1"));
     await pause(500);
@@ -172,62 +160,6 @@
     await pause(2_000);
   }
 
-  async #operate(): Promise<void> {
-    while (this.#applying) {
-      await this.#applyOnce("race");
-      await pause(APPLY_EVERY_MS);
-    }
-  }
-
-  /** An unknown outcome is settled by the same id, as an operator would. */
-  async #applyOnce(label: string): Promise<void> {
-    this.#content += 1;
-    const content = this.#content;
-    const invokedMs = Date.now();
-    let outcome: ApplyOutcome;
-    let wasUnknown = false;
-    do {
-      outcome = await this.#tryApply(content, `${label}-${content}`);
-      wasUnknown ||= outcome.tag === "unknown";
-      // Once an outcome is unknown, an unavailable platform settles nothing.
-    } while (
-      outcome.tag === "unknown" || (wasUnknown && outcome.tag === "unavailable")
-    );
-    if (outcome.tag === "accepted") {
-      const { revision } = outcome;
-      this.#recordApplied(content, { revision, invokedMs });
-    }
-  }
-
-  async #tryApply(content: number, applyId: string): Promise<ApplyOutcome> {
-    const platform = new HttpPlatform({
-      url: this.#fleet.platformUrl,
-      timeoutMs: 1_000,
-    });
-    const deadline = new Deadline(APPLY_LIMIT_MS);
-    const configuration = this.#fleet.withBackends(configurationOf(content));
-    try {
-      const applier = new Applier({ platform, clock: new SystemClock() });
-      return await applier.apply({ configuration, applyId, deadline });
-    } finally {
-      deadline.close();
-      await platform.close();
-    }
-  }
-
-  #recordApplied(
-    content: number,
-    { revision, invokedMs }: { revision: number; invokedMs: number },
-  ): void {
-    this.#history.record({
-      kind: "applied",
-      content,
-      revision,
-      invokedMs,
-      atMs: Date.now(),
-    });
-  }
-
   async #keepCalling(entry: string): Promise<void> {
     while (this.#calling) {
       await this.#callOnce(entry);
@@ -293,40 +225,3 @@
     }
   }
 }
-
-function configurationOf(content: number): Configuration {
-  const { version, guardedAllowed } = contentOf(content);
-  const stateOf = (id: string) => id === version ? "serving" : "withdrawn";
-  const versions = ["v1", "v2"].map((id) => ({
-    id,
-    state: stateOf(id),
-    cost_per_1k_tokens: 1,
-  }));
-  const always = { id: "v1", state: "serving", cost_per_1k_tokens: 1 };
-  const cfg = {
-    accounts: [{
-      id: "a",
-      keys: [hashKey(KEY)],
-      models: guardedAllowed ? ["m", "both", "guarded"] : ["m", "both"],
-      services: [],
-      priority: "standard",
-      // Makes each content another one.
-      max_in_flight: 1_000 + content,
-    }],
-    models: [
-      { id: "m", stable: version, versions },
-      { id: "guarded", stable: "v1", versions: [always] },
-      { id: "small", stable: "v1", versions: [always] },
-    ],
-    cascades: [{
-      id: "both",
-      steps: ["small", "m"],
-      escalate_below: -0.7,
-      judge_tokens: 4,
-    }],
-    roll_outs: [],
-    services: [],
-    backends: [],
-  };
-  return cfg as unknown as Configuration;
-}
--- a/prove/in_force_figures.ts
+++ b/prove/in_force_figures.ts
@@ -21,8 +21,13 @@
   ).sort((a, b) => a - b);
   const at = (share: number) =>
     `${times[Math.floor((times.length - 1) * share)]} ms`;
+  const applyTimes = history.of("applied")
+    .map(({ invokedMs, atMs }) => atMs - invokedMs).sort((a, b) => a - b);
   return {
     revisions: String(history.of("applied").length),
+    "apply accepted after p50": `${
+      applyTimes[Math.floor(applyTimes.length / 2)]
+    } ms`,
     "first answer by it p50": at(0.5),
     "first answer by it p99, refusing entries included": at(0.99),
     "first answer by it worst, refusing entries included": at(1),
--- a/src/configuration/acceptance_check.ts
+++ b/src/configuration/acceptance_check.ts
@@ -14,7 +14,7 @@
 export class AcceptanceCheck {
   readonly #platform: Platform;
   readonly #revision: Revision;
-  /** Keys of all reports. Who reports later reads the head after that, and so the revision. */
+  /** Keys of all reports. An entry VM that reports later reads the head after that. */
   #keys: readonly string[] | undefined;
   readonly #reports = new Map<string, HolderReport>();
 
--- a/src/configuration/freshness_keeper.ts
+++ b/src/configuration/freshness_keeper.ts
@@ -1,4 +1,4 @@
-/** Makes sure, when nobody has lately, that no later configuration is in force. */
+/** Confirms the configuration in force where no confirmation came lately. */
 
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { FRESH_FOR_MS, type Freshness } from "../core/config/freshness.ts";
@@ -17,15 +17,15 @@
 import type { HolderReporter } from "./holder_reporter.ts";
 
 const CHECK_INTERVAL_MS = 500;
-/** Age above which nobody else can be counted on to confirm. */
+/** Age of a confirmation above which this entry VM asks for one itself. */
 const ASK_AT_AGE_MS = 0.7 * FRESH_FOR_MS;
 /** The same after the platform gave no answer. */
 const ASK_AT_AGE_AWAY_MS = 0.3 * FRESH_FOR_MS;
 /** Wait for the platform before others are asked; its calls may hang for seconds. */
 const PLATFORM_PATIENCE_MS = 300;
-/** Entry VMs asked at once by one that can't ask a majority. */
+/** Entry VMs asked in one check where there is no roster. */
 const PEERS_ASKED = 3;
-/** Members of a roster asked at once, at least. */
+/** Members of a roster asked in one check, at least. */
 const FEWEST_ASKED = 12;
 /** Checks in which a whole roster is asked once. */
 const CHECKS_PER_ROSTER = 2;
@@ -44,7 +44,7 @@
   readonly logger: Logger;
 }
 
-/** Asks the platform, or a majority of the entry VMs, or those that could. */
+/** Asks the platform, a majority of the entry VMs, or others that were confirmed. */
 export class FreshnessKeeper {
   readonly #deps: Deps;
   readonly #task = new RepeatedTask({
@@ -100,7 +100,7 @@
   async #askOthers(): Promise<void> {
     const { holderReporter, prober } = this.#deps;
     const { rosters } = holderReporter;
-    if (rosters.length === 0) return await prober.ask(this.#lenders());
+    if (rosters.length === 0) return await prober.ask(this.#confirmedPeers());
     await prober.ask(this.#nextOf(new Set(rosters.flat())));
     this.#confirmByMajority();
   }
@@ -121,7 +121,7 @@
     if (atMs !== undefined) freshness.confirm(atMs);
   }
 
-  /** Members of a roster by turns, so that a large one is not asked all at once. */
+  /** Members of a roster by turns, which bounds the probes of one check. */
   #nextOf(roster: ReadonlySet<EntryId>): Member[] {
     const { memberTable, probeOrder } = this.#deps;
     const { id: except } = memberTable.self;
@@ -141,8 +141,8 @@
     return this.#toAsk.splice(0, count).flatMap((id) => byId.get(id) ?? []);
   }
 
-  /** Entry VMs whose confirmations one that is in no position to ask a majority takes over. */
-  #lenders(): Member[] {
+  /** Entry VMs whose confirmations are taken over where there is no roster. */
+  #confirmedPeers(): Member[] {
     const { memberTable, probeOrder, relayRole } = this.#deps;
     const { id: except } = memberTable.self;
     const options = { count: PEERS_ASKED, except };
--- a/src/configuration/holder_reporter.ts
+++ b/src/configuration/holder_reporter.ts
@@ -71,7 +71,7 @@
     this.#task.stop();
   }
 
-  /** Withdraws the roster of an entry VM that stops as planned and asks nobody any more. */
+  /** Withdraws the roster, as an entry VM that stops needs no majority any more. */
   async withdraw(): Promise<void> {
     const reported = this.#reported;
     if (reported === undefined) return;
--- a/src/core/config/holder_report.ts
+++ b/src/core/config/holder_report.ts
@@ -2,8 +2,8 @@
  * What entry VMs report to the platform: which revisions they hold, and of which entry VMs a
  * majority may confirm a revision to them while the platform is away.
  *
- * A revision is accepted once a majority of every roster holds it. Whoever asks a majority of
- * its roster later asks at least one of those, so that none takes an earlier one for current.
+ * A revision is accepted once a majority of every roster holds it. Any majority that an entry VM
+ * asks later includes one of these, so that no earlier revision is taken for current.
  */
 
 import type { EntryId, Revision } from "../ids.ts";
--- a/src/core/config/platform_contact.ts
+++ b/src/core/config/platform_contact.ts
@@ -1,6 +1,6 @@
 /** What this process has had from the platform itself, rather than from other entry VMs. */
 
-/** Kept by whoever reads the platform. */
+/** Updated by the parts that read the platform. */
 export class PlatformContact {
   #hasReadHead = false;
 
