Call an apply an apply: names and texts of the configuration's part

Comments and two texts of the command line said "try" and "repeats" for an apply and a retry, and "nobody" for a confirmation that is missing. No behaviour is changed.

--- a/src/cli/apply_command.ts
+++ b/src/cli/apply_command.ts
@@ -38,7 +38,7 @@
         type: "string",
         default: randomUUID(),
         defaultDescription: "a new one",
-        describe: "Id of an earlier try, to settle whether it took effect",
+        describe: "Id of an earlier apply, to settle whether it took effect",
       })
       .option("timeout", {
         type: "number",
@@ -101,7 +101,7 @@
       return `Conflict: this was based on revision ${outcome.basedOn}, but revision ` +
         `${outcome.current} is in force; nothing was applied; run diff, then apply again`;
     case "unavailable":
-      return `Nothing was applied: ${outcome.reason}; try again when the platform is back`;
+      return `Nothing was applied: ${outcome.reason}; retry when the platform is back`;
     case "unknown":
       return `Outcome is unknown: ${outcome.reason}; run the same command with ` +
         `--apply-id ${args["apply-id"]} to settle it`;
--- a/src/configuration/applier.ts
+++ b/src/configuration/applier.ts
@@ -51,7 +51,7 @@
 /** What to apply. */
 export interface ApplyInput {
   readonly configuration: Configuration;
-  /** Names this try; the same id given again settles an unknown outcome. */
+  /** Names this apply; the same id given again settles an unknown outcome. */
   readonly applyId: string;
   /** Revision that must be in force; the one found when absent. */
   readonly expectedRevision?: Revision;
@@ -116,7 +116,7 @@
           value: text,
           expectedVersion: 0,
         });
-        // Its name is its content, so whoever wrote it wrote the same.
+        // An object is named after its content, so another writer wrote the same.
         return !put.ok && put.error.tag === "conflict" ? ok(0) : put;
       });
       if (!written.ok) return written;
@@ -209,7 +209,7 @@
     }
   }
 
-  /** Repeats a call while the platform is away and there is time. */
+  /** Retries a call while the platform is away and there is time. */
   async #retry<T>(
     deadline: Deadline,
     call: () => Promise<Result<T, PlatformError>>,
--- a/src/core/config/freshness.ts
+++ b/src/core/config/freshness.ts
@@ -1,7 +1,7 @@
 /** Whether this entry has lately made sure that no later configuration is in force. */
 
 /**
- * How long an entry serves by a configuration that nobody confirmed, in milliseconds.
+ * How long an entry serves by a configuration without a confirmation, in milliseconds.
  * With the time that news takes, this keeps below the 9 s within which an accepted
  * configuration must be in force everywhere.
  */
--- a/src/core/config/stored_configuration.ts
+++ b/src/core/config/stored_configuration.ts
@@ -23,7 +23,7 @@
 /** One acceptance, kept to settle lost answers. */
 export interface AcceptedApply {
   readonly revision: Revision;
-  /** Id that the `apply` command gave to its try. */
+  /** Id that the `apply` command was given. */
   readonly apply_id: string;
 }
 
