Follow which attempts their servers have read

Cause: logs told when a request ended, not when an attempt's bytes left nor when its server showed that it had read them, so that late arrivals could not be told from many departures. Change: each attempt is unacknowledged from its first byte until the server answers it, answers something sent later (a probe as well), closes its connection, or has ended. The log of a request tells of attempts that were not acknowledged, attempts that lay for 2 s are logged, a gauge counts them. No decision is changed.

--- a/src/backends/backend_try.ts
+++ b/src/backends/backend_try.ts
@@ -73,6 +73,8 @@
   onNotice(notice: ServerNotice): void;
   /** Any byte of the answer came; for watching over silent servers. */
   onProgress(): void;
+  /** The connection ended before the whole answer, and not by this VM. */
+  onClosed(): void;
 }
 
 /** What a try is made of. */
@@ -195,6 +197,7 @@
     if (this.#done) return;
     this.#done = true;
     this.#connection.destroy();
+    if (failure.tag === "broken") this.#input.sink.onClosed();
     if (this.#verdict === "stream" && failure.tag !== "withheld") {
       this.#resolve({ tag: "stream_broken", reason: failure.reason });
     } else if (this.#head !== undefined && isNotRun(this.#head)) {
--- a/src/backends/backend_try_test.ts
+++ b/src/backends/backend_try_test.ts
@@ -50,6 +50,7 @@
         write: (chunk) => streamed.push(chunk.toString()) > 0,
         onNotice: (notice) => notices.push(notice),
         onProgress: () => {},
+        onClosed: () => {},
       },
     }).run();
   return { send, streamed, notices, server, record, connections };
--- /dev/null
+++ b/src/core/servers/unacked_attempts.ts
@@ -0,0 +1,99 @@
+/**
+ * Attempts that their backend servers have not shown to have read. The bytes of an attempt may lie
+ * in the socket buffers of a server that has stopped, and arrive long after they were written.
+ * Closing the connection does not take them back.
+ */
+
+import type { InstanceId } from "../ids.ts";
+import { isLaterLife, type ServerLifeKey } from "./server_record.ts";
+
+/** Age from which an attempt is taken to be lost, in milliseconds. */
+const LOST_MS = 60_000;
+
+interface UnackedAttempt {
+  readonly sentMs: number;
+  readonly onAcked: () => void;
+}
+
+interface ServerAttempts {
+  life: ServerLifeKey;
+  /** In the order in which they were sent. */
+  attempts: UnackedAttempt[];
+}
+
+/** What a server has left unacknowledged. */
+export interface UnackedState {
+  readonly count: number;
+  /** Age of the oldest, in milliseconds; 0 where there is none. */
+  readonly oldestMs: number;
+}
+
+/** Keeps them for all servers. */
+export class UnackedAttempts {
+  readonly #servers = new Map<InstanceId, ServerAttempts>();
+
+  /** Notes that the first byte of an attempt leaves; `onAcked` is called once it can't arrive later. */
+  sent(
+    server: ServerLifeKey,
+    { nowMs, onAcked }: { nowMs: number; onAcked: () => void },
+  ): void {
+    const { attempts } = this.#of(server);
+    attempts.push({ sentMs: nowMs, onAcked });
+    this.#ack(server.instance, (one) => nowMs - one.sentMs > LOST_MS);
+  }
+
+  /**
+   * Notes that a server has answered something that was sent at `sentMs`. It was running then, and
+   * so has read all that had reached it before.
+   */
+  answered(server: ServerLifeKey, sentMs: number): void {
+    const known = this.#servers.get(server.instance);
+    if (known === undefined || isLaterLife(known.life, server)) return;
+    this.#ack(server.instance, (one) => one.sentMs <= sentMs);
+  }
+
+  /** Notes that the connection of an attempt was closed from the other side. */
+  closed({ instance }: ServerLifeKey, sentMs: number): void {
+    this.#ack(instance, (one) => one.sentMs === sentMs);
+  }
+
+  /** Notes that no process listens at a server's address: what lay in its buffers is gone. */
+  ended({ instance }: ServerLifeKey): void {
+    this.#ack(instance, () => true);
+  }
+
+  /** What a server has left unacknowledged. */
+  state({ instance }: ServerLifeKey, nowMs: number): UnackedState {
+    const attempts = this.#servers.get(instance)?.attempts ?? [];
+    const [oldest] = attempts;
+    return {
+      count: attempts.length,
+      oldestMs: oldest === undefined ? 0 : nowMs - oldest.sentMs,
+    };
+  }
+
+  #of(server: ServerLifeKey): ServerAttempts {
+    const known = this.#servers.get(server.instance);
+    // What an earlier life had not read is gone with it.
+    if (known !== undefined && isLaterLife(server, known.life)) {
+      this.ended(server);
+    }
+    const kept = this.#servers.get(server.instance) ??
+      { life: server, attempts: [] };
+    this.#servers.set(server.instance, kept);
+    return kept;
+  }
+
+  #ack(
+    instance: InstanceId,
+    isAcked: (attempt: UnackedAttempt) => boolean,
+  ): void {
+    const known = this.#servers.get(instance);
+    if (known === undefined) return;
+    const acked = known.attempts.filter(isAcked);
+    if (acked.length === 0) return;
+    known.attempts = known.attempts.filter((one) => !isAcked(one));
+    if (known.attempts.length === 0) this.#servers.delete(instance);
+    for (const { onAcked } of acked) onAcked();
+  }
+}
--- /dev/null
+++ b/src/gateway/attempt_acks.ts
@@ -0,0 +1,98 @@
+/** Follows which attempts backend servers have read, and logs those that lay unread for long. */
+
+import {
+  UnackedAttempts,
+  type UnackedState,
+} from "../core/servers/unacked_attempts.ts";
+import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
+import { BurstLog } from "../runtime/burst_log.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { Logger } from "../runtime/logger.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { TryRecord } from "./try_record.ts";
+
+/** Age from which an attempt is logged that is acknowledged after all, in milliseconds. */
+const LATE_MS = 2_000;
+
+interface Deps {
+  readonly gatewayMetrics: GatewayMetrics;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface LateAttempt {
+  readonly server: ServerRecord;
+  readonly ageMs: number;
+}
+
+/** Unacknowledged attempts of one VM. */
+export class AttemptAcks {
+  readonly #deps: Deps;
+  readonly #unacked = new UnackedAttempts();
+  readonly #late: BurstLog<LateAttempt>;
+
+  constructor({ gatewayMetrics, clock, logger }: Deps) {
+    this.#deps = { gatewayMetrics, clock, logger };
+    this.#late = lateLogOf(logger);
+  }
+
+  /** Notes that the first byte of an attempt leaves. */
+  sent(server: ServerRecord, record: TryRecord): void {
+    const { gatewayMetrics, clock } = this.#deps;
+    const sentMs = clock.monotonicMs();
+    record.sentMs = sentMs;
+    gatewayMetrics.unackedAttempts.inc({ service: server.service });
+    this.#unacked.sent(server, {
+      nowMs: sentMs,
+      onAcked: () => {
+        record.ackedMs = clock.monotonicMs();
+        gatewayMetrics.unackedAttempts.dec({ service: server.service });
+        const ageMs = record.ackedMs - sentMs;
+        if (ageMs >= LATE_MS) this.#late.note([{ server, ageMs }]);
+      },
+    });
+  }
+
+  /** Notes a byte of the answer to an attempt. */
+  answered(server: ServerRecord, { sentMs, ackedMs }: TryRecord): void {
+    if (sentMs === undefined || ackedMs !== undefined) return;
+    this.#unacked.answered(server, sentMs);
+  }
+
+  /** Notes an answer to a probe that was sent at `sentMs`. */
+  probed(server: ServerRecord, sentMs: number): void {
+    this.#unacked.answered(server, sentMs);
+  }
+
+  /** Notes that the connection of an attempt was closed from the other side. */
+  closed(server: ServerRecord, { sentMs }: TryRecord): void {
+    if (sentMs !== undefined) this.#unacked.closed(server, sentMs);
+  }
+
+  /** Notes that no process listens at a server's address. */
+  ended(server: ServerRecord): void {
+    this.#unacked.ended(server);
+  }
+
+  /** What a server has left unacknowledged. */
+  state(server: ServerRecord): UnackedState {
+    return this.#unacked.state(server, this.#deps.clock.monotonicMs());
+  }
+}
+
+function lateLogOf(logger: Logger): BurstLog<LateAttempt> {
+  return new BurstLog({
+    one: ({ server, ageMs }) =>
+      logger.warn("Attempt was acknowledged late", {
+        server: lifeOf(server),
+        service: server.service,
+        age_ms: Math.round(ageMs),
+      }),
+    many: (attempts) =>
+      logger.warn("Attempts were acknowledged late", {
+        servers: new Set(attempts.map(({ server }) => server.instance)).size,
+        count: attempts.length,
+        oldest_ms: Math.round(Math.max(...attempts.map(({ ageMs }) => ageMs))),
+      }),
+  });
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -63,6 +63,7 @@
 import { TrialFollower } from "../store/trial_follower.ts";
 import { StoreHealthKeeper } from "../store/store_health.ts";
 import { AddressList } from "./address_list.ts";
+import { AttemptAcks } from "./attempt_acks.ts";
 import { ColdServerGuard } from "./cold_server_guard.ts";
 import { ControlServer } from "./control_server.ts";
 import { CrashWatch } from "./crash_watch.ts";
@@ -294,6 +295,7 @@
     requestAdmission: one(RequestAdmission),
     tryObserver: one(TryObserver),
     trySilence: one(TrySilence),
+    attemptAcks: one(AttemptAcks),
     requestLog: one(RequestLog),
     requestServer: one(RequestServer),
     gatewayMetrics: one(GatewayMetrics),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -36,6 +36,13 @@
     registers: [this.registry],
   });
 
+  readonly unackedAttempts = new Gauge({
+    name: "fieldrack_gateway_unacked_attempts",
+    help: "Attempts that their servers have not shown to have read, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
   readonly serverEnds = new Counter({
     name: "fieldrack_gateway_server_ends_total",
     help: "Tries that broke off as their server had ended, by service",
--- a/src/gateway/try_record.ts
+++ b/src/gateway/try_record.ts
@@ -22,6 +22,10 @@
   outcome: string;
   /** Why it ended as it did, where the outcome does not say. */
   reason: string | undefined;
+  /** When the first byte of the request left; undefined where none did. */
+  sentMs: number | undefined;
+  /** When its server was known to have read it; undefined before. */
+  ackedMs: number | undefined;
   /** How good the model took its answer to be, 0 to 100. */
   confidence: number | undefined;
   /** Requests a second that the server takes from all VMs, as its answer names it. */
@@ -48,6 +52,8 @@
     byteMs: undefined,
     outcome: "under_way",
     reason: undefined,
+    sentMs: undefined,
+    ackedMs: undefined,
     confidence: undefined,
     limitPerS: undefined,
   };
@@ -68,6 +74,7 @@
       ? "no first byte"
       : `first byte after ${Math.round(record.firstByteMs)} ms`,
     `expected after ${Math.round(record.expectedMs)} ms`,
+    describeAck(record),
     record.confidence === undefined
       ? undefined
       : `confidence ${record.confidence}`,
@@ -80,6 +87,17 @@
     `${record.outcome} (${details})`;
 }
 
+/** Says how long the bytes of an attempt may have lain unread, where that is not plain. */
+function describeAck(
+  { sentMs, ackedMs, firstByteMs }: TryRecord,
+): string | undefined {
+  if (sentMs === undefined) return "nothing sent";
+  if (ackedMs === undefined) return "not acknowledged";
+  return firstByteMs === undefined
+    ? `acknowledged after ${Math.round(ackedMs - sentMs)} ms`
+    : undefined;
+}
+
 function reasonOf(outcome: TryOutcome): string | undefined {
   switch (outcome.tag) {
     case "not_sent":
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -17,6 +17,7 @@
 import type { PlaceBorrower } from "../fleet/place_borrower.ts";
 import { encodeBackendRequest } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { AttemptAcks } from "./attempt_acks.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ModelChoice } from "./model_choice.ts";
 import type { Admitted } from "./request_admission.ts";
@@ -35,6 +36,8 @@
 const LEAST_URGENT = 9;
 /** Statuses from here on tell that the server has failed. */
 const FIRST_FAILURE_STATUS = 500;
+/** Why nothing is sent where no process listens any more. */
+const REFUSED = "ECONNREFUSED";
 const NONE: ReadonlySet<InstanceId> = new Set();
 
 /** What all senders share. */
@@ -46,6 +49,7 @@
   readonly backendConnections: BackendConnections;
   readonly tryObserver: TryObserver;
   readonly trySilence: TrySilence;
+  readonly attemptAcks: AttemptAcks;
   readonly serverNotices: ServerNotices;
   readonly serverLoads: ServerLoads;
   readonly workPredictor: WorkPredictor;
@@ -200,6 +204,7 @@
       serverGate,
       serverNotices,
       suspectPlaces,
+      attemptAcks,
     } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, terms.admitted);
@@ -216,8 +221,12 @@
       // What must not run twice is not risked on a connection that may just be closing.
       fresh: !mayRunAgain(terms.admitted.route),
       // While the connection came up, its server may have asked for rest or less, or may leave.
-      maySend: () =>
-        serverGate.maySend(server, place) && (terms.permit?.send() ?? true),
+      maySend: () => {
+        const maySend = serverGate.maySend(server, place) &&
+          (terms.permit?.send() ?? true);
+        if (maySend) attemptAcks.sent(server, observed.record);
+        return maySend;
+      },
       sink: {
         judge: (head) => {
           observed.record.confidence = head.decoded.confidence;
@@ -236,7 +245,11 @@
           observed.record.limitPerS = notice.limitPerS;
           serverNotices.heard(server, notice);
         },
-        onProgress: () => tryObserver.byteCame(observed),
+        onProgress: () => {
+          tryObserver.byteCame(observed);
+          attemptAcks.answered(server, observed.record);
+        },
+        onClosed: () => attemptAcks.closed(server, observed.record),
       },
     });
     const outcome = await this.#current.run();
@@ -244,6 +257,9 @@
     place.release();
     if (outcome.tag === "withheld") this.#tried.delete(server.instance);
     if (terms.apart) suspectPlaces.end(server.instance);
+    if (outcome.tag === "not_sent" && outcome.reason === REFUSED) {
+      attemptAcks.ended(server);
+    }
     endTryRecord(observed.record, outcome);
     tryObserver.ended(observed, { outcome, expired: terms.isExpired() });
     return outcome;
--- a/src/gateway/try_silence.ts
+++ b/src/gateway/try_silence.ts
@@ -12,6 +12,8 @@
   type SilenceReason,
   type SilenceWatch,
 } from "../core/servers/silence.ts";
+import type { ServerNotice } from "../core/servers/server_notice.ts";
+import type { AttemptAcks } from "./attempt_acks.ts";
 import type { ServerGate } from "./server_gate.ts";
 import type { ServerNotices } from "./server_notices.ts";
 import type { TryRecord } from "./try_record.ts";
@@ -21,6 +23,7 @@
   readonly silenceWatch: SilenceWatch;
   readonly serverProbe: ServerProbe;
   readonly serverNotices: ServerNotices;
+  readonly attemptAcks: Pick<AttemptAcks, "probed">;
   readonly serverGate: ServerGate;
 }
 
@@ -46,7 +49,7 @@
     { server, record, route, hasEngine }: WaitingServer,
     nowMs: number,
   ): SilenceReason | undefined {
-    const { silenceWatch, serverProbe, serverNotices, serverGate } = this.#deps;
+    const { silenceWatch, serverProbe, serverGate } = this.#deps;
     if (this.#hasRestarted(server)) return "server_restarted";
     const waiting = {
       instance: record.server,
@@ -58,11 +61,23 @@
       askableMs: hasEngine ? serverGate.askableMs(server) : undefined,
     };
     if (hasEngine && silenceWatch.isQuiet(waiting, nowMs)) {
-      serverProbe.ask(server, (notice) => serverNotices.heard(server, notice));
+      serverProbe.ask(
+        server,
+        (notice) => this.#probed(server, { notice, sentMs: nowMs }),
+      );
     }
     return silenceWatch.judge(waiting, nowMs);
   }
 
+  #probed(
+    server: ServerRecord,
+    { notice, sentMs }: { notice: ServerNotice; sentMs: number },
+  ): void {
+    const { serverNotices, attemptAcks } = this.#deps;
+    serverNotices.heard(server, notice);
+    attemptAcks.probed(server, sentMs);
+  }
+
   #hasRestarted(server: ServerRecord): boolean {
     const listed = this.#deps.serverDirectory.get(server.instance);
     return listed !== undefined && isLaterLife(listed, server);
--- a/src/gateway/try_silence_test.ts
+++ b/src/gateway/try_silence_test.ts
@@ -46,6 +46,7 @@
     silenceWatch: new SilenceWatch(),
     serverProbe: { ask: () => void (asked += 1) } as unknown as ServerProbe,
     serverNotices: {} as ServerNotices,
+    attemptAcks: { probed: () => {} },
     serverGate: { askableMs: () => askableMs } as unknown as ServerGate,
   });
 });
