Send no retries to servers that have answered nothing for 0.9 s

What callers saw: requests that ended with 504 after their time, though their gateway knew that no server answered. Cause: each request judged servers anew. One whose server said nothing went on to the next that it had not asked, which had said nothing to others for seconds; the attempts lay unread there. Change: a server that has left an attempt unacknowledged for 0.9 s gets first attempts only, which show that it goes on; asked as a server is chosen and again before the first byte. Why it works: a model server that reads a long prompt answers probes, which acknowledge all that it was sent before. Ruled out: fewer first attempts to such servers; they are no retries, and the ejection of failing servers keeps them away where others serve.

--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -9,6 +9,8 @@
 
 /** Age from which an attempt is taken to be lost, in milliseconds. */
 const LOST_MS = 60_000;
+/** Age of an attempt from which its server is unresponsive, in milliseconds. */
+const UNRESPONSIVE_MS = 900;
 
 interface UnackedAttempt {
   readonly sentMs: number;
@@ -72,6 +74,11 @@
     };
   }
 
+  /** Whether a server has left an attempt unacknowledged for so long that it may have stopped. */
+  isUnresponsive(server: ServerLifeKey, nowMs: number): boolean {
+    return this.state(server, nowMs).oldestMs >= UNRESPONSIVE_MS;
+  }
+
   #of(server: ServerLifeKey): ServerAttempts {
     const known = this.#servers.get(server.instance);
     // What an earlier life had not read is gone with it.
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -78,6 +78,14 @@
     this.#unacked.ended(server);
   }
 
+  /** Whether a server may have stopped: it reads what it is sent at some later time. */
+  isUnresponsive(server: ServerRecord): boolean {
+    return this.#unacked.isUnresponsive(
+      server,
+      this.#deps.clock.monotonicMs(),
+    );
+  }
+
   /** What a server has left unacknowledged. */
   state(server: ServerRecord): UnackedState {
     return this.#unacked.state(server, this.#deps.clock.monotonicMs());
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -196,14 +196,7 @@
 
   /** Whether the shared budget lets the request be sent once more. */
   #acquireRetry(): boolean {
-    return !this.#wasSent || this.#retryPermit.acquire();
-  }
-
-  /** Whether a try was made that a server may have seen. */
-  get #wasSent(): boolean {
-    return this.#sender.tries.some(({ outcome }) =>
-      outcome !== "withheld" && outcome !== "not_sent"
-    );
+    return !this.#sender.wasSent || this.#retryPermit.acquire();
   }
 
   #try(server: ServerRecord): Promise<TryOutcome> {
@@ -213,7 +206,7 @@
       leftMs: this.#leftMs(),
       judge: (head) => this.#judge(head),
       permit: this.#retryPermit,
-      isRetry: this.#wasSent,
+      isRetry: this.#sender.wasSent,
       isExpired: () => this.#expired,
     });
   }
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -23,6 +23,7 @@
 import type { EvacuationFollower } from "../store/evacuation_follower.ts";
 import type { RollOutFollower } from "../store/roll_out_follower.ts";
 import type { ServerGate } from "./server_gate.ts";
+import type { AttemptAcks } from "./attempt_acks.ts";
 import type { Clock } from "../runtime/clock.ts";
 
 interface Deps {
@@ -36,6 +37,7 @@
   readonly affinityChoice: AffinityChoice;
   readonly promptHolders: PromptHolders;
   readonly sessionBook: SessionBook;
+  readonly attemptAcks: Pick<AttemptAcks, "isUnresponsive">;
   readonly clock: Clock;
   readonly chance: () => number;
 }
@@ -46,6 +48,8 @@
   readonly head: CallerHead;
   readonly model: ModelId | undefined;
   readonly tried: ReadonlySet<InstanceId>;
+  /** Whether servers may have read the request before. */
+  readonly isRetry: boolean;
   /** What a server pays that does not hold the shared parts of the prompt. */
   readonly sharedMs: number;
 }
@@ -84,7 +88,7 @@
   choose(selection: Selection): ServerRecord | undefined {
     const { serverGate } = this.#deps;
     for (const candidates of this.#candidates(selection)) {
-      const open = serverGate.open(candidates);
+      const open = this.#responsive(serverGate.open(candidates), selection);
       const server = this.#among(open, selection);
       if (server !== undefined) return server;
       // A session keeps its release where none of its servers has room: they soon have again.
@@ -113,10 +117,20 @@
     const sets = this.#candidates(selection);
     const [first = []] = sets;
     const servers = this.#belongsTo(selection, first) ? first : sets.flat();
-    return serverGate.lacking(servers)
+    return this.#responsive(serverGate.lacking(servers), selection)
       .filter(({ instance }) => !selection.tried.has(instance));
   }
 
+  /** A retry that lies unread at a stopped server helps no caller, and counts as it is read. */
+  #responsive(
+    servers: readonly ServerRecord[],
+    { isRetry }: Selection,
+  ): readonly ServerRecord[] {
+    if (!isRetry) return servers;
+    const { attemptAcks } = this.#deps;
+    return servers.filter((server) => !attemptAcks.isUnresponsive(server));
+  }
+
   /** Whether the session of a request runs on the release of these servers. */
   #belongsTo(
     { head }: Selection,
--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -50,6 +50,7 @@
   head: decodeCallerHead({ "fieldrack-prefix-hash": "aa:900,01:10" }),
   model: undefined,
   tried: new Set(),
+  isRetry: false,
   sharedMs: 0,
 };
 const REST_MS = 3_000;
@@ -114,6 +115,7 @@
       }),
       promptHolders,
       sessionBook,
+      attemptAcks: { isUnresponsive: () => false },
       clock,
       chance,
     });
--- a/src/gateway/try_sender.ts
+++ b/src/gateway/try_sender.ts
@@ -110,6 +110,13 @@
     return this.#tries;
   }
 
+  /** Whether an attempt was made that a server may have read. */
+  get wasSent(): boolean {
+    return this.#tries.some(({ outcome }) =>
+      outcome !== "withheld" && outcome !== "not_sent"
+    );
+  }
+
   /** Whether bytes of the try under way may have reached its server. */
   get isSent(): boolean {
     return this.#current?.sent ?? false;
@@ -225,7 +232,7 @@
       // While the connection came up, its server may have asked for rest or less, or may leave.
       maySend: () => {
         const maySend = serverGate.maySend(server, place) &&
-          (!terms.isRetry || terms.permit.send());
+          this.#mayRetry(server, terms);
         if (maySend) this.#noteSent(observed, terms);
         return maySend;
       },
@@ -267,6 +274,11 @@
     return outcome;
   }
 
+  #mayRetry(server: ServerRecord, { isRetry, permit }: TryTerms): boolean {
+    if (!isRetry) return true;
+    return !this.#deps.attemptAcks.isUnresponsive(server) && permit.send();
+  }
+
   #noteSent({ server, record }: ObservedTry, { permit }: TryTerms): void {
     this.#deps.attemptAcks.sent(server, {
       record,
@@ -324,7 +336,8 @@
   ): Selection {
     const { exchange, service } = this.#request;
     const { sharedMs } = this.#predictWork(admitted, model);
-    return { service, head: exchange.head, model, tried, sharedMs };
+    const { head } = exchange;
+    return { service, head, model, tried, isRetry: this.wasSent, sharedMs };
   }
 
   #observe(server: ServerRecord, admitted: Admitted): ObservedTry {
