Let requests that a link held back earn no retries

What callers saw: nothing by itself; servers that reject got more retries than are allowed. Cause: a request earned as it was read, and is counted as its caller sent it. Requests of up to 12 s that a link delivered at once paid for retries of the window in which they were read, beside those of that window. Class: a sum that is charged at one end of a link and promised at the other. Evidence: links from callers hold for 12 s, by a simulated clock: 690 retries of 684 allowed with one VM and 70 requests a second (retry_late_request_test, failed before). Change: of the requests of half a second, those earn that come at up to twice the usual rate of the last window, four at least. Why it works: what a link has held back comes at once and after less than usual; a surge of requests of now earns in full once the window knows its rate. Ruled out: the deadline of a request, which says how long its caller waits, not since when.

--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ServiceId } from "../ids.ts";
+import { SurgeLimit } from "./surge_limit.ts";
 import { WindowCount } from "./window_count.ts";
 
 /** What the fleet is allowed over each window. */
@@ -87,7 +88,9 @@
 }
 
 interface Account {
+  /** Requests that earn. */
   readonly requests: WindowCount;
+  readonly surgeLimit: SurgeLimit;
   earned: number;
   /** Retries that may still arrive. */
   readonly unread: Set<SentRetry>;
@@ -123,9 +126,10 @@
 
   /** Counts a caller's request, which earns a part of a retry. */
   countRequest(service: ServiceId, nowMs: number): void {
-    // It was sent some time ago, perhaps in an earlier window, where it does not pay for this one.
-    if (this.#isBehind(nowMs)) return;
     const account = this.#account(service);
+    const isRecent = account.surgeLimit.take(nowMs) && !this.#isBehind(nowMs);
+    // It may have been sent in an earlier window, where it does not pay for this one.
+    if (!isRecent) return;
     account.requests.add(nowMs);
     account.earned += EARNED_SHARE * this.#bounds.ratio;
     this.#limitSaved(account, nowMs);
@@ -250,6 +254,10 @@
     if (known !== undefined) return known;
     const account = {
       requests: new WindowCount(this.#bounds.windowMs),
+      surgeLimit: new SurgeLimit({
+        windowMs: this.#bounds.windowMs,
+        startedMs: this.#options.startedMs,
+      }),
       earned: 0,
       unread: new Set<SentRetry>(),
       arrivedMs: -Infinity,
