Reset the connection of an attempt that is given up

What callers saw: nothing by itself; a request that may not run twice could run after its caller had been told that it was lost. Cause: a plain close goes on delivering what lies in the sender's buffers. A server that was stopped, or behind a link that healed, got requests whole that its gateway had given up. Evidence: a body of 1 MB to a server that does not read came whole after the close (backend_connection_test, failed before). Change: a connection with an exchange under way is reset. Ruled out: what lies in the server's own buffers; no sender takes that back. Result: the test passes, those of connections, attempts and gateways too.

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -146,6 +146,8 @@
   /** Closes the connection at once; an exchange on it is given up. */
   destroy(): void {
     this.#reusable = false;
+    // A plain close goes on delivering what lies in the buffers here, as links heal.
+    if (this.#busy) this.#socket?.resetAndDestroy();
     void this.#client.destroy();
   }
 
