Send nothing to a limited server that may have stopped

What callers saw: nothing by itself; a server in need got more than it had named as it came back. A place was used up as a request left, and the limit counts what the server gets; what lay in its buffers arrived together with what it was sent then. Evidence: a server that names 0.4 requests a second and stands still for 30 s: 14 requests in four seconds, 7.4 allowed (limit_admission_test, simulated, failed before). Change: while a server has left an attempt unacknowledged for 0.9 s, a VM has no places there to use or lend, and saves none up; after 20 s it sends one request to find out. Why it works: what lies unread is what VMs sent in 0.9 s, instead of what they send while it stands still. Ruled out: counting what is unread against what may be saved up; with a place or two at each owner, a server that takes a second to answer would get two thirds of what it names.

--- a/src/core/routing/limit_admission.ts
+++ b/src/core/routing/limit_admission.ts
@@ -8,6 +8,10 @@
 import type { Member } from "../membership/member.ts";
 import type { ServerLimits } from "../servers/server_limits.ts";
 import { isLaterLife, type ServerLifeKey } from "../servers/server_record.ts";
+import {
+  type UnackedAttempts,
+  UNRESPONSIVE_MS,
+} from "../servers/unacked_attempts.ts";
 import { type LimitPart, limitPart } from "./limit_part.ts";
 import { ServerOwners } from "./server_owners.ts";
 import type { UnitHash } from "./version_choice.ts";
@@ -24,6 +28,9 @@
  */
 const LONGEST_QUEUE_MS = 2_000;
 
+/** Time without an attempt after which a server that may have stopped gets one, in milliseconds. */
+const PROBE_MS = 20_000;
+
 /** VMs that this one knows and that may send requests. */
 export interface LivingVms {
   readonly self: Member;
@@ -69,18 +76,21 @@
   readonly #limits: ServerLimits;
   readonly #vms: LivingVms;
   readonly #clock: { monotonicMs(): number };
+  readonly #unacked: UnackedAttempts;
   readonly #owners: ServerOwners;
   readonly #buckets = new Map<InstanceId, Bucket>();
   #serving: readonly Member[] = [];
   #servingMs = -Infinity;
 
-  constructor({ serverLimits, memberTable, unitHash, clock }: {
+  constructor({ serverLimits, unackedAttempts, memberTable, unitHash, clock }: {
     serverLimits: ServerLimits;
+    unackedAttempts: UnackedAttempts;
     memberTable: LivingVms;
     unitHash: UnitHash;
     clock: { monotonicMs(): number };
   }) {
     this.#limits = serverLimits;
+    this.#unacked = unackedAttempts;
     this.#vms = memberTable;
     this.#clock = clock;
     this.#owners = new ServerOwners({
@@ -254,8 +264,19 @@
       if (atMs <= nowMs) known.askAgainMs.delete(id);
     }
     known.loansUntilMs = known.loansUntilMs.filter((atMs) => atMs > nowMs);
+    if (this.#mayHaveStopped(life)) {
+      known.tokens = 0;
+      known.loansUntilMs = [];
+    }
     return known;
   }
+
+  /** What a stopped server has not read arrives as it goes on, beside what it is sent then. */
+  #mayHaveStopped(life: ServerLifeKey): boolean {
+    const nowMs = this.#clock.monotonicMs();
+    const { oldestMs, newestMs } = this.#unacked.state(life, nowMs);
+    return oldestMs >= UNRESPONSIVE_MS && newestMs < PROBE_MS;
+  }
 }
 
 /** Time between two requests of one owner, as far as others are told of it. */
--- a/src/core/routing/limit_admission_test.ts
+++ b/src/core/routing/limit_admission_test.ts
@@ -16,6 +16,7 @@
 import { unitHash } from "../../runtime/hashing.ts";
 import type { EntryId } from "../ids.ts";
 import type { Member } from "../membership/member.ts";
+import { UnackedAttempts } from "../servers/unacked_attempts.ts";
 import { ServerLimits } from "../servers/server_limits.ts";
 import { LimitAdmission } from "./limit_admission.ts";
 
@@ -46,6 +47,7 @@
 /** One VM, and the others as it knows them; both may change. */
 class Vm {
   readonly limits = new ServerLimits();
+  readonly unacked = new UnackedAttempts();
   readonly admission: LimitAdmission;
   known: readonly Member[];
   readonly self: Member;
@@ -55,6 +57,7 @@
     this.known = fleet;
     this.admission = new LimitAdmission({
       serverLimits: this.limits,
+      unackedAttempts: this.unacked,
       memberTable: {
         self,
         others: () => this.known.filter(({ id }) => id !== self.id),
@@ -89,6 +92,35 @@
   }
 }
 
+/** A server that does not read what it is sent while it is stopped. */
+class StoppableServer {
+  readonly arrivedMs: number[] = [];
+  readonly #stop: { readonly fromMs: number; readonly untilMs: number };
+  #unread: (() => void)[] = [];
+
+  constructor(stop: { readonly fromMs: number; readonly untilMs: number }) {
+    this.#stop = stop;
+  }
+
+  /** Takes a request that a VM sends now. */
+  take({ unacked }: Vm): void {
+    const sentMs = nowMs;
+    unacked.sent(SERVER, { nowMs, onAcked: () => {} });
+    this.#unread.push(() => {
+      this.arrivedMs.push(nowMs);
+      unacked.answered(SERVER, sentMs);
+    });
+    this.readOn();
+  }
+
+  /** Reads all that has come, unless it is stopped now. */
+  readOn(): void {
+    const { fromMs, untilMs } = this.#stop;
+    if (nowMs >= fromMs && nowMs < untilMs) return;
+    for (const read of this.#unread.splice(0)) read();
+  }
+}
+
 function fleetOf(count: number): Vm[] {
   const members = Array.from({ length: count }, (_, at) => member(at));
   return members.map((self) => new Vm(self, members));
@@ -97,11 +129,18 @@
 /** All VMs hear a limit, and send whatever they may for so long; returns when they sent. */
 function press(
   vms: readonly Vm[],
-  { limitPerS, chance, forMs = PRESSED_MS, each = () => {} }: {
+  {
+    limitPerS,
+    chance,
+    forMs = PRESSED_MS,
+    each = () => {},
+    onSent = () => {},
+  }: {
     limitPerS: number;
     chance: () => number;
     forMs?: number;
     each?: () => void;
+    onSent?: (vm: Vm) => void;
   },
 ): number[] {
   for (const vm of vms) vm.hear(limitPerS);
@@ -113,7 +152,10 @@
     const first = Math.floor(chance() * vms.length);
     for (const offset of vms.keys()) {
       const vm = vms[(first + offset) % vms.length];
-      while (vm?.send()) sentMs.push(nowMs);
+      while (vm?.send()) {
+        sentMs.push(nowMs);
+        onSent(vm);
+      }
     }
   }
   return sentMs;
@@ -157,6 +199,34 @@
     });
   }
 
+  it("should bound what a server reads in any four seconds that was stopped", () => {
+    for (const count of FLEETS) {
+      for (const limitPerS of LIMITS) {
+        for (const stopMs of [6_000, 30_000]) {
+          nowMs = 0;
+          const vms = fleetOf(count);
+          const fromMs = 3 * SETTLED_MS;
+          const server = new StoppableServer({
+            fromMs,
+            untilMs: fromMs + stopMs,
+          });
+          nowMs = SETTLED_MS;
+          press(vms, {
+            limitPerS,
+            chance: seededChance(count),
+            forMs: 20_000 + stopMs,
+            each: () => server.readOn(),
+            onSent: (vm) => server.take(vm),
+          });
+          const most = mostInSpan(server.arrivedMs);
+          const allowed = allowedInSpan(limitPerS);
+          const label = `${count} VMs, ${limitPerS} a second, ${stopMs} ms`;
+          assert.ok(most <= allowed, `${label}: ${most} of ${allowed}`);
+        }
+      }
+    }
+  });
+
   it("should be used as named where all work comes to one VM, by what owners lend", () => {
     for (const count of [7, 65, 195]) {
       nowMs = 0;
--- a/src/core/routing/limit_lending_test.ts
+++ b/src/core/routing/limit_lending_test.ts
@@ -15,6 +15,7 @@
 import { testMember } from "../../../tests/fixtures/test_member.ts";
 import { unitHash } from "../../runtime/hashing.ts";
 import type { EntryId } from "../ids.ts";
+import { UnackedAttempts } from "../servers/unacked_attempts.ts";
 import { ServerLimits } from "../servers/server_limits.ts";
 import { type Lent, LimitAdmission } from "./limit_admission.ts";
 
@@ -73,7 +74,13 @@
       const clock = { monotonicMs: () => this.nowMs };
       this.#vms.set(
         self.id,
-        new LimitAdmission({ serverLimits, memberTable, unitHash, clock }),
+        new LimitAdmission({
+          serverLimits,
+          unackedAttempts: new UnackedAttempts(),
+          memberTable,
+          unitHash,
+          clock,
+        }),
       );
     }
     this.nowMs = SETTLED_MS;
--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -10,7 +10,7 @@
 /** Age from which an attempt is taken to be lost, in milliseconds. */
 const LOST_MS = 60_000;
 /** Age of an attempt from which its server is unresponsive, in milliseconds. */
-const UNRESPONSIVE_MS = 900;
+export const UNRESPONSIVE_MS = 900;
 
 interface UnackedAttempt {
   readonly sentMs: number;
@@ -28,6 +28,8 @@
   readonly count: number;
   /** Age of the oldest, in milliseconds; 0 where there is none. */
   readonly oldestMs: number;
+  /** Age of the newest, in milliseconds; 0 where there is none. */
+  readonly newestMs: number;
 }
 
 /** Keeps them for all servers. */
@@ -67,10 +69,10 @@
   /** What a server has left unacknowledged. */
   state({ instance }: ServerLifeKey, nowMs: number): UnackedState {
     const attempts = this.#servers.get(instance)?.attempts ?? [];
-    const [oldest] = attempts;
     return {
       count: attempts.length,
-      oldestMs: oldest === undefined ? 0 : nowMs - oldest.sentMs,
+      oldestMs: nowMs - (attempts[0]?.sentMs ?? nowMs),
+      newestMs: nowMs - (attempts.at(-1)?.sentMs ?? nowMs),
     };
   }
 
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -25,7 +25,11 @@
     for (const atMs of [1, 2, 3]) send(atMs);
     unacked.answered(LIFE, 2);
     assert.deepEqual(acked, [1, 2]);
-    assert.deepEqual(unacked.state(LIFE, 10), { count: 1, oldestMs: 7 });
+    assert.deepEqual(unacked.state(LIFE, 10), {
+      count: 1,
+      oldestMs: 7,
+      newestMs: 7,
+    });
   });
 
   it("should be acknowledged where a connection or the server has ended", () => {
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -1,8 +1,8 @@
 /** Follows which attempts backend servers have read, and logs those that lay unread for long. */
 
-import {
+import type {
   UnackedAttempts,
-  type UnackedState,
+  UnackedState,
 } from "../core/servers/unacked_attempts.ts";
 import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
 import { BurstLog } from "../runtime/burst_log.ts";
@@ -15,6 +15,7 @@
 const LATE_MS = 2_000;
 
 interface Deps {
+  readonly unackedAttempts: UnackedAttempts;
   readonly gatewayMetrics: GatewayMetrics;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -28,12 +29,13 @@
 /** Unacknowledged attempts of one VM. */
 export class AttemptAcks {
   readonly #deps: Deps;
-  readonly #unacked = new UnackedAttempts();
+  readonly #unacked: UnackedAttempts;
   readonly #late: BurstLog<LateAttempt>;
 
-  constructor({ gatewayMetrics, clock, logger }: Deps) {
-    this.#deps = { gatewayMetrics, clock, logger };
-    this.#late = lateLogOf(logger);
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#unacked = deps.unackedAttempts;
+    this.#late = lateLogOf(deps.logger);
   }
 
   /** Notes that the first byte of an attempt leaves; `onAcked` is called once it can't arrive later. */
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -34,6 +34,7 @@
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { ServerLimits } from "../core/servers/server_limits.ts";
 import { ServerRests } from "../core/servers/server_rests.ts";
+import { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
 import { CrashNews } from "../fleet/crash_news.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestKeeper } from "../fleet/digest_keeper.ts";
@@ -206,6 +207,7 @@
     crashBook: asFunction(() => new CrashBook()).singleton(),
     coldServers: asFunction(() => new ColdServers()).singleton(),
     coldAdmission: one(ColdAdmission),
+    unackedAttempts: asFunction(() => new UnackedAttempts()).singleton(),
     limitAdmission: one(LimitAdmission),
     promptHolders: one(PromptHolders),
     affinityChoice: one(AffinityChoice),
--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -10,6 +10,7 @@
 import { PromptHolders } from "../core/routing/prompt_holders.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
+import { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
 import { ServerLimits } from "../core/servers/server_limits.ts";
 import { ServerRests } from "../core/servers/server_rests.ts";
 import { decodeCallerHead } from "../platform/header_wire.ts";
@@ -79,6 +80,7 @@
     const promptHolders = new PromptHolders();
     serverLimits = new ServerLimits();
     limitAdmission = new LimitAdmission({
+      unackedAttempts: new UnackedAttempts(),
       serverLimits,
       memberTable: { self: SELF, others: () => [] },
       unitHash,
