Take any byte of a server for a sign that it has read what it was sent

Cause: a retry that waits for its first byte at a busy server counted as under way for as long, as servers that talk to a VM are not probed. Larger models were asked less often.

--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -9,6 +9,8 @@
 
 /** Age from which an attempt is taken to be lost, in milliseconds. */
 const LOST_MS = 60_000;
+/** Time in which a running server reads what it is sent, and its bytes reach this VM, in milliseconds. */
+const READ_MS = 100;
 /** Age of an attempt from which its server is unresponsive, in milliseconds. */
 export const UNRESPONSIVE_MS = 900;
 
@@ -56,6 +58,11 @@
     this.#ack(server.instance, (one) => one.sentMs <= sentMs);
   }
 
+  /** Notes a byte of any answer: its server runs, and has read what it was sent some time before. */
+  heard(server: ServerLifeKey, nowMs: number): void {
+    this.answered(server, nowMs - READ_MS);
+  }
+
   /** Notes that the connection of an attempt was closed from the other side. */
   closed({ instance }: ServerLifeKey, sentMs: number): void {
     this.#ack(instance, (one) => one.sentMs === sentMs);
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -32,6 +32,14 @@
     });
   });
 
+  it("should be acknowledged by a byte of the server that comes some time later", () => {
+    for (const atMs of [1, 2, 3]) send(atMs);
+    unacked.heard(LIFE, 50);
+    assert.deepEqual(acked, []);
+    unacked.heard(LIFE, 102);
+    assert.deepEqual(acked, [1, 2]);
+  });
+
   it("should be acknowledged where a connection or the server has ended", () => {
     for (const atMs of [1, 2, 3]) send(atMs);
     unacked.closed(LIFE, 2);
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -61,8 +61,10 @@
 
   /** Notes a byte of the answer to an attempt. */
   answered(server: ServerRecord, { sentMs, ackedMs }: TryRecord): void {
-    if (sentMs === undefined || ackedMs !== undefined) return;
-    this.#unacked.answered(server, sentMs);
+    if (sentMs !== undefined && ackedMs === undefined) {
+      this.#unacked.answered(server, sentMs);
+    }
+    this.#unacked.heard(server, this.#deps.clock.monotonicMs());
   }
 
   /** Notes an answer to a probe that was sent at `sentMs`. */
