--- a/src/core/limits/retry_arrival_test.ts
+++ b/src/core/limits/retry_arrival_test.ts
@@ -46,20 +46,14 @@
 
   it("should stay within the bound where requests become fewer meanwhile", () => {
     for (const stopMs of STOPS_MS) {
-      for (const part of [0.4, 0.25]) {
-        forEachFleet(({ vms, perS, label }) => {
-          const fleet = new RetryFleet(vms);
-          const rate = (nowMs: number) =>
-            nowMs > STOPPED_MS + 1_000 ? part * perS : perS;
-          const step = stopServers(stopMs, SERVERS);
-          const seconds = 32 + stopMs / 1_000;
-          playRetries(fleet, { vms, perS: rate, seconds, step });
-          assertWithinBound(fleet, `${part} left, ${stopMs} ms, ${label}`);
-        });
-      }
+      for (const part of [0.4, 0.25]) playFall(part, stopMs);
     }
   });
 
+  it("should stay within the bound where requests nearly stop meanwhile", () => {
+    for (const part of [0.1, 0]) playFall(part, 12_000);
+  });
+
   it("should stay within the bound where stops, failures, restarts, suspensions and moves overlap", () => {
     const events = fc.array(DRAWN_EVENT, { maxLength: 12, size: "max" });
     fc.assert(
@@ -92,6 +86,19 @@
   });
 });
 
+/** All servers are stopped, and a part of the requests is left a second later. */
+function playFall(part: number, stopMs: number): void {
+  forEachFleet(({ vms, perS, label }) => {
+    const fleet = new RetryFleet(vms);
+    const rate = (nowMs: number) =>
+      nowMs > STOPPED_MS + 1_000 ? part * perS : perS;
+    const step = stopServers(stopMs, SERVERS);
+    const seconds = 32 + stopMs / 1_000;
+    playRetries(fleet, { vms, perS: rate, seconds, step });
+    assertWithinBound(fleet, `${part} left, ${stopMs} ms, ${label}`);
+  });
+}
+
 /** Stops servers for a while; those that run reject each request from then on. */
 function stopServers(stopMs: number, count: number) {
   return (fleet: RetryFleet, nowMs: number) => {
