Take attempts at servers that are gone for lost after a minute

What callers saw: nothing yet; retries would have been refused more and more where servers go and do not come back. Cause: attempts were looked at for their age only as their own server got another one. Those at a server that is gone counted as under way for as long as the process ran. Found by reading. Evidence: the new case of unacked_attempts_test fails without the change. Change: each attempt that is sent looks at the ages of all. Result: unit tests pass.

--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -43,9 +43,11 @@
     server: ServerLifeKey,
     { nowMs, onAcked }: { nowMs: number; onAcked: () => void },
   ): void {
-    const { attempts } = this.#of(server);
-    attempts.push({ sentMs: nowMs, onAcked });
-    this.#ack(server.instance, (one) => nowMs - one.sentMs > LOST_MS);
+    this.#of(server).attempts.push({ sentMs: nowMs, onAcked });
+    // At all servers: one that is gone gets nothing more, and would keep its attempts for ever.
+    for (const instance of [...this.#servers.keys()]) {
+      this.#ack(instance, (one) => nowMs - one.sentMs > LOST_MS);
+    }
   }
 
   /**
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -65,6 +65,14 @@
     assert.deepEqual(acked, [0]);
   });
 
+  // Guards against retries that count as under way for ever, so that callers get no others.
+  it("should be taken for lost also where their server gets nothing more", () => {
+    send(0);
+    const other = { ...LIFE, instance: "s-2" as InstanceId };
+    send(MINUTE_MS + 1, other);
+    assert.deepEqual(acked, [0]);
+  });
+
   it("should be acknowledged once, whatever is heard", () => {
     const event = fc.record({
       kind: fc.constantFrom("send", "answer", "close", "end"),
