--- a/src/core/limits/surge_limit.ts
+++ b/src/core/limits/surge_limit.ts
@@ -1,5 +1,5 @@
 /**
- * Tells requests that come at a usual rate from those that a link held back and delivers at once. The
+ * Tells requests that come at a usual rate from those that a link held back and delivers in a burst. The
  * latter were sent earlier than they are read, and nothing on them says when.
  */
 
--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -44,7 +44,7 @@
     { nowMs, onAcked }: { nowMs: number; onAcked: () => void },
   ): void {
     this.#of(server).attempts.push({ sentMs: nowMs, onAcked });
-    // At all servers: one that is gone gets nothing more, and would keep its attempts for ever.
+    // At all servers: one that never comes back is sent nothing more, and would keep its attempts.
     for (const instance of [...this.#servers.keys()]) {
       this.#ack(instance, (one) => nowMs - one.sentMs > LOST_MS);
     }
@@ -70,7 +70,7 @@
     this.#ack(instance, (one) => one.sentMs === sentMs);
   }
 
-  /** Notes that no process listens at a server's address: what lay in its buffers is gone. */
+  /** Notes that no process listens at a server's address: its buffers are discarded. */
   ended({ instance }: ServerLifeKey): void {
     this.#ack(instance, () => true);
   }
@@ -92,7 +92,7 @@
 
   #of(server: ServerLifeKey): ServerAttempts {
     const known = this.#servers.get(server.instance);
-    // What an earlier life had not read is gone with it.
+    // The buffers of an earlier life were discarded with it.
     if (known !== undefined && isLaterLife(server, known.life)) {
       this.ended(server);
     }
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -48,7 +48,7 @@
     assert.deepEqual(acked, [2, 1, 3]);
   });
 
-  it("should be gone with the life that they were sent to", () => {
+  it("should be discarded with the life that they were sent to", () => {
     send(1);
     send(2, NEXT_LIFE);
     assert.deepEqual(acked, [1]);
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -1,9 +1,6 @@
 /** Follows which attempts backend servers have read, and logs those that lay unread for long. */
 
-import type {
-  UnackedAttempts,
-  UnackedState,
-} from "../core/servers/unacked_attempts.ts";
+import type { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
 import { lifeOf, type ServerRecord } from "../core/servers/server_record.ts";
 import { BurstLog } from "../runtime/burst_log.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -89,11 +86,6 @@
       this.#deps.clock.monotonicMs(),
     );
   }
-
-  /** What a server has left unacknowledged. */
-  state(server: ServerRecord): UnackedState {
-    return this.#unacked.state(server, this.#deps.clock.monotonicMs());
-  }
 }
 
 function lateLogOf(logger: Logger): BurstLog<LateAttempt> {
