Track which services' servers a VM can reach

What is missing to tell the hypotheses of the incident apart: each VM knew failed connections by server only. Once an attempt could not be sent, or is slow to connect, a few servers of its service are connected to; if none answers and no byte arrives meanwhile, the service counts as lost, and one line tells how. Another tells when a server is reached again. Metrics: age of the last contact and a flag, by service. No request is routed otherwise.

Connections to servers are opened behind an interface, so that a test can cut the links of one gateway.

--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -5,6 +5,7 @@
 import { SystemClock } from "../runtime/clock.ts";
 import { type RawRequest, RawServer } from "../../tests/fixtures/raw_server.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
+import { TcpServerConnector } from "./server_connector.ts";
 import {
   BackendAttempt,
   type BackendAttemptOutcome,
@@ -28,7 +29,10 @@
 ) {
   server = new RawServer(respond);
   const address = await server.listen();
-  connections = new BackendConnectionPool({ clock: new SystemClock() });
+  connections = new BackendConnectionPool({
+    clock: new SystemClock(),
+    serverConnector: new TcpServerConnector(),
+  });
   const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
   const notices: ServerNotice[] = [];
--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -2,10 +2,10 @@
 
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher } from "undici";
+import { parseAddress } from "../runtime/address.ts";
+import type { ServerConnector } from "./server_connector.ts";
 
-/** Round trips to backend servers take a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 400;
 /** Idle timeout of connections for which the server advertises none. */
 const DEFAULT_KEEP_ALIVE_MS = 4_000;
 /** Upper bound of the idle timeout that a server may advertise. */
@@ -50,12 +50,6 @@
 const EMPTY_LINE = "\r\n";
 const RESET_CODES: readonly unknown[] = ["EPIPE", "ECONNRESET"];
 
-// Half-open, so that it is possible to write after the server has ended the connection.
-const connect = buildConnector({
-  timeout: CONNECT_TIMEOUT_MS,
-  allowHalfOpen: true,
-});
-
 /** Sends one request at a time over an undici client with a single connection. */
 export class BackendConnection {
   readonly #client: Client;
@@ -70,14 +64,19 @@
   /** `onLost` is called when the connection ends while idle. */
   constructor(
     address: string,
-    onLost: (connection: BackendConnection) => void,
+    { connector, onLost }: {
+      connector: ServerConnector;
+      onLost: (connection: BackendConnection) => void;
+    },
   ) {
+    const target = parseAddress(address);
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: (target, done) =>
-        connect(target, (...result) => {
-          if (result[1]) this.#watch(result[1]);
-          done(...result);
+      connect: (_options, done) =>
+        connector.connect(target, (result) => {
+          if ("error" in result) return done(result.error, null);
+          this.#watch(result.socket);
+          done(null, result.socket);
         }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
--- a/src/backends/backend_connection_pool.ts
+++ b/src/backends/backend_connection_pool.ts
@@ -4,6 +4,7 @@
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { BackendConnection } from "./backend_connection.ts";
+import type { ServerConnector } from "./server_connector.ts";
 
 /** Idle connections kept per server; each uses memory on both sides. */
 const MAX_IDLE_PER_SERVER = 8;
@@ -16,11 +17,18 @@
 /** Opens connections and reuses idle ones. */
 export class BackendConnectionPool {
   readonly #clock: Clock;
+  readonly #connector: ServerConnector;
   readonly #idle = new Map<InstanceId, BackendConnection[]>();
   #opened = 0;
 
-  constructor({ clock }: { clock: Clock }) {
+  constructor(
+    { clock, serverConnector }: {
+      clock: Clock;
+      serverConnector: ServerConnector;
+    },
+  ) {
     this.#clock = clock;
+    this.#connector = serverConnector;
   }
 
   /** Number of connections opened so far. */
@@ -39,10 +47,10 @@
     const reused = fresh ? undefined : this.#acquireIdle(server.instance);
     if (reused !== undefined) return reused;
     this.#opened += 1;
-    return new BackendConnection(
-      server.address,
-      (lost) => this.#removeIdle(server.instance, lost),
-    );
+    return new BackendConnection(server.address, {
+      connector: this.#connector,
+      onLost: (lost) => this.#removeIdle(server.instance, lost),
+    });
   }
 
   /** Returns a connection to the pool after its exchange has ended. */
--- a/src/backends/backend_connection_test.ts
+++ b/src/backends/backend_connection_test.ts
@@ -12,6 +12,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { BackendConnection } from "./backend_connection.ts";
+import { TcpServerConnector } from "./server_connector.ts";
 
 /** More than the server's receive buffer holds, but less than that and the send buffer together. */
 const BODY_BYTES = 1_024 * 1_024;
@@ -32,7 +33,10 @@
   it("should discard unsent bytes when it is destroyed", async () => {
     const { port } = server.address() as AddressInfo;
     const connected = once(server, "connection");
-    const connection = new BackendConnection(`127.0.0.1:${port}`, () => {});
+    const connection = new BackendConnection(`127.0.0.1:${port}`, {
+      connector: new TcpServerConnector(),
+      onLost: () => {},
+    });
     connection.send(
       {
         method: "POST",
--- a/src/backends/server_exit_check_test.ts
+++ b/src/backends/server_exit_check_test.ts
@@ -4,12 +4,15 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import type { InstanceId } from "../core/ids.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
+import { TcpServerConnector } from "./server_connector.ts";
 import { ServerExitCheck } from "./server_exit_check.ts";
 
 let server: Server;
 let connections: number;
 let record: ServerRecord;
-const check = new ServerExitCheck();
+const check = new ServerExitCheck({
+  serverConnector: new TcpServerConnector(),
+});
 
 beforeEach(async () => {
   connections = 0;
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -21,6 +21,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
+import type { ReachabilityMonitor } from "./reachability_monitor.ts";
 import type { RetryPermit } from "./retry_permit.ts";
 import type { ServerAdmission } from "./server_admission.ts";
 import type { ServerNoticeHandler } from "./server_notice_handler.ts";
@@ -42,6 +43,8 @@
 const FIRST_FAILURE_STATUS = 500;
 /** Connect error where no process listens at the server's address. */
 const CONNECTION_REFUSED = "ECONNREFUSED";
+/** Round trips to backend servers take a few milliseconds. */
+const SLOW_CONNECT_MS = 100;
 const NO_INSTANCES: ReadonlySet<InstanceId> = new Set();
 
 /** Dependencies shared by all senders. */
@@ -57,6 +60,10 @@
   readonly serverNoticeHandler: ServerNoticeHandler;
   readonly serverLoads: ServerLoads;
   readonly workPredictor: WorkPredictor;
+  readonly reachabilityMonitor: Pick<
+    ReachabilityMonitor,
+    "recordContact" | "suspect"
+  >;
   readonly clock: Clock;
 }
 
@@ -238,6 +245,7 @@
       serverNoticeHandler,
       suspectPlacement,
       attemptAcks,
+      reachabilityMonitor,
     } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, options.admitted);
@@ -282,6 +290,7 @@
           serverNoticeHandler.handleNotice(server, notice);
         },
         onProgress: () => {
+          reachabilityMonitor.recordContact(server.service);
           attemptObserver.bytesReceived(observed);
           attemptAcks.responseReceived(server, observed.record);
         },
@@ -294,6 +303,7 @@
     place.release();
     if (outcome.tag === "withheld") this.#tried.delete(server.instance);
     if (options.isolate) suspectPlacement.remove(server.instance);
+    if (outcome.tag === "not_sent") reachabilityMonitor.suspect(server.service);
     if (outcome.tag === "not_sent" && outcome.reason === CONNECTION_REFUSED) {
       attemptAcks.connectionRefused(server);
     }
@@ -333,6 +343,13 @@
     this.#current?.resume();
   }
 
+  /** Checks whether any server is reachable if the current attempt is slow to connect. */
+  checkConnecting(): void {
+    if (this.#current === undefined || this.isCurrentSent) return;
+    if (this.lastAttemptAgeMs < SLOW_CONNECT_MS) return;
+    this.#deps.reachabilityMonitor.suspect(this.#request.service);
+  }
+
   /** Aborts the current attempt, if there is one. */
   abort(outcome?: BackendAttemptOutcome): void {
     this.#current?.abort(outcome);
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -6,6 +6,7 @@
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerLimits } from "../core/servers/server_limits.ts";
+import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { ServerBackoffs } from "../core/servers/server_backoffs.ts";
 import { formatAddress } from "../runtime/address.ts";
 import { listenHttp } from "../runtime/listen.ts";
@@ -39,6 +40,7 @@
   readonly coldServers: ColdServers;
   readonly serverBackoffs: ServerBackoffs;
   readonly serverLimits: ServerLimits;
+  readonly serverReachability: ServerReachability;
   readonly crashHistory: CrashHistory;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -139,6 +141,19 @@
     gatewayMetrics.suspectedRequests.set(crashHistory.size);
     gatewayMetrics.poisonRequests.set(crashHistory.crashingRequests.size);
     gatewayMetrics.members.set(memberTable.others().length);
+    this.#updateReachability();
+  }
+
+  #updateReachability(): void {
+    const { gatewayMetrics, serverReachability, clock } = this.#deps;
+    const nowMs = clock.monotonicMs();
+    for (const service of serverReachability.services) {
+      const isLost = serverReachability.isLost(service);
+      gatewayMetrics.unreachableServices.set({ service }, isLost ? 1 : 0);
+      const ageMs = serverReachability.contactAgeMs(service, nowMs);
+      if (ageMs === undefined) continue;
+      gatewayMetrics.serverContactAge.set({ service }, ageMs / MS_PER_SECOND);
+    }
   }
 
   #createServer(): FastifyInstance {
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -9,6 +9,10 @@
   type Resolver,
 } from "awilix";
 import { BackendConnectionPool } from "../backends/backend_connection_pool.ts";
+import {
+  type ServerConnector,
+  TcpServerConnector,
+} from "../backends/server_connector.ts";
 import { ServerExitCheck } from "../backends/server_exit_check.ts";
 import { ServerProbe } from "../backends/server_probe.ts";
 import { CrashHistory } from "../core/crashes/crash_history.ts";
@@ -33,6 +37,7 @@
 import { PrefillTimeEstimator } from "../core/servers/prefill_time_estimator.ts";
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { ServerLimits } from "../core/servers/server_limits.ts";
+import { ServerReachability } from "../core/servers/server_reachability.ts";
 import { ServerBackoffs } from "../core/servers/server_backoffs.ts";
 import { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
 import { CrashGossip } from "../fleet/crash_gossip.ts";
@@ -69,6 +74,7 @@
 import { ControlServer } from "./control_server.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { ReachabilityMonitor } from "./reachability_monitor.ts";
 import { Readiness } from "./readiness.ts";
 import { RequestAdmission } from "./request_admission.ts";
 import { RequestLog } from "./request_log.ts";
@@ -91,6 +97,8 @@
 export interface GatewayOptions {
   readonly vmSettings: VmSettings;
   readonly logger: Logger;
+  /** Opens connections to backend servers; over TCP by default. */
+  readonly serverConnector?: ServerConnector;
 }
 
 /** Components that the gateway process uses directly, by registration name. */
@@ -117,6 +125,7 @@
   readonly digestExchanger: DigestExchanger;
   readonly storeFeed: StoreFeed;
   readonly retryBudget: RetryBudget;
+  readonly reachabilityMonitor: ReachabilityMonitor;
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
   readonly stopState: StopState;
@@ -126,7 +135,7 @@
 
 /** Returns a container with all components of one gateway. */
 export function createGatewayContainer(
-  { vmSettings, logger }: GatewayOptions,
+  { vmSettings, logger, serverConnector }: GatewayOptions,
 ): AwilixContainer<GatewayComponents> {
   const container = createContainer<GatewayComponents>({
     injectionMode: InjectionMode.PROXY,
@@ -136,6 +145,7 @@
     vmSettings: asValue(vmSettings),
     bounds: asValue(vmSettings.bounds),
     logger: asValue(logger),
+    serverConnector: asValue(serverConnector ?? new TcpServerConnector()),
     chance: asValue(Math.random),
     unitHash: asValue(unitHash),
     clock: asFunction(() => new SystemClock()).singleton(),
@@ -194,6 +204,7 @@
     serverLoads: singleton(ServerLoads),
     serverBackoffs: asFunction(() => new ServerBackoffs()).singleton(),
     serverLimits: asFunction(() => new ServerLimits()).singleton(),
+    serverReachability: asFunction(() => new ServerReachability()).singleton(),
     releaseGate: singleton(ReleaseGate),
     modelLatencyEstimator: singleton(ModelLatencyEstimator),
     serverStallDetector: singleton(ServerStallDetector),
@@ -286,10 +297,11 @@
     () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
     backendConnectionPool: singleton(BackendConnectionPool),
     serverProbe: singleton(ServerProbe),
-    serverExitCheck: asFunction(() => new ServerExitCheck()).singleton(),
+    serverExitCheck: singleton(ServerExitCheck),
     crashDetector: singleton(CrashDetector),
     suspectPlacement: asFunction(() => new SuspectPlacement()).singleton(),
     stopState: singleton(StopState),
+    reachabilityMonitor: singleton(ReachabilityMonitor),
     readiness: singleton(Readiness),
     addressList: singleton(AddressList),
     coldServerGuard: singleton(ColdServerGuard),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -144,6 +144,21 @@
     registers: [this.registry],
   });
 
+  readonly serverContactAge = new Gauge({
+    name: "fieldrack_gateway_server_contact_age_seconds",
+    help:
+      "Time in seconds since the last contact with any backend server, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
+  readonly unreachableServices = new Gauge({
+    name: "fieldrack_gateway_unreachable_service",
+    help: "1 while no backend server can be reached from this VM, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
   readonly members = new Gauge({
     name: "fieldrack_gateway_vms",
     help: "Other entry VMs that are not considered dead by this VM",
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -121,6 +121,7 @@
   async stop(): Promise<void> {
     const components = this.#components;
     this.#heartbeat.stop();
+    components.reachabilityMonitor.stop();
     components.trialController.stop();
     components.canaryFollower.stop();
     components.evacuationFollower.stop();
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -229,6 +229,7 @@
 
   /** Called periodically while the request runs; aborts quarantined or stalled attempts. */
   check(nowMs: number): void {
+    this.#sender.checkConnecting();
     // A stream that has begun and continues shows that the request does not crash its server.
     const begun = this.#sender.hasFirstByte || !this.#crashes.isStream;
     if (!begun && this.#crashes.isQuarantined) this.#sender.abort();
