Relay requests of a VM that reaches no server through another VM

Cause: each request found out anew that no server could be reached, and then was refused; nothing in the gateway tells "this server is gone" from "I am cut off", and nobody but this VM could serve what had arrived there.

Change: while a service is lost, and where all connections of a request have failed, the request goes through another VM over plain HTTP on the peers' address: one hop, at most once, with the time that is left; a peer that sent nothing to a server says so, then another is asked.

Ruled out: retries (attempts that were not sent consume none), servers being ejected at the others (none was).

--- a/src/core/membership/member.ts
+++ b/src/core/membership/member.ts
@@ -1,6 +1,6 @@
 /** Membership record of an entry VM, as exchanged between entry VMs. */
 
-import type { DataCentreId, EntryId, Revision } from "../ids.ts";
+import type { DataCentreId, EntryId, Revision, ServiceId } from "../ids.ts";
 
 /**
  * `suspect` entry VMs missed a probe and may still refute the suspicion. `leaving` entry VMs
@@ -8,6 +8,14 @@
  */
 export type MemberState = "alive" | "suspect" | "leaving" | "dead";
 
+/** Which backend servers an entry VM reports that it cannot reach. */
+export interface MemberReachability {
+  /** Increases with each change; a record with a later one is newer. */
+  readonly sequence: number;
+  /** Services of which the VM cannot reach any server. */
+  readonly lostServices: readonly ServiceId[];
+}
+
 /** State of an entry VM. */
 export interface Member {
   readonly id: EntryId;
@@ -23,6 +31,8 @@
   readonly revision: Revision;
   /** Processor cores available to the VM; undefined if it does not report them. */
   readonly cores?: number | undefined;
+  /** Undefined while the VM has never lost a service. */
+  readonly reachability?: MemberReachability | undefined;
 }
 
 const STATE_PRECEDENCE: Record<MemberState, number> = {
@@ -39,3 +49,33 @@
   }
   return STATE_PRECEDENCE[update.state] > STATE_PRECEDENCE[current.state];
 }
+
+/** Whether an entry VM reports that it cannot reach any server of a service. */
+export function hasLostService(
+  { reachability }: Member,
+  service: ServiceId,
+): boolean {
+  return reachability?.lostServices.includes(service) ?? false;
+}
+
+/**
+ * Whether an entry VM is partitioned from the backend servers: it has lost a service that at least
+ * one other has not lost. A service that all have lost is down.
+ */
+export function isPartitioned(
+  { reachability }: Member,
+  members: readonly Member[],
+): boolean {
+  return (reachability?.lostServices ?? []).some((service) =>
+    members.some((member) => !hasLostService(member, service))
+  );
+}
+
+/** Returns the newer of two reports of the same incarnation. */
+export function latestReachability(
+  a: MemberReachability | undefined,
+  b: MemberReachability | undefined,
+): MemberReachability | undefined {
+  if (a === undefined || b === undefined) return a ?? b;
+  return b.sequence > a.sequence ? b : a;
+}
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -1,7 +1,17 @@
 /** This entry VM's view of the fleet, kept up to date by gossip that is piggybacked on probes. */
 
-import { type EntryId, NO_REVISION, type Revision } from "../ids.ts";
-import { type Member, type MemberState, supersedes } from "./member.ts";
+import {
+  type EntryId,
+  NO_REVISION,
+  type Revision,
+  type ServiceId,
+} from "../ids.ts";
+import {
+  latestReachability,
+  type Member,
+  type MemberState,
+  supersedes,
+} from "./member.ts";
 
 /** Maximum number of member updates in a message. */
 const MAX_UPDATES_PER_MESSAGE = 8;
@@ -49,6 +59,12 @@
     this.#self = { ...this.#self, revision };
   }
 
+  /** Sets the advertised services of which this entry VM cannot reach any server. */
+  setLostServices(lostServices: readonly ServiceId[]): void {
+    const sequence = (this.#self.reachability?.sequence ?? 0) + 1;
+    this.#self = { ...this.#self, reachability: { sequence, lostServices } };
+  }
+
   /** Sets the advertised addresses of this entry VM, once it listens. */
   setOwnAddresses(addresses: { callers: string; peers: string }): void {
     this.#self = { ...this.#self, ...addresses };
@@ -180,12 +196,16 @@
     }
     if (!supersedes(update, row.member)) {
       this.#mergeRevision(row, update);
+      this.#mergeReachability(row, update);
       return false;
     }
+    const reachability = update.incarnation === row.member.incarnation
+      ? latestReachability(row.member.reachability, update.reachability)
+      : update.reachability;
     const leftGracefully = update.state === "dead" &&
       row.member.state === "leaving";
     this.#rows.set(update.id, {
-      member: update,
+      member: { ...update, reachability },
       leftGracefully,
       sendCount: 0,
       stateSinceMs: nowMs,
@@ -203,6 +223,16 @@
     row.member = { ...row.member, revision: update.revision };
   }
 
+  /** Takes a later report on reachability, which is gossiped like a change of state. */
+  #mergeReachability(row: Row, update: Member): void {
+    if (update.incarnation !== row.member.incarnation) return;
+    const { reachability: known } = row.member;
+    const reachability = latestReachability(known, update.reachability);
+    if (reachability === known) return;
+    row.sendCount = 0;
+    row.member = { ...row.member, reachability };
+  }
+
   #refute(update: Member): boolean {
     const isSuspicion = update.state === "suspect" || update.state === "dead";
     const isCurrent = update.incarnation >= this.#self.incarnation;
--- a/src/core/servers/server_reachability.ts
+++ b/src/core/servers/server_reachability.ts
@@ -25,9 +25,14 @@
   readonly failed: readonly InstanceId[];
 }
 
+/** A round in which all connections fail within this time shows that they are refused or reset. */
+const FAST_ROUND_MS = 100;
+
 interface ServiceState {
   contactMs: number | undefined;
   lostSinceMs: number | undefined;
+  /** Duration of the last failed round. */
+  failedRoundMs: number;
 }
 
 /**
@@ -52,10 +57,10 @@
     service: ServiceId,
     { startedMs, endedMs, failed }: ProbeRound,
   ): ReachabilityChange | undefined {
+    if (failed.length === 0) return undefined;
     const state = this.#of(service);
-    if (failed.length === 0 || state.lostSinceMs !== undefined) {
-      return undefined;
-    }
+    state.failedRoundMs = endedMs - startedMs;
+    if (state.lostSinceMs !== undefined) return undefined;
     // Bytes that arrived meanwhile show that only these servers, or only new connections, fail.
     if (state.contactMs !== undefined && state.contactMs >= startedMs) {
       return undefined;
@@ -78,6 +83,11 @@
     return this.#services.get(service)?.lostSinceMs !== undefined;
   }
 
+  /** Whether connections to the servers of a lost service fail at once rather than hang. */
+  failsFast(service: ServiceId): boolean {
+    return (this.#services.get(service)?.failedRoundMs ?? 0) < FAST_ROUND_MS;
+  }
+
   /** Services of which no server can be reached, in alphabetical order. */
   get lostServices(): readonly ServiceId[] {
     return [...this.#services.keys()].filter((service) => this.isLost(service))
@@ -106,7 +116,11 @@
   #of(service: ServiceId): ServiceState {
     const known = this.#services.get(service);
     if (known !== undefined) return known;
-    const state = { contactMs: undefined, lostSinceMs: undefined };
+    const state = {
+      contactMs: undefined,
+      lostSinceMs: undefined,
+      failedRoundMs: 0,
+    };
     this.#services.set(service, state);
     return state;
   }
--- a/src/fleet/digest_exchanger.ts
+++ b/src/fleet/digest_exchanger.ts
@@ -112,6 +112,14 @@
     await Promise.all(relays.map(({ peers }) => this.#exchange(peers)));
   }
 
+  /**
+   * Sends a digest to all VMs immediately if they exchange digests directly. In larger fleets many
+   * VMs may have the same news, which then travels with the regular exchanges.
+   */
+  async announceToSmallFleet(): Promise<void> {
+    if (this.#deps.relayRole.isFullMesh) await this.announce();
+  }
+
   /**
    * Sends urgent crashes without waiting for the next round: the first VM to know of them sends
    * them to all relays, and each relay to its followers. Crashes found meanwhile are included.
--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import { TRPCError } from "@trpc/server";
+import { RELAY_ORIGIN_HEADER } from "../protocol/relay_schema.ts";
 import { parseAddress } from "../runtime/address.ts";
 import {
   COMPRESSED_ENCODING,
@@ -21,8 +22,15 @@
 } from "./digest_router.ts";
 
 const MAX_BODY_BYTES = 1024 * 1024;
+/** As large as callers may send them, as relayed requests carry the headers of callers. */
+const MAX_HEADER_BYTES = 65_536;
 /** Longer than the interval between two exchanges of a pair of VMs in a large fleet. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Serves requests that other VMs relay for their callers. */
+export interface RelayHandler {
+  handleRelayed(req: IncomingMessage, res: ServerResponse): Promise<void>;
+}
+
 /** Procedures by the request path of tRPC clients. */
 const PROCEDURES = {
   "/exchange": "exchange",
@@ -39,14 +47,23 @@
 export class DigestServer {
   readonly #server: Server;
   readonly #caller: DigestCaller;
+  readonly #relayHandler: RelayHandler;
 
-  constructor({ digestService, storeFeed, permitGranter }: FleetHandlers) {
+  constructor(
+    { digestService, storeFeed, permitGranter, requestServer }:
+      & FleetHandlers
+      & { readonly requestServer: RelayHandler },
+  ) {
+    this.#relayHandler = requestServer;
     this.#caller = createDigestCaller({
       digestService,
       storeFeed,
       permitGranter,
     });
-    this.#server = createServer((req, res) => void this.#handle(req, res));
+    this.#server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES },
+      (req, res) => void this.#handle(req, res),
+    );
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
 
@@ -68,6 +85,9 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.headers[RELAY_ORIGIN_HEADER] !== undefined) {
+      return await this.#relayHandler.handleRelayed(req, res);
+    }
     const packed = req.headers["accept-encoding"] === COMPRESSED_ENCODING;
     try {
       const data = await this.#answer(req);
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -128,6 +128,11 @@
     );
   }
 
+  /** Whether a connection to some server failed. */
+  get hasFailedToConnect(): boolean {
+    return this.#attempts.some(({ outcome }) => outcome === "not_sent");
+  }
+
   /** Whether the server may have received bytes of the current attempt. */
   get isCurrentSent(): boolean {
     return this.#current?.sent ?? false;
@@ -355,6 +360,11 @@
     this.#current?.abort(outcome);
   }
 
+  /** Aborts the current attempt unless its server may have received bytes of it. */
+  abortUnsent(outcome: BackendAttemptOutcome): void {
+    if (!this.isCurrentSent) this.abort(outcome);
+  }
+
   /** Aborts the current attempt because its server has stalled. */
   abortStalled(reason: StallReason): void {
     const streaming = this.#request.exchange.state === "begun";
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -11,9 +11,17 @@
   forwardedResponseHeaders,
   localResponseHeaders,
 } from "../platform/header_wire.ts";
+import {
+  decodeRelayOrigin,
+  RELAY_DECLINED_HEADER,
+  RELAY_ORIGIN_HEADER,
+  type RelayOrigin,
+} from "../protocol/relay_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { nextTurn } from "../runtime/next_turn.ts";
 
+const DECLINED_STATUS = 503;
+
 /** State of the response. */
 export type ResponseState = "none" | "begun" | "ended" | "cut" | "caller_gone";
 
@@ -24,7 +32,10 @@
   /** Path and query, exactly as received. */
   readonly url: string;
   readonly host: string;
+  /** All headers but those that VMs set for each other, which callers cannot set. */
   readonly rawHeaders: readonly string[];
+  /** Set if another VM relays the request. */
+  readonly origin: RelayOrigin | undefined;
   /** When the head of the request was received, in monotonic milliseconds. */
   readonly arrivedMs: number;
   readonly #req: IncomingMessage;
@@ -37,13 +48,15 @@
   #onDisconnect: () => void = () => {};
 
   constructor(
-    { req, res, url, clock, closing }: {
+    { req, res, url, clock, closing, isRelayed = false }: {
       req: IncomingMessage;
       res: ServerResponse;
       url: string;
       clock: Clock;
       /** Whether to close the connection after this response. */
       closing: () => boolean;
+      /** Whether the request came from another VM rather than a caller. */
+      isRelayed?: boolean;
     },
   ) {
     this.#req = req;
@@ -54,7 +67,10 @@
     this.method = req.method ?? "GET";
     this.url = url;
     this.host = req.headers.host ?? "";
-    this.rawHeaders = req.rawHeaders;
+    this.rawHeaders = withoutRelayHeaders(req.rawHeaders);
+    this.origin = isRelayed
+      ? decodeRelayOrigin(req.headers[RELAY_ORIGIN_HEADER])
+      : undefined;
     this.head = decodeCallerHead(req.headers);
     res.on("close", () => this.#handleClose());
     // A connection error is always followed by "close", which handles it.
@@ -140,8 +156,21 @@
     this.#end(body);
   }
 
+  /** Tells the relaying VM that no server has received the request, nor will from this VM. */
+  decline(reason: string): void {
+    if (this.#state !== "none") return;
+    this.#begin(DECLINED_STATUS, {
+      [RELAY_DECLINED_HEADER]: reason,
+      "content-length": "0",
+    });
+    this.#end(undefined);
+  }
+
   /** Sends a complete response of a backend server. */
-  respond({ status, headers }: ResponseHead, body: Buffer): void {
+  respond(
+    { status, headers }: Pick<ResponseHead, "status" | "headers">,
+    body: Buffer,
+  ): void {
     if (this.#state !== "none") return;
     const length = this.method === "HEAD"
       ? headers["content-length"]
@@ -154,7 +183,9 @@
   }
 
   /** Sends the head of a response whose body is streamed. */
-  beginStream({ status, headers }: ResponseHead): void {
+  beginStream(
+    { status, headers }: Pick<ResponseHead, "status" | "headers">,
+  ): void {
     if (this.#state !== "none") return;
     this.#corkForTurn();
     this.#begin(status, forwardedResponseHeaders(headers));
@@ -218,3 +249,14 @@
     this.#onDisconnect();
   }
 }
+
+function withoutRelayHeaders(rawHeaders: readonly string[]): readonly string[] {
+  const isRelayHeader = (name: string) =>
+    name.toLowerCase() === RELAY_ORIGIN_HEADER;
+  if (!rawHeaders.some((name, at) => at % 2 === 0 && isRelayHeader(name))) {
+    return rawHeaders;
+  }
+  return rawHeaders.filter((_, at) =>
+    !isRelayHeader(rawHeaders[at - at % 2] ?? "")
+  );
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -48,6 +48,7 @@
 import { DigestServer } from "../fleet/digest_server.ts";
 import { PermitBorrower } from "../fleet/permit_borrower.ts";
 import { PermitGranter } from "../fleet/permit_granter.ts";
+import { RelayPeers } from "../fleet/relay_peers.ts";
 import { StoreFeed } from "../fleet/store_feed.ts";
 import { StoreSubscriber } from "../fleet/store_subscriber.ts";
 import { VmClients } from "../fleet/vm_clients.ts";
@@ -146,6 +147,7 @@
     bounds: asValue(vmSettings.bounds),
     logger: asValue(logger),
     serverConnector: asValue(serverConnector ?? new TcpServerConnector()),
+    peerConnector: asValue(new TcpServerConnector()),
     chance: asValue(Math.random),
     unitHash: asValue(unitHash),
     clock: asFunction(() => new SystemClock()).singleton(),
@@ -283,6 +285,7 @@
     limitGossip: singleton(LimitGossip),
     permitGranter: singleton(PermitGranter),
     permitBorrower: singleton(PermitBorrower),
+    relayPeers: singleton(RelayPeers),
     digestServer: singleton(DigestServer),
     vmClients: asFunction(() => new VmClients()).singleton(),
     storeFeed: singleton(StoreFeed),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -71,6 +71,10 @@
       components.requestServer.setLimits(configuration.limits);
       components.memberTable.setOwnRevision(version as Revision);
     });
+    components.reachabilityMonitor.onChange((lostServices) => {
+      components.memberTable.setLostServices(lostServices);
+      void components.digestExchanger.announceToSmallFleet();
+    });
     components.canaryFollower.start();
     if (listen.peers !== undefined) {
       await components.digestServer.listen(listen.peers);
--- /dev/null
+++ b/src/gateway/peer_relay.ts
@@ -0,0 +1,229 @@
+/** Sends a request of a caller through another VM, which runs it like one of its own callers'. */
+
+import { Buffer } from "node:buffer";
+import {
+  BackendConnection,
+  type ExchangeFailure,
+  type ExchangeListener,
+  type ResponseHeaders,
+} from "../backends/backend_connection.ts";
+import type { ServerConnector } from "../backends/server_connector.ts";
+import type { EntryId, ServiceId } from "../core/ids.ts";
+import type { Member } from "../core/membership/member.ts";
+import type { RelayPeers } from "../fleet/relay_peers.ts";
+import {
+  decodeBackendHead,
+  encodeRelayedRequestHeaders,
+} from "../platform/header_wire.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
+import {
+  encodeRelayOrigin,
+  RELAY_DECLINED_HEADER,
+  RELAY_ORIGIN_HEADER,
+} from "../protocol/relay_schema.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** VMs that are asked for one request. */
+const MAX_PEERS = 3;
+/** The other VM ends the request this much earlier, so that its answer is not too late here. */
+const ANSWER_MARGIN_MS = 5;
+
+/** Dependencies shared by all relays. */
+export interface PeerRelayDeps {
+  readonly vmSettings: VmSettings;
+  readonly relayPeers: RelayPeers;
+  /** Opens connections to other VMs. */
+  readonly peerConnector: ServerConnector;
+  readonly gatewayMetrics: GatewayMetrics;
+}
+
+/** Result of a relay. */
+export type RelayOutcome =
+  /** The caller has an answer, or at least its beginning. */
+  | { readonly tag: "answered" }
+  /** No VM took the request, and no server has received it. */
+  | { readonly tag: "declined" }
+  /** A server may have received the request, and its answer is lost. */
+  | { readonly tag: "broken"; readonly reason: string };
+
+/** Options of a relay. */
+export interface RelayOptions {
+  readonly configurationVersion: number;
+  /** Whether this VM has counted the request towards its retry budget. */
+  readonly isCounted: boolean;
+  /** Returns the time until the request expires, in milliseconds. */
+  readonly leftMs: () => number;
+}
+
+/** Relays one request. */
+export class PeerRelay {
+  readonly #deps: PeerRelayDeps;
+  readonly #exchange: CallerExchange;
+  readonly #body: Buffer | undefined;
+  readonly #service: ServiceId;
+  readonly #asked = new Set<EntryId>();
+  #current: RelayAttempt | undefined;
+  #vm: EntryId | undefined;
+
+  constructor(
+    deps: PeerRelayDeps,
+    { exchange, body, service }: {
+      exchange: CallerExchange;
+      body: Buffer | undefined;
+      service: ServiceId;
+    },
+  ) {
+    this.#deps = deps;
+    this.#exchange = exchange;
+    this.#body = body;
+    this.#service = service;
+  }
+
+  /** VM that was asked last; undefined if none was. */
+  get vm(): EntryId | undefined {
+    return this.#vm;
+  }
+
+  /** Whether another VM may have received the request and has not declined it. */
+  get isSent(): boolean {
+    return this.#current?.isSent ?? false;
+  }
+
+  /** Asks one VM after another until one takes the request. */
+  async run(options: RelayOptions): Promise<RelayOutcome> {
+    const { relayPeers, gatewayMetrics } = this.#deps;
+    while (this.#asked.size < MAX_PEERS && !this.#exchange.isFinished) {
+      const peer = relayPeers.choose(this.#service, this.#asked);
+      if (peer === undefined) break;
+      this.#asked.add(peer.id);
+      this.#vm = peer.id;
+      const outcome = await this.#ask(peer, options);
+      gatewayMetrics.relayedRequests.inc({ outcome: outcome.tag });
+      if (outcome.tag !== "declined") return outcome;
+      relayPeers.recordDeclined(peer.id, this.#service);
+    }
+    return { tag: "declined" };
+  }
+
+  /** Ends the relay and resets its connection, on which the other VM stops its work. */
+  abort(): void {
+    this.#current?.abort();
+  }
+
+  async #ask(
+    peer: Member,
+    { configurationVersion, isCounted, leftMs }: RelayOptions,
+  ): Promise<RelayOutcome> {
+    const { vmSettings, peerConnector } = this.#deps;
+    const { method, url, host, rawHeaders } = this.#exchange;
+    const origin = { vm: vmSettings.vm, configurationVersion, isCounted };
+    const headers = encodeRelayedRequestHeaders(rawHeaders, {
+      host,
+      remainingMs: leftMs() - ANSWER_MARGIN_MS,
+    });
+    headers.push(RELAY_ORIGIN_HEADER, encodeRelayOrigin(origin));
+    // Always a new connection: a kept one may be closing, which leaves unclear what was received.
+    const connection = new BackendConnection(peer.peers, {
+      connector: peerConnector,
+      onLost: (lost) => lost.destroy(),
+    });
+    this.#current = new RelayAttempt(this.#exchange, connection);
+    return await this.#current.run({
+      method,
+      path: url,
+      headers,
+      body: this.#body,
+    });
+  }
+}
+
+/** One exchange with another VM, whose answer goes to the caller. */
+class RelayAttempt implements ExchangeListener {
+  readonly #exchange: CallerExchange;
+  readonly #connection: BackendConnection;
+  readonly #chunks: Buffer[] = [];
+  #head: { status: number; headers: ResponseHeaders } | undefined;
+  #isStreamed = false;
+  #isDeclined = false;
+  #sent = false;
+  #done = false;
+  #resolve: (outcome: RelayOutcome) => void = () => {};
+
+  constructor(exchange: CallerExchange, connection: BackendConnection) {
+    this.#exchange = exchange;
+    this.#connection = connection;
+  }
+
+  get isSent(): boolean {
+    return this.#sent && !this.#isDeclined;
+  }
+
+  run(req: Parameters<BackendConnection["send"]>[0]): Promise<RelayOutcome> {
+    return new Promise((resolve) => {
+      this.#resolve = resolve;
+      this.#connection.send(req, this);
+    });
+  }
+
+  abort(): void {
+    this.#finish(
+      this.#sent ? { tag: "broken", reason: "aborted" } : { tag: "declined" },
+    );
+  }
+
+  onSending(): boolean {
+    this.#sent = !this.#done;
+    return this.#sent;
+  }
+
+  onHead(status: number, headers: ResponseHeaders): void {
+    if (this.#done) return;
+    if (headers[RELAY_DECLINED_HEADER] !== undefined) {
+      this.#isDeclined = true;
+      return this.#finish({ tag: "declined" });
+    }
+    this.#head = { status, headers };
+    const { isEventStream } = decodeBackendHead(headers);
+    this.#isStreamed = status < 300 && isEventStream;
+    if (this.#isStreamed) this.#exchange.beginStream({ status, headers });
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#done) return;
+    if (!this.#isStreamed) {
+      this.#chunks.push(chunk);
+      return;
+    }
+    if (this.#exchange.write(chunk)) return;
+    this.#connection.setPaused(true);
+    this.#exchange.onDrain(() => {
+      if (!this.#done) this.#connection.setPaused(false);
+    });
+  }
+
+  onEnd(): void {
+    if (this.#done) return;
+    if (this.#isStreamed) this.#exchange.endStream();
+    else if (this.#head !== undefined) {
+      this.#exchange.respond(this.#head, Buffer.concat(this.#chunks));
+    }
+    this.#finish({ tag: "answered" });
+  }
+
+  onFailure(failure: ExchangeFailure): void {
+    if (this.#done) return;
+    this.#finish(
+      failure.tag === "broken"
+        ? { tag: "broken", reason: failure.reason }
+        : { tag: "declined" },
+    );
+  }
+
+  #finish(outcome: RelayOutcome): void {
+    if (this.#done) return;
+    this.#done = true;
+    this.#connection.destroy();
+    this.#resolve(outcome);
+  }
+}
--- a/src/gateway/reachability_monitor.ts
+++ b/src/gateway/reachability_monitor.ts
@@ -40,13 +40,21 @@
 export class ReachabilityMonitor {
   readonly #deps: Deps;
   readonly #roundStartedMs = new Map<ServiceId, number>();
+  /** Index of the server with which the next round begins. */
+  readonly #nextServer = new Map<ServiceId, number>();
   readonly #timers = new Map<ServiceId, NodeJS.Timeout>();
   #stopped = false;
+  #onChange: (lostServices: readonly ServiceId[]) => void = () => {};
 
   constructor(deps: Deps) {
     this.#deps = deps;
   }
 
+  /** Sets the listener that is called when a service is lost or regained. */
+  onChange(listener: (lostServices: readonly ServiceId[]) => void): void {
+    this.#onChange = listener;
+  }
+
   /** Records a byte from a server of a service. */
   recordContact(service: ServiceId): void {
     const { serverReachability, clock } = this.#deps;
@@ -106,13 +114,18 @@
     return { server, reason };
   }
 
-  /** A few servers that follow each other in the list, from a random one on. */
+  /** The next few servers of the list; rounds take turns, beginning at a random server. */
   #chooseServers(service: ServiceId): ServerRecord[] {
     const { serverDirectory, chance } = this.#deps;
     const servers = serverDirectory.usable(service);
-    const first = Math.floor(chance() * servers.length);
-    return [...servers.slice(first), ...servers.slice(0, first)]
-      .slice(0, SERVERS_PER_ROUND);
+    const first = this.#nextServer.get(service) ??
+      Math.floor(chance() * servers.length);
+    this.#nextServer.set(service, first + SERVERS_PER_ROUND);
+    const count = Math.min(SERVERS_PER_ROUND, servers.length);
+    return Array.from(
+      { length: count },
+      (_, at) => servers[(first + at) % servers.length],
+    ).filter((server) => server !== undefined);
   }
 
   #apply(
@@ -122,6 +135,7 @@
     if (change === undefined) return;
     const { logger, serverReachability } = this.#deps;
     const { service } = change;
+    this.#onChange(serverReachability.lostServices);
     const lost = serverReachability.lostServices.join(",");
     if (change.tag === "regained") {
       const lostMs = Math.round(change.lostMs);
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -51,6 +51,16 @@
     });
   }
 
+  /** Records a request of another VM that this VM does not run. */
+  recordDeclined({ head, origin }: CallerExchange, reason: string): void {
+    this.#metrics.declinedRelays.inc();
+    this.#logger.info("Relayed request declined", {
+      attempt: head.attempt,
+      relayed_from: origin?.vm,
+      reason,
+    });
+  }
+
   /** Records a stream that this VM cut before it was complete, and the reason. */
   recordStreamCut(
     exchange: CallerExchange,
@@ -73,7 +83,8 @@
   recordEnd(exchange: CallerExchange, run: RunSummary): void {
     const status = exchange.status ?? 0;
     this.#count(exchange, run);
-    const isRoutine = status >= 200 && status < 300 && run.tries.length === 1 &&
+    const sends = run.tries.length + (run.relayedTo === undefined ? 0 : 1);
+    const isRoutine = status >= 200 && status < 300 && sends === 1 &&
       exchange.state === "ended";
     if (isRoutine && this.#successes++ % SUCCESS_SAMPLE_INTERVAL !== 0) return;
     this.#logger.info("Request ended", {
@@ -95,6 +106,8 @@
       status,
       state: exchange.state,
       age_ms: Math.round(exchange.ageMs()),
+      relayed_to: run.relayedTo,
+      relayed_from: run.relayedFrom,
       tries: run.tries.map((attempt) =>
         describeAttempt(attempt, exchange.arrivedMs)
       ).join(
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -10,6 +10,7 @@
 import type { ServiceId } from "../core/ids.ts";
 import type { RetryBudget } from "../core/limits/retry_budget.ts";
 import type { Refusal } from "../core/refusal.ts";
+import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import { pause } from "../runtime/pause.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
@@ -17,6 +18,7 @@
 import type { CrashDetector } from "./crash_detector.ts";
 import { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
+import { PeerRelay, type PeerRelayDeps } from "./peer_relay.ts";
 import { RequestCrashTracker } from "./request_crash_tracker.ts";
 import { type NoServerContext, RequestFinisher } from "./request_finisher.ts";
 import { RequestIdentity } from "./request_identity.ts";
@@ -33,11 +35,14 @@
 const MIN_LEFT_MS = 20;
 /** Responses with this status or a higher one are errors. */
 const FIRST_ERROR_STATUS = 400;
+/** Reason given when no server of the service can be reached from this VM. */
+const UNREACHABLE = "no server is reachable from this VM";
 /** Reason given when a request may not be retried. */
 const BUDGET_EXHAUSTED = "retry budget exhausted";
 
 /** Dependencies shared by all runs. */
-export interface RequestRunDeps extends AttemptSenderDeps {
+export interface RequestRunDeps extends AttemptSenderDeps, PeerRelayDeps {
+  readonly serverReachability: ServerReachability;
   readonly serverFollower: ServerFollower;
   readonly retryBudget: RetryBudget;
   readonly modelLatencyEstimator: ModelLatencyEstimator;
@@ -56,6 +61,7 @@
   readonly #models: ModelCascade;
   readonly #stream: StreamRelay;
   readonly #sender: AttemptSender;
+  readonly #relay: PeerRelay;
   readonly #limitMs: number;
   /**
    * Result of the admission, which applies to all attempts. Repeating the admission with newer
@@ -69,6 +75,7 @@
   readonly #retryPermit: RetryPermit;
   readonly #end: RequestFinisher;
   #expired = false;
+  #isRelayTried = false;
   /** Whether this VM has aborted an attempt that its server was still running. */
   #abortedRunning = false;
   #timer: NodeJS.Timeout | undefined;
@@ -85,7 +92,9 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#service = deps.serverSelector.pickService(admitted.route);
-    this.#retryPermit = new RetryPermit(deps, this.#service);
+    this.#retryPermit = new RetryPermit(deps, this.#service, {
+      isCounted: exchange.origin?.isCounted ?? false,
+    });
     const { head, method, host, url } = exchange;
     const { account, route } = admitted;
     this.#identity = new RequestIdentity({ method, host, url, account, body });
@@ -110,6 +119,11 @@
       summary: () => this.summary(),
     });
     this.#stream = new StreamRelay(exchange);
+    this.#relay = new PeerRelay(deps, {
+      exchange,
+      body,
+      service: this.#service,
+    });
     this.#sender = new AttemptSender(deps, {
       exchange,
       body,
@@ -132,14 +146,15 @@
       limitMs: this.#limitMs,
       retryBudget: this.#retryPermit.budgetState(),
       tries: this.#sender.attempts,
+      relayedTo: this.#relay.vm,
+      relayedFrom: this.#exchange.origin?.vm,
     };
   }
 
   /** Runs the request; resolves when its response has ended or its caller has disconnected. */
   async run(): Promise<void> {
-    this.#retryPermit.countRequest();
     this.#timer = setTimeout(() => this.#expire(), this.#leftMs());
-    this.#exchange.onDisconnect(() => this.#sender.abort());
+    this.#exchange.onDisconnect(() => this.#abort());
     try {
       while (await this.#step() === "again");
     } finally {
@@ -151,6 +166,15 @@
   async #step(): Promise<StepResult> {
     if (this.#exchange.isFinished) return "done";
     if (this.#expired || this.#leftMs() < MIN_LEFT_MS) return this.#timeUp();
+    if (this.#isUnreachable) {
+      const relayed = await this.#relayElsewhere();
+      if (relayed !== undefined) return relayed;
+      // Where connections hang, a search for a server that is left would only delay the refusal.
+      if (!this.#deps.serverReachability.failsFast(this.#service)) {
+        return this.#refuse(this.#tally.noServerRefusal());
+      }
+    }
+    this.#retryPermit.countRequest();
     const crashState = await this.#crashes.waitUntilSettled(() =>
       this.#isFinished
     );
@@ -189,6 +213,48 @@
       : "again";
   }
 
+  /** Whether no server has received the request, and none of its service is reachable. */
+  get #isUnreachable(): boolean {
+    return this.#mayRelay &&
+      this.#deps.serverReachability.isLost(this.#service);
+  }
+
+  /** Whether another VM may be asked: no server can have received the request from here. */
+  get #mayRelay(): boolean {
+    return !this.#isRelayTried && !this.#sender.wasSent &&
+      this.#tally.runs === 0 &&
+      this.#exchange.state === "none";
+  }
+
+  /**
+   * Sends the request through another VM that reaches the servers. Returns undefined if none takes
+   * it; no server has received it then.
+   */
+  async #relayElsewhere(): Promise<StepResult | undefined> {
+    if (this.#exchange.origin !== undefined) {
+      this.#deps.requestLog.recordDeclined(this.#exchange, UNREACHABLE);
+      this.#exchange.decline(UNREACHABLE);
+      return "done";
+    }
+    this.#isRelayTried = true;
+    const outcome = await this.#relay.run({
+      configurationVersion: this.#admitted.table.version,
+      isCounted: this.#retryPermit.isCounted,
+      leftMs: () => this.#leftMs(),
+    });
+    if (outcome.tag === "broken") {
+      const { reason } = outcome;
+      return this.#refuse({ tag: "answer_lost", reason });
+    }
+    if (outcome.tag === "declined" && !this.#isFinished) return undefined;
+    return "done";
+  }
+
+  #abort(): void {
+    this.#sender.abort();
+    this.#relay.abort();
+  }
+
   /** Waits or refuses the request, as it may not be sent to another server now. */
   #waitOrRefuse(reason?: string): Promise<StepResult> {
     return this.#handleNoServer({ reason, opensInMs: this.#opensInMs() });
@@ -230,6 +296,9 @@
   /** Called periodically while the request runs; aborts quarantined or stalled attempts. */
   check(nowMs: number): void {
     this.#sender.checkConnecting();
+    if (this.#isUnreachable) {
+      this.#sender.abortUnsent({ tag: "not_sent", reason: UNREACHABLE });
+    }
     // A stream that has begun and continues shows that the request does not crash its server.
     const begun = this.#sender.hasFirstByte || !this.#crashes.isStream;
     if (!begun && this.#crashes.isQuarantined) this.#sender.abort();
@@ -374,6 +443,10 @@
   async #handleNoServer(
     { reason, opensInMs }: Pick<NoServerContext, "reason" | "opensInMs">,
   ): Promise<StepResult> {
+    if (this.#mayRelay && this.#sender.hasFailedToConnect) {
+      const relayed = await this.#relayElsewhere();
+      if (relayed !== undefined) return relayed;
+    }
     const waitMs = this.#end.waitOrRefuse({
       reason,
       opensInMs,
@@ -397,9 +470,11 @@
 
   #expire(): void {
     this.#expired = true;
-    if (this.#sender.isCurrentSent) this.#tally.recordAbandonedRun();
+    if (this.#sender.isCurrentSent || this.#relay.isSent) {
+      this.#tally.recordAbandonedRun();
+    }
     this.#timeUp();
-    this.#sender.abort();
+    this.#abort();
   }
 
   #leftMs(): number {
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -2,11 +2,13 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import fastify, { type FastifyInstance } from "fastify";
+import type { Refusal } from "../core/refusal.ts";
 import type { CallerLimits } from "../core/routes/route.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { Logger } from "../runtime/logger.ts";
+import type { RoutingFollower } from "../store/routing_follower.ts";
 import { CallerExchange } from "./caller_exchange.ts";
 import type { RequestAdmission } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
@@ -32,9 +34,17 @@
 /** Interval of checks for callers that send too slowly. */
 const SLOW_CALLER_CHECK_INTERVAL_MS = 500;
 
+/** Refusals for reasons of this VM, which do not apply at others. */
+const OWN_REFUSALS: ReadonlySet<Refusal["tag"]> = new Set([
+  "no_configuration",
+  "unconfirmed_keys",
+  "stopping",
+]);
+
 interface Deps extends RequestRunDeps {
   readonly requestAdmission: RequestAdmission;
   readonly requestLog: RequestLog;
+  readonly routingFollower: RoutingFollower;
   readonly stopState: StopState;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -78,6 +88,11 @@
     return this.#inFlight;
   }
 
+  /** Serves a request that another VM relays for its caller. */
+  handleRelayed(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    return this.#handle(req, { res, url: req.url ?? "", isRelayed: true });
+  }
+
   /** Starts listening; returns the bound address. */
   listen(address: string): Promise<string> {
     return listenHttp(this.#http, address);
@@ -106,14 +121,25 @@
 
   async #handle(
     req: IncomingMessage,
-    { res, url }: { res: ServerResponse; url: string },
+    { res, url, isRelayed = false }: {
+      res: ServerResponse;
+      url: string;
+      isRelayed?: boolean;
+    },
   ): Promise<void> {
     this.#inFlight += 1;
     const { clock, stopState, logger } = this.#deps;
     const closing = () => stopState.stopping;
-    const exchange = new CallerExchange({ req, res, url, clock, closing });
+    const exchange = new CallerExchange({
+      req,
+      res,
+      url,
+      clock,
+      closing,
+      isRelayed,
+    });
     try {
-      await this.#serve(exchange);
+      await this.#serve(exchange, { isRelayed });
     } catch (err) {
       logger.warn("Request failed with an internal error", {
         attempt: exchange.head.attempt,
@@ -125,7 +151,27 @@
     }
   }
 
-  async #serve(exchange: CallerExchange): Promise<void> {
+  /** Returns why another VM should serve a relayed request; undefined if this one may. */
+  #declineReason(
+    { origin }: CallerExchange,
+    refusal: Refusal | undefined,
+  ): string | undefined {
+    const { stopState, routingFollower } = this.#deps;
+    if (origin === undefined) return "invalid origin";
+    if (stopState.stopping) return "stopping";
+    if (refusal !== undefined && OWN_REFUSALS.has(refusal.tag)) {
+      return refusal.tag;
+    }
+    const version = routingFollower.table?.version ?? 0;
+    return version < origin.configurationVersion
+      ? `configuration ${version} is older than ${origin.configurationVersion}`
+      : undefined;
+  }
+
+  async #serve(
+    exchange: CallerExchange,
+    { isRelayed }: { isRelayed: boolean },
+  ): Promise<void> {
     const { requestAdmission, requestLog, stopState } = this.#deps;
     const body = await exchange.readBody(this.#limits.maxBodyBytes);
     if (body.ok) await exchange.detectDisconnect();
@@ -134,6 +180,12 @@
     const err = !body.ok
       ? body.error
       : refusal ?? (admitted.ok ? undefined : admitted.error);
+    const declined = isRelayed ? this.#declineReason(exchange, err) : undefined;
+    if (declined !== undefined) {
+      requestLog.recordDeclined(exchange, declined);
+      exchange.decline(declined);
+      return;
+    }
     if (err !== undefined || !body.ok || !admitted.ok) {
       if (err === undefined) return;
       exchange.refuse(err);
--- a/src/gateway/retry_permit.ts
+++ b/src/gateway/retry_permit.ts
@@ -20,14 +20,28 @@
   readonly #sent: SentRetry[] = [];
   #arrived = 0;
   #isHeld = false;
+  #isCounted: boolean;
 
-  constructor(deps: Deps, service: ServiceId) {
+  /** `isCounted` is set if another VM has counted the request already. */
+  constructor(
+    deps: Deps,
+    service: ServiceId,
+    { isCounted = false }: { isCounted?: boolean } = {},
+  ) {
     this.#deps = deps;
     this.#service = service;
+    this.#isCounted = isCounted;
   }
 
-  /** Counts the request towards the retries that the budget allows. */
+  /** Whether the request counts towards the retries that the budget of some VM allows. */
+  get isCounted(): boolean {
+    return this.#isCounted;
+  }
+
+  /** Counts the request towards the retries that the budget allows; later calls have no effect. */
   countRequest(): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
     const { retryBudget, clock } = this.#deps;
     retryBudget.countRequest(this.#service, clock.monotonicMs());
   }
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -1,6 +1,6 @@
 /** Summary of a request for the log. */
 
-import type { AccountId, RouteId, ServiceId } from "../core/ids.ts";
+import type { AccountId, EntryId, RouteId, ServiceId } from "../core/ids.ts";
 import type { RetryBudgetState } from "../core/limits/retry_budget.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { AttemptRecord } from "./attempt_record.ts";
@@ -22,4 +22,8 @@
   /** State of the retry budget of the service. */
   readonly retryBudget: RetryBudgetState;
   readonly tries: readonly AttemptRecord[];
+  /** VM that was asked to run the request, if this VM reached no server. */
+  readonly relayedTo: EntryId | undefined;
+  /** VM that relayed the request to this one. */
+  readonly relayedFrom: EntryId | undefined;
 }
--- a/src/platform/header_wire.ts
+++ b/src/platform/header_wire.ts
@@ -161,6 +161,30 @@
   return lines;
 }
 
+/** Headers that another VM must not receive, as its own connection determines them. */
+const UNRELAYED_HEADERS: ReadonlySet<string> = new Set([
+  DEADLINE,
+  "content-length",
+  "expect",
+  "host",
+]);
+
+/** Returns the headers of a caller's request for another VM, as alternating names and values. */
+export function encodeRelayedRequestHeaders(
+  rawHeaders: readonly string[],
+  { host, remainingMs }: Pick<BackendRequestHead, "host" | "remainingMs">,
+): string[] {
+  const dropped = connectionHeaderNames(rawHeaders);
+  const lines = ["host", host];
+  for (const [name, value] of headerPairs(rawHeaders)) {
+    const key = name.toLowerCase();
+    if (HOP_BY_HOP_HEADERS.has(key) || UNRELAYED_HEADERS.has(key)) continue;
+    if (!dropped.has(key)) lines.push(name, value);
+  }
+  lines.push(DEADLINE, String(Math.max(1, Math.floor(remainingMs))));
+  return lines;
+}
+
 /** Decodes the headers of a backend server's response. */
 export function decodeBackendHead(
   headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/protocol/peer_schema.ts
+++ b/src/protocol/peer_schema.ts
@@ -7,6 +7,7 @@
   DataCentreId,
   EntryId,
   Revision,
+  ServiceId,
 } from "../core/ids.ts";
 import { addressSchema, nameSchema } from "./ids_schema.ts";
 import { headDeltaSchema, headSchema } from "./stored_schema.ts";
@@ -14,6 +15,9 @@
 /** Maximum length of the name of a VM or data centre; equals that of a host name. */
 const MAX_NAME_LENGTH = 253;
 
+/** Far more than the number of services of a configuration. */
+const MAX_LOST_SERVICES = 1_000;
+
 /** Schema of the advertised state of one entry VM. */
 export const memberSchema: z.ZodType<Member, unknown> = z.object({
   // VM names are assigned by the operators of the machines, so their format is not restricted.
@@ -27,6 +31,11 @@
   state: z.enum(["alive", "suspect", "leaving", "dead"]),
   revision: z.number().transform((n) => n as Revision),
   cores: z.number().optional(),
+  reachability: z.object({
+    sequence: z.number(),
+    lostServices: z.array(z.string().transform((id) => id as ServiceId))
+      .max(MAX_LOST_SERVICES),
+  }).optional(),
 });
 
 /** Schema of a probe, which carries gossip to the probed entry VM. */
--- a/tests/partitioned_gateway_test.ts
+++ b/tests/partitioned_gateway_test.ts
@@ -109,7 +109,7 @@
 beforeEach(async () => {
   arrivals = new Map();
   nextAttempt = 1;
-  fleet = new GatewayFleet(ROUTES);
+  fleet = new GatewayFleet(ROUTES, {}, { cuttable: true });
   for (let at = 0; at < SERVERS; at++) await fleet.addServer(`i-${at}`, answer);
   await fleet.start(VMS);
   await until(async () => (await callAll(fleet.vms, 3)).failed === 0);
