Leave VMs without links to servers out of the address list

Callers were sent to VMs that could only pass their requests on: all VMs were listed for the whole cut, as only membership and configuration decide.

A VM is left out while it has lost a service that some other VM has not, as long as more than half of the VMs stay listed; a service that all have lost is down, and nobody leaves the list for it. Reports of lost services are merged by their sequence, so late ones change nothing (property test).

Result: of 7 VMs the 2 that are cut are listed by none of the others, and by all again after the links are back; with all 7 cut, all stay listed.

--- a/src/core/membership/member_table_test.ts
+++ b/src/core/membership/member_table_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import fc from "fast-check";
 import { testMember } from "../../../tests/fixtures/test_member.ts";
-import type { EntryId, Revision } from "../ids.ts";
+import type { EntryId, Revision, ServiceId } from "../ids.ts";
 import type { Member, MemberState } from "./member.ts";
 import { MemberTable, SUSPICION_TIMEOUT_MS } from "./member_table.ts";
 
@@ -90,4 +91,41 @@
     }
     assert.equal(sent, 20 * 3 * 5);
   });
+
+  test("should keep the latest report of lost services, in whatever order reports arrive", () => {
+    const reports = [1, 2, 3].map((sequence) => ({
+      sequence,
+      lostServices: [`service-${sequence}`] as ServiceId[],
+    }));
+    const updates = reports.flatMap((reachability) => [
+      member("b", { reachability }),
+      member("b", { reachability, state: "suspect" }),
+    ]);
+    fc.assert(
+      fc.property(
+        fc.shuffledSubarray(updates, { minLength: updates.length }),
+        (shuffled) => {
+          const table = new MemberTable(member("a"));
+          table.merge([member("b")], 0);
+          for (const update of shuffled) table.merge([update], 0);
+          assert.deepEqual(
+            table.get("b" as EntryId)?.reachability,
+            reports.at(-1),
+          );
+          // The next incarnation has lost nothing.
+          table.merge([member("b", { incarnation: 9 })], 0);
+          assert.equal(table.get("b" as EntryId)?.reachability, undefined);
+        },
+      ),
+      { seed: 1 },
+    );
+  });
+
+  test("should gossip a change of its own lost services", () => {
+    const table = new MemberTable(member("a"));
+    table.setLostServices(["llm" as ServiceId]);
+    table.setLostServices([]);
+    const [self] = table.nextGossip();
+    assert.deepEqual(self?.reachability, { sequence: 2, lostServices: [] });
+  });
 });
--- a/src/gateway/address_list.ts
+++ b/src/gateway/address_list.ts
@@ -1,7 +1,7 @@
 /** Chooses the VM addresses that are returned to callers. */
 
 import type { DataCentreId } from "../core/ids.ts";
-import type { Member } from "../core/membership/member.ts";
+import { isPartitioned, type Member } from "../core/membership/member.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
 import type { UnitHash } from "../core/routing/version_choice.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
@@ -63,13 +63,23 @@
     );
     // Suspects are left out, unless half or more are suspect: this VM may be the one cut off.
     const alive = callable.filter(({ state }) => state === "alive");
-    const members = 2 * alive.length > callable.length ? alive : callable;
+    const reachable = 2 * alive.length > callable.length ? alive : callable;
+    const members = this.#withServers(reachable);
     const addresses = this.#localFirst(members, dataCentre as DataCentreId)
       .slice(0, MAX_ADDRESSES)
       .map(({ callers }) => callers);
     return { addresses, ttlMs };
   }
 
+  /**
+   * Leaves out VMs that are partitioned from servers which others reach: they serve callers through
+   * those. If half or more are partitioned, all are listed, so that a few don't get all callers.
+   */
+  #withServers(members: readonly Member[]): readonly Member[] {
+    const withServers = members.filter((vm) => !isPartitioned(vm, members));
+    return 2 * withServers.length > members.length ? withServers : members;
+  }
+
   /** VMs of the data centre first, then as many remote VMs as needed. */
   #localFirst(members: readonly Member[], dataCentre: DataCentreId): Member[] {
     const local = members.filter((vm) => vm.data_centre === dataCentre);
--- a/src/gateway/address_list_test.ts
+++ b/src/gateway/address_list_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { testMember } from "../../tests/fixtures/test_member.ts";
-import type { DataCentreId, Revision } from "../core/ids.ts";
+import type { DataCentreId, Revision, ServiceId } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
@@ -21,6 +21,23 @@
   });
 }
 
+/** The same VM after it has lost services. */
+function withoutServices(vm: Member, services: readonly string[]): Member {
+  const lostServices = services as ServiceId[];
+  return { ...vm, reachability: { sequence: 1, lostServices } };
+}
+
+/** Addresses of 7 VMs of which some have lost services, by the position of the VM. */
+function addressesWithLost(
+  lost: Readonly<Record<number, readonly string[]>>,
+): readonly string[] {
+  const members = Array.from(
+    { length: 7 },
+    (_, at) => withoutServices(vmOf(at), lost[at] ?? []),
+  );
+  return listOf(members, members[0] as Member).answer(LOCAL).addresses;
+}
+
 /** Addresses that VM `vm` returns in a fleet with a third of its VMs in each data centre. */
 function addressesFrom(
   vms: number,
@@ -28,10 +45,13 @@
   vm = 0,
 ): readonly string[] {
   const members = Array.from({ length: vms }, (_, at) => vmOf(at));
-  const self = members[vm] as Member;
+  return listOf(members, members[vm] as Member).answer(dataCentre).addresses;
+}
+
+function listOf(members: readonly Member[], self: Member): AddressList {
   const memberTable = new MemberTable(self);
   memberTable.merge(members.filter((member) => member !== self), 0);
-  const list = new AddressList({
+  return new AddressList({
     vmSettings: {
       vm: self.id,
       bounds: { maxAddressTtlMs: 5_000 },
@@ -40,7 +60,6 @@
     readiness: { isReady: () => true } as Readiness,
     unitHash,
   });
-  return list.answer(dataCentre).addresses;
 }
 
 function countIn(addresses: readonly string[], dataCentre: string): number {
@@ -79,4 +98,20 @@
   it("should list all VMs to a caller that does not specify its data centre", () => {
     assert.equal(addressesFrom(30, "").length, 30);
   });
+
+  it("should leave out VMs without links to servers while most others have them", () => {
+    const few = addressesWithLost({ 2: ["llm"], 4: ["llm", "tracker"] });
+    assert.equal(few.length, 5);
+    assert.ok(!few.some((address) => /:[24]$/.test(address)));
+    const most = { 1: ["llm"], 2: ["llm"], 4: ["llm"], 6: ["llm"] };
+    assert.equal(addressesWithLost(most).length, 7);
+  });
+
+  it("should not leave out VMs for a service that all of them have lost", () => {
+    const all = { 0: ["llm"], 1: ["llm"], 2: ["llm"], 3: ["llm"], 4: ["llm"] };
+    assert.equal(
+      addressesWithLost({ ...all, 5: ["llm"], 6: ["llm"] }).length,
+      7,
+    );
+  });
 });
--- a/tests/partitioned_gateway_test.ts
+++ b/tests/partitioned_gateway_test.ts
@@ -144,3 +144,31 @@
     });
   });
 }
+
+describe("a gateway without links to servers", () => {
+  it("should not be advertised until the links are restored", async () => {
+    const cut = fleet.vms.slice(VMS - 2);
+    await Promise.all(cut.map((vm) => fleet.cutServers(vm, "reset")));
+    await callAll(cut, PATHS.length);
+    for (const vm of cut) {
+      await until(async () => await fleet.countAdvertising(vm) === 0);
+    }
+    await Promise.all(cut.map((vm) => fleet.healServers(vm)));
+    for (const vm of cut) {
+      await until(async () => await fleet.countAdvertising(vm) === VMS - 1);
+    }
+    assert.equal((await callAll(cut)).failed, 0);
+  });
+
+  it("should stay advertised where all gateways have lost the servers", async () => {
+    await Promise.all(fleet.vms.map((vm) => fleet.cutServers(vm, "hang")));
+    await callAll(fleet.vms, PATHS.length);
+    for (const vm of fleet.vms) {
+      assert.equal(await fleet.countAdvertising(vm), VMS - 1);
+    }
+    const { served } = await callAll(fleet.vms, PATHS.length);
+    assert.equal(served, 0);
+    await Promise.all(fleet.vms.map((vm) => fleet.healServers(vm)));
+    await until(async () => (await callAll(fleet.vms, 3)).failed === 0);
+  });
+});
