End attempts to connect to a server after 0.4 s rather than a second

Requests with less time ended before a second server was tried; a lost link was noticed as late.

Connections to servers are opened with Node's own timer. A VM that was suspended looks once more before it gives a connection up.

--- a/src/backends/server_connector.ts
+++ b/src/backends/server_connector.ts
@@ -1,11 +1,13 @@
 /** Opens TCP connections to backend servers. */
 
-import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import { connect, type Socket } from "node:net";
 import type { HostPort } from "../runtime/address.ts";
+import { nextTurn } from "../runtime/next_turn.ts";
 
 /** Round trips to backend servers take a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Idle time after which the kernel probes a connection. */
+const KEEP_ALIVE_DELAY_MS = 60_000;
 
 /** Receives the connected socket, or why there is none. */
 export type ConnectListener = (
@@ -20,18 +22,34 @@
   connect(target: HostPort, listener: ConnectListener): void;
 }
 
-// Half-open, so that it is possible to write after the server has ended the connection.
-const connect = buildConnector({
-  timeout: CONNECT_TIMEOUT_MS,
-  allowHalfOpen: true,
-});
-
 /** Opens connections through the operating system. */
 export class TcpServerConnector implements ServerConnector {
   connect({ host, port }: HostPort, listener: ConnectListener): void {
-    const target = { hostname: host, port: String(port), protocol: "http:" };
-    connect(target, (error, socket) => {
-      listener(error === null ? { socket: socket as Socket } : { error });
+    // Half-open, so that it is possible to write after the server has ended the connection.
+    const socket = connect({ host, port, allowHalfOpen: true });
+    socket.setNoDelay(true).setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+    // The timers of undici have ticks of half a second, which is longer than this timeout.
+    const timer = setTimeout(
+      () => void failIfConnecting(socket),
+      CONNECT_TIMEOUT_MS,
+    );
+    const onError = (error: NodeJS.ErrnoException) => {
+      clearTimeout(timer);
+      listener({ error });
+    };
+    socket.once("error", onError);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.off("error", onError);
+      listener({ socket });
     });
   }
 }
+
+/** A VM that was suspended meanwhile learns only in the next turn that the connection is open. */
+async function failIfConnecting(socket: Socket): Promise<void> {
+  await nextTurn();
+  if (!socket.connecting) return;
+  const reason = `no connection within ${CONNECT_TIMEOUT_MS} ms`;
+  socket.destroy(Object.assign(new Error(reason), { code: "ETIMEDOUT" }));
+}
