--- a/src/core/servers/decaying_answer_counts.ts
+++ b/src/core/servers/decaying_answer_counts.ts
@@ -16,6 +16,12 @@
     if (failed) this.#failures += 1;
   }
 
+  /** Forgets all answers and failures. */
+  reset(): void {
+    this.#answers = 0;
+    this.#failures = 0;
+  }
+
   /** Returns the counts as of now. */
   counts(nowMs: number): {
     readonly answers: number;
--- a/src/core/servers/server_loads.ts
+++ b/src/core/servers/server_loads.ts
@@ -135,6 +135,20 @@
     return this.#eject(load, nowMs);
   }
 
+  /**
+   * Forgets failures of a server that lie with the links of this VM: the server counts as healthy
+   * here, and other VMs are told of no failure.
+   */
+  forgetFailures(instance: InstanceId): void {
+    const load = this.#loads.get(instance);
+    if (load === undefined) return;
+    load.recent.reset();
+    load.consecutiveFailures = 0;
+    load.failureRate = 0;
+    load.ejectedUntilMs = 0;
+    load.ejections = 0;
+  }
+
   /** Whether a server is ejected now. */
   isEjected(instance: InstanceId, nowMs: number): boolean {
     const load = this.#loads.get(instance);
--- a/src/core/servers/server_loads_test.ts
+++ b/src/core/servers/server_loads_test.ts
@@ -87,4 +87,17 @@
     ]);
     assert.deepEqual(loads.localReports(60_000), []);
   });
+
+  // A VM that had lost its links to all servers reported their failures, and two such VMs were
+  // enough for all others to eject sound servers. After the links were back, ejections of up to
+  // 6 s let the first server whose ejection ended get all requests.
+  it("should forget failures that lie with the links of this VM", () => {
+    const loads = new ServerLoads();
+    failUntilEjected(loads, 0);
+    loads.recordUnreachable(A, 0);
+    loads.forgetFailures(A);
+    assert.equal(loads.isEjected(A, 0), false);
+    assert.equal(loads.failureRate(A, 0), 0);
+    assert.deepEqual(loads.localReports(0), []);
+  });
 });
--- a/src/gateway/reachability_monitor.ts
+++ b/src/gateway/reachability_monitor.ts
@@ -4,6 +4,7 @@
 import type { ServerConnector } from "../backends/server_connector.ts";
 import type { ServiceId } from "../core/ids.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type {
   ReachabilityChange,
   ServerReachability,
@@ -20,6 +21,7 @@
 interface Deps {
   readonly serverReachability: ServerReachability;
   readonly serverDirectory: ServerDirectory;
+  readonly serverLoads: ServerLoads;
   readonly serverConnector: ServerConnector;
   readonly clock: Clock;
   readonly chance: () => number;
@@ -133,8 +135,13 @@
     results: readonly ProbeResult[] = [],
   ): void {
     if (change === undefined) return;
-    const { logger, serverReachability } = this.#deps;
+    const { logger, serverReachability, serverDirectory, serverLoads } =
+      this.#deps;
     const { service } = change;
+    // Failures before the loss, and ejections since, say nothing about the servers.
+    for (const { instance } of serverDirectory.usable(service)) {
+      serverLoads.forgetFailures(instance);
+    }
     this.#onChange(serverReachability.lostServices);
     const lost = serverReachability.lostServices.join(",");
     if (change.tag === "regained") {
