--- a/src/gateway/attempt_observer.ts
+++ b/src/gateway/attempt_observer.ts
@@ -11,6 +11,7 @@
 import type { PromptHolders } from "../core/routing/prompt_holders.ts";
 import type { PrefillTimeEstimator } from "../core/servers/prefill_time_estimator.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
+import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
   requestKindOf,
@@ -30,6 +31,7 @@
   readonly promptHolders: PromptHolders;
   readonly modelLatencyEstimator: ModelLatencyEstimator;
   readonly serverStallDetector: ServerStallDetector;
+  readonly serverReachability: Pick<ServerReachability, "isLost">;
   readonly prefillTimeEstimator: PrefillTimeEstimator;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -136,6 +138,8 @@
   ): void {
     const failed = isReleaseFailure(outcome, expired);
     if (failed === undefined) return;
+    // While no server is reachable, failures lie with the links of this VM.
+    if (failed && this.#deps.serverReachability.isLost(service)) return;
     this.#deps.evidenceAggregator.observe({
       service,
       release: server.release,
--- a/src/gateway/attempt_observer_test.ts
+++ b/src/gateway/attempt_observer_test.ts
@@ -38,17 +38,23 @@
 let nowMs: number;
 let sessionTracker: SessionTracker;
 let observer: AttemptObserver;
+let evidenceAggregator: EvidenceAggregator;
+/** Whether no server of the service can be reached. */
+let isLost: boolean;
 
 beforeEach(() => {
   nowMs = NOW_MS;
   sessionTracker = new SessionTracker(10_000);
+  evidenceAggregator = new EvidenceAggregator();
+  isLost = false;
   observer = new AttemptObserver({
     serverLoads: new ServerLoads(),
-    evidenceAggregator: new EvidenceAggregator(),
+    evidenceAggregator,
     sessionTracker,
     promptHolders: new PromptHolders(),
     modelLatencyEstimator: new ModelLatencyEstimator(),
     serverStallDetector: new ServerStallDetector(),
+    serverReachability: { isLost: () => isLost },
     prefillTimeEstimator: new PrefillTimeEstimator(),
     clock: { monotonicMs: () => nowMs, wallMs: () => nowMs },
     logger: new SilentLogger(),
@@ -111,3 +117,26 @@
     assert.equal(boundRelease(), CANARY);
   });
 });
+
+// Attempts that were under way when a VM lost its links to all servers counted as failures of the
+// releases that ran them, so a good release could be rolled back for the links of some VMs.
+describe("evidence on a release", () => {
+  const broken: BackendAttemptOutcome = { tag: "broken", reason: "reset" };
+
+  for (const lost of [false, true]) {
+    const title = lost
+      ? "should not count failures while no server is reachable"
+      : "should count failures while servers are reachable";
+    it(title, () => {
+      const observed = startAttempt(CANARY);
+      isLost = lost;
+      observer.attemptEnded(observed, { outcome: broken, expired: false });
+      const evidence = evidenceAggregator.groupEvidence(
+        observed.service,
+        new Set(),
+      );
+      const failures = evidence.reduce((sum, one) => sum + one.failures, 0);
+      assert.equal(failures, lost ? 0 : 1);
+    });
+  }
+});
