--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -8,7 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import { TRPCError } from "@trpc/server";
-import { RELAY_ORIGIN_HEADER } from "../protocol/relay_schema.ts";
+import { FORWARD_ORIGIN_HEADER } from "../protocol/forward_schema.ts";
 import { parseAddress } from "../runtime/address.ts";
 import {
   COMPRESSED_ENCODING,
@@ -22,13 +22,13 @@
 } from "./digest_router.ts";
 
 const MAX_BODY_BYTES = 1024 * 1024;
-/** As large as callers may send them, as relayed requests carry the headers of callers. */
+/** As large as callers may send them, as forwarded requests carry the headers of callers. */
 const MAX_HEADER_BYTES = 65_536;
 /** Longer than the interval between two exchanges of a pair of VMs in a large fleet. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-/** Serves requests that other VMs relay for their callers. */
-export interface RelayHandler {
-  handleRelayed(req: IncomingMessage, res: ServerResponse): Promise<void>;
+/** Serves requests that other VMs forward for their callers. */
+export interface ForwardHandler {
+  handleForwarded(req: IncomingMessage, res: ServerResponse): Promise<void>;
 }
 
 /** Procedures by the request path of tRPC clients. */
@@ -47,14 +47,14 @@
 export class DigestServer {
   readonly #server: Server;
   readonly #caller: DigestCaller;
-  readonly #relayHandler: RelayHandler;
+  readonly #forwardHandler: ForwardHandler;
 
   constructor(
     { digestService, storeFeed, permitGranter, requestServer }:
       & FleetHandlers
-      & { readonly requestServer: RelayHandler },
+      & { readonly requestServer: ForwardHandler },
   ) {
-    this.#relayHandler = requestServer;
+    this.#forwardHandler = requestServer;
     this.#caller = createDigestCaller({
       digestService,
       storeFeed,
@@ -85,8 +85,8 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (req.headers[RELAY_ORIGIN_HEADER] !== undefined) {
-      return await this.#relayHandler.handleRelayed(req, res);
+    if (req.headers[FORWARD_ORIGIN_HEADER] !== undefined) {
+      return await this.#forwardHandler.handleForwarded(req, res);
     }
     const packed = req.headers["accept-encoding"] === COMPRESSED_ENCODING;
     try {
--- a/src/fleet/digest_server_test.ts
+++ b/src/fleet/digest_server_test.ts
@@ -28,7 +28,7 @@
     digestService: { exchange: (question) => exchange(question) },
     permitGranter: { grant: () => ({ granted: true, opensInMs: 0 }) },
     storeFeed: { next: () => Promise.resolve(NO_CHANGES) },
-    requestServer: { handleRelayed: () => Promise.resolve() },
+    requestServer: { handleForwarded: () => Promise.resolve() },
   });
   await server.listen(address);
 });
--- a/src/fleet/relay_peers.ts
+++ b/src/fleet/forwarding_peers.ts
@@ -16,7 +16,7 @@
 }
 
 /** Knows which VMs may reach the servers of a service. */
-export class RelayPeers {
+export class ForwardingPeers {
   readonly #deps: Deps;
   readonly #declinedAtMs = new Map<string, number>();
 
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -12,11 +12,11 @@
   localResponseHeaders,
 } from "../platform/header_wire.ts";
 import {
-  decodeRelayOrigin,
-  RELAY_DECLINED_HEADER,
-  RELAY_ORIGIN_HEADER,
-  type RelayOrigin,
-} from "../protocol/relay_schema.ts";
+  decodeForwardOrigin,
+  FORWARD_DECLINED_HEADER,
+  FORWARD_ORIGIN_HEADER,
+  type ForwardOrigin,
+} from "../protocol/forward_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { nextTurn } from "../runtime/next_turn.ts";
 
@@ -34,8 +34,8 @@
   readonly host: string;
   /** All headers but those that VMs set for each other, which callers cannot set. */
   readonly rawHeaders: readonly string[];
-  /** Set if another VM relays the request. */
-  readonly origin: RelayOrigin | undefined;
+  /** Set if another VM forwards the request. */
+  readonly origin: ForwardOrigin | undefined;
   /** When the head of the request was received, in monotonic milliseconds. */
   readonly arrivedMs: number;
   readonly #req: IncomingMessage;
@@ -48,7 +48,7 @@
   #onDisconnect: () => void = () => {};
 
   constructor(
-    { req, res, url, clock, closing, isRelayed = false }: {
+    { req, res, url, clock, closing, isForwarded = false }: {
       req: IncomingMessage;
       res: ServerResponse;
       url: string;
@@ -56,7 +56,7 @@
       /** Whether to close the connection after this response. */
       closing: () => boolean;
       /** Whether the request came from another VM rather than a caller. */
-      isRelayed?: boolean;
+      isForwarded?: boolean;
     },
   ) {
     this.#req = req;
@@ -67,9 +67,9 @@
     this.method = req.method ?? "GET";
     this.url = url;
     this.host = req.headers.host ?? "";
-    this.rawHeaders = withoutRelayHeaders(req.rawHeaders);
-    this.origin = isRelayed
-      ? decodeRelayOrigin(req.headers[RELAY_ORIGIN_HEADER])
+    this.rawHeaders = withoutForwardHeaders(req.rawHeaders);
+    this.origin = isForwarded
+      ? decodeForwardOrigin(req.headers[FORWARD_ORIGIN_HEADER])
       : undefined;
     this.head = decodeCallerHead(req.headers);
     res.on("close", () => this.#handleClose());
@@ -156,11 +156,11 @@
     this.#end(body);
   }
 
-  /** Tells the relaying VM that no server has received the request, nor will from this VM. */
+  /** Tells the forwarding VM that no server has received the request, nor will from this VM. */
   decline(reason: string): void {
     if (this.#state !== "none") return;
     this.#begin(DECLINED_STATUS, {
-      [RELAY_DECLINED_HEADER]: reason,
+      [FORWARD_DECLINED_HEADER]: reason,
       "content-length": "0",
     });
     this.#end(undefined);
@@ -250,13 +250,15 @@
   }
 }
 
-function withoutRelayHeaders(rawHeaders: readonly string[]): readonly string[] {
-  const isRelayHeader = (name: string) =>
-    name.toLowerCase() === RELAY_ORIGIN_HEADER;
-  if (!rawHeaders.some((name, at) => at % 2 === 0 && isRelayHeader(name))) {
+function withoutForwardHeaders(
+  rawHeaders: readonly string[],
+): readonly string[] {
+  const isForwardHeader = (name: string) =>
+    name.toLowerCase() === FORWARD_ORIGIN_HEADER;
+  if (!rawHeaders.some((name, at) => at % 2 === 0 && isForwardHeader(name))) {
     return rawHeaders;
   }
   return rawHeaders.filter((_, at) =>
-    !isRelayHeader(rawHeaders[at - at % 2] ?? "")
+    !isForwardHeader(rawHeaders[at - at % 2] ?? "")
   );
 }
--- a/src/gateway/relay_fallback.ts
+++ b/src/gateway/forwarding_fallback.ts
@@ -5,7 +5,7 @@
 import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { AttemptSender } from "./attempt_sender.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
-import { PeerRelay, type PeerRelayDeps } from "./peer_relay.ts";
+import { PeerForwarder, type PeerForwarderDeps } from "./peer_forwarder.ts";
 import type { RequestFinisher } from "./request_finisher.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { RetryPermit } from "./retry_permit.ts";
@@ -15,13 +15,13 @@
 export const UNREACHABLE = "no server is reachable from this VM";
 
 /** Dependencies shared by all requests. */
-export interface RelayFallbackDeps extends PeerRelayDeps {
+export interface ForwardingFallbackDeps extends PeerForwarderDeps {
   readonly serverReachability: ServerReachability;
   readonly requestLog: RequestLog;
 }
 
 /** The parts of a request's run that the decision depends on. */
-export interface RelayedRun {
+export interface ForwardedRun {
   readonly exchange: CallerExchange;
   readonly body: Buffer | undefined;
   readonly service: ServiceId;
@@ -31,27 +31,27 @@
   readonly end: RequestFinisher;
 }
 
-/** Relays one request at most once. */
-export class RelayFallback {
-  readonly #deps: RelayFallbackDeps;
-  readonly #run: RelayedRun;
-  readonly #relay: PeerRelay;
+/** Forwards one request at most once. */
+export class ForwardingFallback {
+  readonly #deps: ForwardingFallbackDeps;
+  readonly #run: ForwardedRun;
+  readonly #forwarding: PeerForwarder;
   #isTried = false;
 
-  constructor(deps: RelayFallbackDeps, run: RelayedRun) {
+  constructor(deps: ForwardingFallbackDeps, run: ForwardedRun) {
     this.#deps = deps;
     this.#run = run;
-    this.#relay = new PeerRelay(deps, run);
+    this.#forwarding = new PeerForwarder(deps, run);
   }
 
   /** VM that was asked last; undefined if none was. */
   get vm(): EntryId | undefined {
-    return this.#relay.vm;
+    return this.#forwarding.vm;
   }
 
   /** Whether another VM may have received the request and has not declined it. */
   get isSent(): boolean {
-    return this.#relay.isSent;
+    return this.#forwarding.isSent;
   }
 
   /** Whether the request should go through another VM, as none of its servers is reachable. */
@@ -71,7 +71,7 @@
   }
 
   /**
-   * Sends the request through another VM, or declines it if it was relayed to this one. Returns
+   * Sends the request through another VM, or declines it if it was forwarded to this one. Returns
    * false if no VM takes it; no server has received it then.
    */
   async send(
@@ -88,7 +88,7 @@
     }
     this.#isTried = true;
     const { isCounted } = permit;
-    const outcome = await this.#relay.run({
+    const outcome = await this.#forwarding.run({
       configurationVersion,
       isCounted,
       leftMs,
@@ -99,9 +99,9 @@
     return outcome.tag !== "declined" || exchange.isFinished;
   }
 
-  /** Ends the relay, if there is one. */
+  /** Ends the exchange with another VM, if there is one. */
   abort(): void {
-    this.#relay.abort();
+    this.#forwarding.abort();
   }
 
   /** Whether no server can have received the request from here, and no other VM was asked. */
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -48,7 +48,7 @@
 import { DigestServer } from "../fleet/digest_server.ts";
 import { PermitBorrower } from "../fleet/permit_borrower.ts";
 import { PermitGranter } from "../fleet/permit_granter.ts";
-import { RelayPeers } from "../fleet/relay_peers.ts";
+import { ForwardingPeers } from "../fleet/forwarding_peers.ts";
 import { StoreFeed } from "../fleet/store_feed.ts";
 import { StoreSubscriber } from "../fleet/store_subscriber.ts";
 import { VmClients } from "../fleet/vm_clients.ts";
@@ -285,7 +285,7 @@
     limitGossip: singleton(LimitGossip),
     permitGranter: singleton(PermitGranter),
     permitBorrower: singleton(PermitBorrower),
-    relayPeers: singleton(RelayPeers),
+    forwardingPeers: singleton(ForwardingPeers),
     digestServer: singleton(DigestServer),
     vmClients: asFunction(() => new VmClients()).singleton(),
     storeFeed: singleton(StoreFeed),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -144,17 +144,17 @@
     registers: [this.registry],
   });
 
-  readonly relayedRequests = new Counter({
-    name: "fieldrack_gateway_relayed_requests_total",
+  readonly forwardedRequests = new Counter({
+    name: "fieldrack_gateway_forwarded_requests_total",
     help: "Requests sent to another VM for want of a reachable server, " +
       "by outcome",
     labelNames: ["outcome"] as const,
     registers: [this.registry],
   });
 
-  readonly declinedRelays = new Counter({
-    name: "fieldrack_gateway_declined_relays_total",
-    help: "Requests relayed by other VMs that this VM declined",
+  readonly declinedForwards = new Counter({
+    name: "fieldrack_gateway_declined_forwards_total",
+    help: "Requests forwarded by other VMs that this VM declined",
     registers: [this.registry],
   });
 
--- a/src/gateway/peer_relay.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -10,17 +10,17 @@
 import type { ServerConnector } from "../backends/server_connector.ts";
 import type { EntryId, ServiceId } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
-import type { RelayPeers } from "../fleet/relay_peers.ts";
+import type { ForwardingPeers } from "../fleet/forwarding_peers.ts";
 import {
   decodeBackendHead,
-  encodeRelayedRequestHeaders,
+  encodeForwardedRequestHeaders,
 } from "../platform/header_wire.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import {
-  encodeRelayOrigin,
-  RELAY_DECLINED_HEADER,
-  RELAY_ORIGIN_HEADER,
-} from "../protocol/relay_schema.ts";
+  encodeForwardOrigin,
+  FORWARD_DECLINED_HEADER,
+  FORWARD_ORIGIN_HEADER,
+} from "../protocol/forward_schema.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
@@ -29,17 +29,17 @@
 /** The other VM ends the request this much earlier, so that its answer is not too late here. */
 const ANSWER_MARGIN_MS = 5;
 
-/** Dependencies shared by all relays. */
-export interface PeerRelayDeps {
+/** Dependencies shared by all forwarders. */
+export interface PeerForwarderDeps {
   readonly vmSettings: VmSettings;
-  readonly relayPeers: RelayPeers;
+  readonly forwardingPeers: ForwardingPeers;
   /** Opens connections to other VMs. */
   readonly peerConnector: ServerConnector;
   readonly gatewayMetrics: GatewayMetrics;
 }
 
-/** Result of a relay. */
-export type RelayOutcome =
+/** Result of forwarding a request. */
+export type ForwardOutcome =
   /** The caller has an answer, or at least its beginning. */
   | { readonly tag: "answered" }
   /** No VM took the request, and no server has received it. */
@@ -47,8 +47,8 @@
   /** A server may have received the request, and its answer is lost. */
   | { readonly tag: "broken"; readonly reason: string };
 
-/** Options of a relay. */
-export interface RelayOptions {
+/** How a request is forwarded. */
+export interface ForwardOptions {
   readonly configurationVersion: number;
   /** Whether this VM has counted the request towards its retry budget. */
   readonly isCounted: boolean;
@@ -56,18 +56,18 @@
   readonly leftMs: () => number;
 }
 
-/** Relays one request. */
-export class PeerRelay {
-  readonly #deps: PeerRelayDeps;
+/** Forwards one request. */
+export class PeerForwarder {
+  readonly #deps: PeerForwarderDeps;
   readonly #exchange: CallerExchange;
   readonly #body: Buffer | undefined;
   readonly #service: ServiceId;
   readonly #asked = new Set<EntryId>();
-  #current: RelayAttempt | undefined;
+  #current: ForwardAttempt | undefined;
   #vm: EntryId | undefined;
 
   constructor(
-    deps: PeerRelayDeps,
+    deps: PeerForwarderDeps,
     { exchange, body, service }: {
       exchange: CallerExchange;
       body: Buffer | undefined;
@@ -91,44 +91,44 @@
   }
 
   /** Asks one VM after another until one takes the request. */
-  async run(options: RelayOptions): Promise<RelayOutcome> {
-    const { relayPeers, gatewayMetrics } = this.#deps;
+  async run(options: ForwardOptions): Promise<ForwardOutcome> {
+    const { forwardingPeers, gatewayMetrics } = this.#deps;
     while (this.#asked.size < MAX_PEERS && !this.#exchange.isFinished) {
-      const peer = relayPeers.choose(this.#service, this.#asked);
+      const peer = forwardingPeers.choose(this.#service, this.#asked);
       if (peer === undefined) break;
       this.#asked.add(peer.id);
       this.#vm = peer.id;
       const outcome = await this.#ask(peer, options);
-      gatewayMetrics.relayedRequests.inc({ outcome: outcome.tag });
+      gatewayMetrics.forwardedRequests.inc({ outcome: outcome.tag });
       if (outcome.tag !== "declined") return outcome;
-      relayPeers.recordDeclined(peer.id, this.#service);
+      forwardingPeers.recordDeclined(peer.id, this.#service);
     }
     return { tag: "declined" };
   }
 
-  /** Ends the relay and resets its connection, on which the other VM stops its work. */
+  /** Ends the exchange and resets its connection, on which the other VM stops its work. */
   abort(): void {
     this.#current?.abort();
   }
 
   async #ask(
     peer: Member,
-    { configurationVersion, isCounted, leftMs }: RelayOptions,
-  ): Promise<RelayOutcome> {
+    { configurationVersion, isCounted, leftMs }: ForwardOptions,
+  ): Promise<ForwardOutcome> {
     const { vmSettings, peerConnector } = this.#deps;
     const { method, url, host, rawHeaders } = this.#exchange;
     const origin = { vm: vmSettings.vm, configurationVersion, isCounted };
-    const headers = encodeRelayedRequestHeaders(rawHeaders, {
+    const headers = encodeForwardedRequestHeaders(rawHeaders, {
       host,
       remainingMs: leftMs() - ANSWER_MARGIN_MS,
     });
-    headers.push(RELAY_ORIGIN_HEADER, encodeRelayOrigin(origin));
+    headers.push(FORWARD_ORIGIN_HEADER, encodeForwardOrigin(origin));
     // Always a new connection: a kept one may be closing, which leaves unclear what was received.
     const connection = new BackendConnection(peer.peers, {
       connector: peerConnector,
       onLost: (lost) => lost.destroy(),
     });
-    this.#current = new RelayAttempt(this.#exchange, connection);
+    this.#current = new ForwardAttempt(this.#exchange, connection);
     return await this.#current.run({
       method,
       path: url,
@@ -139,7 +139,7 @@
 }
 
 /** One exchange with another VM, whose answer goes to the caller. */
-class RelayAttempt implements ExchangeListener {
+class ForwardAttempt implements ExchangeListener {
   readonly #exchange: CallerExchange;
   readonly #connection: BackendConnection;
   readonly #chunks: Buffer[] = [];
@@ -148,7 +148,7 @@
   #isDeclined = false;
   #sent = false;
   #done = false;
-  #resolve: (outcome: RelayOutcome) => void = () => {};
+  #resolve: (outcome: ForwardOutcome) => void = () => {};
 
   constructor(exchange: CallerExchange, connection: BackendConnection) {
     this.#exchange = exchange;
@@ -159,7 +159,7 @@
     return this.#sent && !this.#isDeclined;
   }
 
-  run(req: Parameters<BackendConnection["send"]>[0]): Promise<RelayOutcome> {
+  run(req: Parameters<BackendConnection["send"]>[0]): Promise<ForwardOutcome> {
     return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#connection.send(req, this);
@@ -179,7 +179,7 @@
 
   onHead(status: number, headers: ResponseHeaders): void {
     if (this.#done) return;
-    if (headers[RELAY_DECLINED_HEADER] !== undefined) {
+    if (headers[FORWARD_DECLINED_HEADER] !== undefined) {
       this.#isDeclined = true;
       return this.#finish({ tag: "declined" });
     }
@@ -220,7 +220,7 @@
     );
   }
 
-  #finish(outcome: RelayOutcome): void {
+  #finish(outcome: ForwardOutcome): void {
     if (this.#done) return;
     this.#done = true;
     this.#connection.destroy();
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -53,10 +53,10 @@
 
   /** Records a request of another VM that this VM does not run. */
   recordDeclined({ head, origin }: CallerExchange, reason: string): void {
-    this.#metrics.declinedRelays.inc();
-    this.#logger.info("Relayed request declined", {
+    this.#metrics.declinedForwards.inc();
+    this.#logger.info("Forwarded request declined", {
       attempt: head.attempt,
-      relayed_from: origin?.vm,
+      forwarded_from: origin?.vm,
       reason,
     });
   }
@@ -83,7 +83,7 @@
   recordEnd(exchange: CallerExchange, run: RunSummary): void {
     const status = exchange.status ?? 0;
     this.#count(exchange, run);
-    const sends = run.tries.length + (run.relayedTo === undefined ? 0 : 1);
+    const sends = run.tries.length + (run.forwardedTo === undefined ? 0 : 1);
     const isRoutine = status >= 200 && status < 300 && sends === 1 &&
       exchange.state === "ended";
     if (isRoutine && this.#successes++ % SUCCESS_SAMPLE_INTERVAL !== 0) return;
@@ -106,8 +106,8 @@
       status,
       state: exchange.state,
       age_ms: Math.round(exchange.ageMs()),
-      relayed_to: run.relayedTo,
-      relayed_from: run.relayedFrom,
+      forwarded_to: run.forwardedTo,
+      forwarded_from: run.forwardedFrom,
       tries: run.tries.map((attempt) =>
         describeAttempt(attempt, exchange.arrivedMs)
       ).join(
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -18,10 +18,10 @@
 import { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
 import {
-  RelayFallback,
-  type RelayFallbackDeps,
+  ForwardingFallback,
+  type ForwardingFallbackDeps,
   UNREACHABLE,
-} from "./relay_fallback.ts";
+} from "./forwarding_fallback.ts";
 import { RequestCrashTracker } from "./request_crash_tracker.ts";
 import { type NoServerContext, RequestFinisher } from "./request_finisher.ts";
 import { RequestIdentity } from "./request_identity.ts";
@@ -41,7 +41,8 @@
 const BUDGET_EXHAUSTED = "retry budget exhausted";
 
 /** Dependencies shared by all runs. */
-export interface RequestRunDeps extends AttemptSenderDeps, RelayFallbackDeps {
+export interface RequestRunDeps
+  extends AttemptSenderDeps, ForwardingFallbackDeps {
   readonly serverFollower: ServerFollower;
   readonly retryBudget: RetryBudget;
   readonly modelLatencyEstimator: ModelLatencyEstimator;
@@ -59,7 +60,7 @@
   readonly #models: ModelCascade;
   readonly #stream: StreamRelay;
   readonly #sender: AttemptSender;
-  readonly #relay: RelayFallback;
+  readonly #forwarding: ForwardingFallback;
   readonly #limitMs: number;
   /**
    * Result of the admission, which applies to all attempts. Repeating the admission with newer
@@ -123,7 +124,7 @@
       models: this.#models,
       stream: this.#stream,
     });
-    this.#relay = new RelayFallback(deps, {
+    this.#forwarding = new ForwardingFallback(deps, {
       exchange,
       body,
       service: this.#service,
@@ -147,8 +148,8 @@
       limitMs: this.#limitMs,
       retryBudget: this.#retryPermit.budgetState(),
       tries: this.#sender.attempts,
-      relayedTo: this.#relay.vm,
-      relayedFrom: this.#exchange.origin?.vm,
+      forwardedTo: this.#forwarding.vm,
+      forwardedFrom: this.#exchange.origin?.vm,
     };
   }
 
@@ -167,10 +168,10 @@
   async #step(): Promise<StepResult> {
     if (this.#exchange.isFinished) return "done";
     if (this.#expired || this.#leftMs() < MIN_LEFT_MS) return this.#timeUp();
-    if (this.#relay.isNeeded) {
-      const relayed = await this.#relayElsewhere();
-      if (relayed !== undefined) return relayed;
-      if (this.#relay.isSearchSlow) {
+    if (this.#forwarding.isNeeded) {
+      const forwarded = await this.#forwardElsewhere();
+      if (forwarded !== undefined) return forwarded;
+      if (this.#forwarding.isSearchSlow) {
         return this.#refuse(this.#tally.noServerRefusal());
       }
     }
@@ -214,8 +215,8 @@
   }
 
   /** Sends the request through another VM; returns undefined if none takes it. */
-  async #relayElsewhere(): Promise<StepResult | undefined> {
-    const isTaken = await this.#relay.send({
+  async #forwardElsewhere(): Promise<StepResult | undefined> {
+    const isTaken = await this.#forwarding.send({
       configurationVersion: this.#admitted.table.version,
       leftMs: () => this.#leftMs(),
     });
@@ -224,7 +225,7 @@
 
   #abort(): void {
     this.#sender.abort();
-    this.#relay.abort();
+    this.#forwarding.abort();
   }
 
   /** Waits or refuses the request, as it may not be sent to another server now. */
@@ -268,7 +269,7 @@
   /** Called periodically while the request runs; aborts quarantined or stalled attempts. */
   check(nowMs: number): void {
     this.#sender.checkConnecting();
-    if (this.#relay.isNeeded) {
+    if (this.#forwarding.isNeeded) {
       this.#sender.abortUnsent({ tag: "not_sent", reason: UNREACHABLE });
     }
     // A stream that has begun and continues shows that the request does not crash its server.
@@ -415,9 +416,9 @@
   async #handleNoServer(
     { reason, opensInMs }: Pick<NoServerContext, "reason" | "opensInMs">,
   ): Promise<StepResult> {
-    if (this.#relay.isLastResort) {
-      const relayed = await this.#relayElsewhere();
-      if (relayed !== undefined) return relayed;
+    if (this.#forwarding.isLastResort) {
+      const forwarded = await this.#forwardElsewhere();
+      if (forwarded !== undefined) return forwarded;
     }
     const waitMs = this.#end.waitOrRefuse({
       reason,
@@ -442,7 +443,7 @@
 
   #expire(): void {
     this.#expired = true;
-    if (this.#sender.isCurrentSent || this.#relay.isSent) {
+    if (this.#sender.isCurrentSent || this.#forwarding.isSent) {
       this.#tally.recordAbandonedRun();
     }
     this.#timeUp();
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -88,9 +88,9 @@
     return this.#inFlight;
   }
 
-  /** Serves a request that another VM relays for its caller. */
-  handleRelayed(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    return this.#handle(req, { res, url: req.url ?? "", isRelayed: true });
+  /** Serves a request that another VM forwards for its caller. */
+  handleForwarded(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    return this.#handle(req, { res, url: req.url ?? "", isForwarded: true });
   }
 
   /** Starts listening; returns the bound address. */
@@ -121,10 +121,10 @@
 
   async #handle(
     req: IncomingMessage,
-    { res, url, isRelayed = false }: {
+    { res, url, isForwarded = false }: {
       res: ServerResponse;
       url: string;
-      isRelayed?: boolean;
+      isForwarded?: boolean;
     },
   ): Promise<void> {
     this.#inFlight += 1;
@@ -136,10 +136,10 @@
       url,
       clock,
       closing,
-      isRelayed,
+      isForwarded,
     });
     try {
-      await this.#serve(exchange, { isRelayed });
+      await this.#serve(exchange, { isForwarded });
     } catch (err) {
       logger.warn("Request failed with an internal error", {
         attempt: exchange.head.attempt,
@@ -151,7 +151,7 @@
     }
   }
 
-  /** Returns why another VM should serve a relayed request; undefined if this one may. */
+  /** Returns why another VM should serve a forwarded request; undefined if this one may. */
   #declineReason(
     { origin }: CallerExchange,
     refusal: Refusal | undefined,
@@ -170,7 +170,7 @@
 
   async #serve(
     exchange: CallerExchange,
-    { isRelayed }: { isRelayed: boolean },
+    { isForwarded }: { isForwarded: boolean },
   ): Promise<void> {
     const { requestAdmission, requestLog, stopState } = this.#deps;
     const body = await exchange.readBody(this.#limits.maxBodyBytes);
@@ -180,7 +180,9 @@
     const err = !body.ok
       ? body.error
       : refusal ?? (admitted.ok ? undefined : admitted.error);
-    const declined = isRelayed ? this.#declineReason(exchange, err) : undefined;
+    const declined = isForwarded
+      ? this.#declineReason(exchange, err)
+      : undefined;
     if (declined !== undefined) {
       requestLog.recordDeclined(exchange, declined);
       exchange.decline(declined);
--- a/src/gateway/run_summary.ts
+++ b/src/gateway/run_summary.ts
@@ -23,7 +23,7 @@
   readonly retryBudget: RetryBudgetState;
   readonly tries: readonly AttemptRecord[];
   /** VM that was asked to run the request, if this VM reached no server. */
-  readonly relayedTo: EntryId | undefined;
-  /** VM that relayed the request to this one. */
-  readonly relayedFrom: EntryId | undefined;
+  readonly forwardedTo: EntryId | undefined;
+  /** VM that forwarded the request to this one. */
+  readonly forwardedFrom: EntryId | undefined;
 }
--- a/src/platform/header_wire.ts
+++ b/src/platform/header_wire.ts
@@ -162,7 +162,7 @@
 }
 
 /** Headers that another VM must not receive, as its own connection determines them. */
-const UNRELAYED_HEADERS: ReadonlySet<string> = new Set([
+const UNFORWARDED_HEADERS: ReadonlySet<string> = new Set([
   DEADLINE,
   "content-length",
   "expect",
@@ -170,7 +170,7 @@
 ]);
 
 /** Returns the headers of a caller's request for another VM, as alternating names and values. */
-export function encodeRelayedRequestHeaders(
+export function encodeForwardedRequestHeaders(
   rawHeaders: readonly string[],
   { host, remainingMs }: Pick<BackendRequestHead, "host" | "remainingMs">,
 ): string[] {
@@ -178,7 +178,7 @@
   const lines = ["host", host];
   for (const [name, value] of headerPairs(rawHeaders)) {
     const key = name.toLowerCase();
-    if (HOP_BY_HOP_HEADERS.has(key) || UNRELAYED_HEADERS.has(key)) continue;
+    if (HOP_BY_HOP_HEADERS.has(key) || UNFORWARDED_HEADERS.has(key)) continue;
     if (!dropped.has(key)) lines.push(name, value);
   }
   lines.push(DEADLINE, String(Math.max(1, Math.floor(remainingMs))));
--- a/tests/relayed_request_test.ts
+++ b/tests/forwarded_request_test.ts
@@ -79,7 +79,7 @@
     assert.equal(headerOf(received, "fieldrack-tenant"), "garden");
     assert.equal(headerOf(received, "x-own"), "kept");
     assert.equal(headerOf(received, "authorization"), undefined);
-    assert.equal(headerOf(received, "relay-origin"), undefined);
+    assert.equal(headerOf(received, "forward-origin"), undefined);
     const leftMs = Number(headerOf(received, "fieldrack-deadline-ms"));
     assert.ok(leftMs > 0 && leftMs <= DEADLINE_MS);
   });
@@ -142,14 +142,14 @@
     assert.equal(requests.length, 1);
   });
 
-  it("should not be taken for relayed when a caller sends the header of gateways", async () => {
+  it("should not be taken for forwarded when a caller sends the header of gateways", async () => {
     const origin = { vm: "edge-9", configurationVersion: 9e9, isCounted: true };
-    const headers = { "relay-origin": JSON.stringify(origin) };
+    const headers = { "forward-origin": JSON.stringify(origin) };
     for (const vm of fleet.vms) {
       assert.equal((await fleet.call(vm, "/stock/5", headers)).status, 200);
     }
     for (const req of requests) {
-      assert.equal(headerOf(req, "relay-origin"), undefined);
+      assert.equal(headerOf(req, "forward-origin"), undefined);
     }
   });
 
