Keep the later confirmation when a slow read of the configuration ends

Noted by readers of the code: a read set the confirmation back to its own start, whatever other VMs had confirmed meanwhile, so that keys could count as unconfirmed and callers be refused. The unit test read an age of 900 ms before the fix, 0 ms is right.

--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -227,7 +227,8 @@
   }
 
   #recordConfirmation(startedMs: number): void {
-    this.#confirmedAtMs = startedMs;
+    // Another VM may have confirmed the configuration while the read was under way.
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, startedMs);
     this.#onConfirmed();
   }
 
--- a/src/store/routing_follower_test.ts
+++ b/src/store/routing_follower_test.ts
@@ -8,7 +8,9 @@
 import { beforeEach, describe, it } from "node:test";
 import type { ObjectStore } from "../platform/object_store.ts";
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
+import { ok } from "../core/result.ts";
 import { SilentLogger } from "../runtime/logger.ts";
+import { nextTurn } from "../runtime/next_turn.ts";
 import { SuspendAwareClock } from "../runtime/suspend_aware_clock.ts";
 import { RoutingFollower } from "./routing_follower.ts";
 import type { MissedChangeDetector } from "./missed_change_detector.ts";
@@ -16,11 +18,14 @@
 import type { StoreHealthMonitor } from "./store_health_monitor.ts";
 
 const SUSPENDED_MS = 6_000;
+const SLOW_READ_MS = 900;
 
 let monotonicMs: number;
 let wallMs: number;
 let suspendAwareClock: SuspendAwareClock;
 let follower: RoutingFollower;
+/** Ends the read of the store that is in progress. */
+let endRead: (value: unknown) => void;
 
 beforeEach(() => {
   monotonicMs = 0;
@@ -28,11 +33,24 @@
   const clock = { monotonicMs: () => monotonicMs, wallMs: () => wallMs };
   suspendAwareClock = new SuspendAwareClock({ clock });
   follower = new RoutingFollower({
-    objectStore: {} as ObjectStore,
-    storeHealth: { onRecovered: () => {} } as unknown as StoreHealthMonitor,
+    objectStore: {
+      list: () =>
+        new Promise((resolve) => {
+          endRead = (value) => resolve(ok(value));
+        }),
+    } as unknown as ObjectStore,
+    storeHealth: {
+      onRecovered: () => {},
+      recordSuccess: () => {},
+    } as unknown as StoreHealthMonitor,
     seenRevisions: new SeenRevisions(),
-    missedChangeDetector: {} as MissedChangeDetector,
-    bounds: {} as DeploymentBounds,
+    missedChangeDetector: {
+      check: () => Promise.resolve(),
+    } as unknown as MissedChangeDetector,
+    bounds: {
+      configurationApplyMs: 2_000,
+      keyRemovalMs: 5_000,
+    } as DeploymentBounds,
     clock,
     suspendAwareClock,
     logger: new SilentLogger(),
@@ -71,4 +89,27 @@
     follower.receiveConfirmation({ version: 1, atMs: requestedMs - 100 });
     assert.ok(follower.confirmedAgeMs() >= SUSPENDED_MS);
   });
+
+  // A read of this VM that took long set the age back to its own start, although another VM had
+  // confirmed the configuration meanwhile: keys counted as unconfirmed, and callers were refused.
+  it("should not go back when a slow read ends after a later confirmation", async () => {
+    const object = {
+      name: "main",
+      revision: 1,
+      spec: { Version: 1, Routes: [], Services: [] },
+      status: null,
+    };
+    follower.receiveConfirmation({ version: 2, atMs: 0 });
+    wallMs += SLOW_READ_MS;
+    monotonicMs += SLOW_READ_MS;
+    follower.receiveConfirmation({
+      version: 1,
+      atMs: suspendAwareClock.nowMs(),
+    });
+    assert.equal(follower.confirmedAgeMs(), 0);
+    endRead({ objects: [object], revision: 1 });
+    await nextTurn();
+    assert.equal(follower.confirmedAgeMs(), 0);
+    follower.stop();
+  });
 });
