--- a/src/core/servers/server_notice.ts
+++ b/src/core/servers/server_notice.ts
@@ -11,4 +11,9 @@
    * server sends it; undefined if it sends none.
    */
   readonly limitPerS: number | undefined;
+  /**
+   * Rejections in a second that the server bears from all VMs together before it falls over;
+   * undefined if it does not say so.
+   */
+  readonly bearsPerS: number | undefined;
 }
--- a/src/fleet/digest_service.ts
+++ b/src/fleet/digest_service.ts
@@ -33,6 +33,7 @@
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
+import type { BrittleGossip } from "./brittle_gossip.ts";
 import type { CrashGossip } from "./crash_gossip.ts";
 import type { DigestHandler } from "./digest_router.ts";
 import type { FleetRelayRole } from "./fleet_relay_role.ts";
@@ -57,6 +58,7 @@
   readonly promptHolders: PromptHolders;
   readonly crashGossip: CrashGossip;
   readonly limitGossip: LimitGossip;
+  readonly brittleGossip: BrittleGossip;
   readonly evidenceAggregator: EvidenceAggregator;
   readonly sessionTracker: SessionTracker;
   readonly releaseGate: ReleaseGate;
@@ -166,6 +168,7 @@
       confirmedAgeMs: advertisedAgeMs(confirmation.ageMs),
       crashes: this.#deps.crashGossip.recentCrashes(),
       limits: this.#deps.limitGossip.limitsToAdvertise(),
+      brittle: this.#deps.brittleGossip.rejectionsToAdvertise(),
       leaving: this.#deps.serverFollower.leavingLives().slice(
         -MAX_DIGEST_LEAVING_SERVERS,
       ),
@@ -236,6 +239,7 @@
     promptHolders.mergeAdvertised(digest.holders, nowMs);
     this.#deps.crashGossip.receive(digest.crashes, digest.self.id);
     this.#deps.limitGossip.receive(digest.limits, digest.self.id);
+    this.#deps.brittleGossip.receive(digest.brittle, digest.self.id);
     for (const life of digest.leaving) this.#deps.serverFollower.leaves(life);
     this.#memberLog.add(
       memberTable.merge([digest.self, ...digest.news], nowMs),
--- a/src/fleet/digest_service_test.ts
+++ b/src/fleet/digest_service_test.ts
@@ -29,6 +29,8 @@
 import { SilentLogger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
+import { BrittleServers } from "../core/servers/brittle_servers.ts";
+import { BrittleGossip } from "./brittle_gossip.ts";
 import { CrashGossip } from "./crash_gossip.ts";
 import { DigestService } from "./digest_service.ts";
 import { LimitGossip } from "./limit_gossip.ts";
@@ -72,6 +74,11 @@
         clock: { wallMs: () => nowMs, monotonicMs: () => nowMs },
         logger: new SilentLogger(),
       }),
+      brittleGossip: new BrittleGossip({
+        brittleServers: new BrittleServers({ chance: () => 0 }),
+        serverLoads: this.loads,
+        clock: { wallMs: () => nowMs, monotonicMs: () => nowMs },
+      }),
       limitGossip: new LimitGossip({
         serverLimits: this.limits,
         clock: { wallMs: () => nowMs, monotonicMs: () => nowMs },
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -45,6 +45,8 @@
 const CONNECTION_REFUSED = "ECONNREFUSED";
 /** Round trips to backend servers take a few milliseconds. */
 const SLOW_CONNECT_MS = 100;
+/** Status of a server that has no room for a request. */
+const FULL_STATUS = 503;
 const NO_INSTANCES: ReadonlySet<InstanceId> = new Set();
 
 /** Dependencies shared by all senders. */
@@ -308,6 +310,9 @@
     place.release();
     if (outcome.tag === "withheld") this.#tried.delete(server.instance);
     if (options.isolate) suspectPlacement.remove(server.instance);
+    if (outcome.tag === "not_run" && outcome.status === FULL_STATUS) {
+      serverNoticeHandler.handleRejection(server);
+    }
     if (outcome.tag === "not_sent") reachabilityMonitor.suspect(server.service);
     if (outcome.tag === "not_sent" && outcome.reason === CONNECTION_REFUSED) {
       attemptAcks.connectionRefused(server);
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -3,6 +3,7 @@
 import fastify, { type FastifyInstance } from "fastify";
 import type { CrashHistory } from "../core/crashes/crash_history.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
+import type { BrittleServers } from "../core/servers/brittle_servers.ts";
 import type { ColdServers } from "../core/servers/cold_servers.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import type { ServerLimits } from "../core/servers/server_limits.ts";
@@ -41,6 +42,7 @@
   readonly serverBackoffs: ServerBackoffs;
   readonly serverLimits: ServerLimits;
   readonly serverReachability: ServerReachability;
+  readonly brittleServers: BrittleServers;
   readonly crashHistory: CrashHistory;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -137,6 +139,9 @@
     gatewayMetrics.rateLimitedServers.set(
       serverLimits.count(clock.monotonicMs()),
     );
+    gatewayMetrics.brittleServers.set(
+      this.#deps.brittleServers.instances.length,
+    );
     gatewayMetrics.leavingServers.set(serverDirectory.leavingServers().length);
     gatewayMetrics.suspectedRequests.set(crashHistory.size);
     gatewayMetrics.poisonRequests.set(crashHistory.crashingRequests.size);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -28,9 +28,11 @@
 import { SessionTracker } from "../core/rollout/session_tracker.ts";
 import { ProbeOrder } from "../core/membership/probe_order.ts";
 import { ColdAdmission } from "../core/routing/cold_admission.ts";
+import { SlotShare } from "../core/routing/slot_share.ts";
 import { LimitAdmission } from "../core/routing/limit_admission.ts";
 import { PromptHolders } from "../core/routing/prompt_holders.ts";
 import { AffinityChoice } from "../core/routing/affinity_choice.ts";
+import { BrittleServers } from "../core/servers/brittle_servers.ts";
 import { ColdServers } from "../core/servers/cold_servers.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { ServerStallDetector } from "../core/servers/server_stall_detector.ts";
@@ -40,6 +42,7 @@
 import { ServerReachability } from "../core/servers/server_reachability.ts";
 import { ServerBackoffs } from "../core/servers/server_backoffs.ts";
 import { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
+import { BrittleGossip } from "../fleet/brittle_gossip.ts";
 import { CrashGossip } from "../fleet/crash_gossip.ts";
 import { DigestExchanger } from "../fleet/digest_exchanger.ts";
 import { DigestService } from "../fleet/digest_service.ts";
@@ -127,6 +130,8 @@
   readonly storeFeed: StoreFeed;
   readonly retryBudget: RetryBudget;
   readonly reachabilityMonitor: ReachabilityMonitor;
+  readonly serverNoticeHandler: ServerNoticeHandler;
+  readonly brittleServers: BrittleServers;
   readonly requestServer: RequestServer;
   readonly controlServer: ControlServer;
   readonly stopState: StopState;
@@ -206,6 +211,8 @@
     serverLoads: singleton(ServerLoads),
     serverBackoffs: asFunction(() => new ServerBackoffs()).singleton(),
     serverLimits: asFunction(() => new ServerLimits()).singleton(),
+    brittleServers: singleton(BrittleServers),
+    slotShare: singleton(SlotShare),
     serverReachability: asFunction(() => new ServerReachability()).singleton(),
     releaseGate: singleton(ReleaseGate),
     modelLatencyEstimator: singleton(ModelLatencyEstimator),
@@ -283,6 +290,7 @@
     digestService: singleton(DigestService),
     crashGossip: singleton(CrashGossip),
     limitGossip: singleton(LimitGossip),
+    brittleGossip: singleton(BrittleGossip),
     permitGranter: singleton(PermitGranter),
     permitBorrower: singleton(PermitBorrower),
     forwardingPeers: singleton(ForwardingPeers),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -67,6 +67,19 @@
     registers: [this.registry],
   });
 
+  readonly brittleRejections = new Counter({
+    name: "fieldrack_gateway_brittle_rejections_total",
+    help: "Requests rejected for want of room by brittle servers, by service",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+
+  readonly brittleServers = new Gauge({
+    name: "fieldrack_gateway_brittle_servers",
+    help: "Backend servers that bear only few rejections",
+    registers: [this.registry],
+  });
+
   readonly suspectedRequests = new Gauge({
     name: "fieldrack_gateway_suspected_requests",
     help:
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -54,6 +54,7 @@
       components.backendConnectionPool.closeIdle(instance);
       components.coldAdmission.remove(instance);
       components.limitAdmission.remove(instance);
+      components.brittleServers.remove(instance);
       components.serverLoads.remove(instance);
       components.serverStallDetector.removeInactive(
         components.clock.monotonicMs(),
@@ -75,6 +76,9 @@
       components.memberTable.setLostServices(lostServices);
       void components.digestExchanger.announceToSmallFleet();
     });
+    components.serverNoticeHandler.onBrittleRejection(() =>
+      void components.digestExchanger.announceToSmallFleet()
+    );
     components.canaryFollower.start();
     if (listen.peers !== undefined) {
       await components.digestServer.listen(listen.peers);
--- a/src/gateway/server_admission.ts
+++ b/src/gateway/server_admission.ts
@@ -11,6 +11,9 @@
   type ServerRecord,
 } from "../core/servers/server_record.ts";
 import type { ServerLimits } from "../core/servers/server_limits.ts";
+import type { BrittleServers } from "../core/servers/brittle_servers.ts";
+import type { SlotShare } from "../core/routing/slot_share.ts";
+import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerBackoffs } from "../core/servers/server_backoffs.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -21,6 +24,9 @@
   readonly serverBackoffs: ServerBackoffs;
   readonly serverLimits: ServerLimits;
   readonly limitAdmission: LimitAdmission;
+  readonly brittleServers: BrittleServers;
+  readonly serverLoads: Pick<ServerLoads, "inFlight">;
+  readonly slotShare: Pick<SlotShare, "of">;
   readonly coldServerGuard: ColdServerGuard;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,9 +56,12 @@
   /** Servers that accept a request from this VM now: not in backoff, and within their rate limit. */
   filterAvailable(servers: readonly ServerRecord[]): readonly ServerRecord[] {
     const { serverBackoffs, serverLimits } = this.#deps;
-    if (serverBackoffs.isEmpty && serverLimits.isEmpty) return servers;
+    const isUnrestricted = serverBackoffs.isEmpty && serverLimits.isEmpty &&
+      this.#deps.brittleServers.isEmpty;
+    if (isUnrestricted) return servers;
     return servers.filter((server) =>
-      this.#isOutOfBackoff(server) && this.#hasPermit(server)
+      this.#isOutOfBackoff(server) && this.#hasPermit(server) &&
+      this.#brittleWaitMs(server) === 0
     );
   }
 
@@ -94,6 +103,8 @@
     const { serverDirectory, serverBackoffs, clock } = this.#deps;
     return serverDirectory.isUsable(server.instance) &&
       serverBackoffs.leftMs(server, clock.monotonicMs()) === 0 &&
+      // The request itself counts as in flight already.
+      this.#brittleWaitMs(server, { counted: 1 }) === 0 &&
       reservation.tryAcquire();
   }
 
@@ -132,6 +143,7 @@
         serverBackoffs.opensInMs(server, nowMs),
         coldServerGuard.warmInMs(server),
         limitAdmission.opensInMs(server),
+        this.#brittleWaitMs(server),
       )
     );
     const earliestMs = Math.min(...waitsMs);
@@ -144,6 +156,17 @@
       serverBackoffs.opensInMs(server, clock.monotonicMs()) === 0;
   }
 
+  /** Milliseconds until a brittle server probably has room; 0 for all others. */
+  #brittleWaitMs(server: ServerRecord, { counted = 0 } = {}): number {
+    const { brittleServers, serverLoads, slotShare, clock } = this.#deps;
+    if (brittleServers.isEmpty) return 0;
+    return brittleServers.opensInMs(server.instance, {
+      inFlight: serverLoads.inFlight(server.instance) - counted,
+      ...slotShare.of(server),
+      nowMs: clock.monotonicMs(),
+    });
+  }
+
   #hasPermit(server: ServerRecord): boolean {
     const { serverLimits, limitAdmission } = this.#deps;
     return serverLimits.isEmpty || limitAdmission.canAcquire(server);
--- a/src/gateway/server_notice_handler.ts
+++ b/src/gateway/server_notice_handler.ts
@@ -1,5 +1,6 @@
 /** Handles the notices of backend servers, also where the answers they came with are discarded. */
 
+import type { BrittleServers } from "../core/servers/brittle_servers.ts";
 import type { ServerLimits } from "../core/servers/server_limits.ts";
 import type { ServerLoads } from "../core/servers/server_loads.ts";
 import type { ServerNotice } from "../core/servers/server_notice.ts";
@@ -19,6 +20,7 @@
 interface Deps {
   readonly serverBackoffs: ServerBackoffs;
   readonly serverLimits: ServerLimits;
+  readonly brittleServers: BrittleServers;
   readonly serverFollower: ServerFollower;
   readonly serverLoads: ServerLoads;
   readonly gatewayMetrics: GatewayMetrics;
@@ -30,6 +32,8 @@
 export class ServerNoticeHandler {
   readonly #deps: Deps;
 
+  #onBrittleRejection: () => void = () => {};
+
   constructor(deps: Deps) {
     this.#deps = deps;
   }
@@ -37,8 +41,9 @@
   /** Applies the backoff, shutdown and rate limit of a notice. */
   handleNotice(
     server: ServerRecord,
-    { restMs, leaves, limitPerS }: ServerNotice,
+    { restMs, leaves, limitPerS, bearsPerS }: ServerNotice,
   ): void {
+    if (bearsPerS !== undefined) this.#applyBrittle(server, bearsPerS);
     if (restMs > 0) this.#applyBackoff(server, restMs);
     if (leaves) this.#deps.serverFollower.leaves(server);
     if (limitPerS !== undefined) this.#applyLimit(server, limitPerS);
@@ -51,9 +56,10 @@
    */
   handleAnswer(
     server: ServerRecord,
-    { limitPerS }: ServerNotice,
+    { limitPerS, bearsPerS }: ServerNotice,
     sentMs: number,
   ): void {
+    if (bearsPerS === undefined) this.#endBrittle(server);
     if (limitPerS !== undefined) return;
     const { serverLimits, logger } = this.#deps;
     if (!serverLimits.receiveNoLimit(server, sentMs)) return;
@@ -63,6 +69,44 @@
     });
   }
 
+  /** Handles a rejection for want of room; `inFlight` requests of this VM are still there. */
+  handleRejection(server: ServerRecord): void {
+    const { brittleServers, serverLoads, gatewayMetrics, clock } = this.#deps;
+    const { instance, service } = server;
+    const isBrittle = brittleServers.recordRejection(instance, {
+      inFlight: serverLoads.inFlight(instance),
+      nowMs: clock.monotonicMs(),
+    });
+    if (!isBrittle) return;
+    gatewayMetrics.brittleRejections.inc({ service });
+    this.#onBrittleRejection();
+  }
+
+  /** Sets the listener that is called when a brittle server rejects a request. */
+  onBrittleRejection(listener: () => void): void {
+    this.#onBrittleRejection = listener;
+  }
+
+  #applyBrittle(server: ServerRecord, bearsPerS: number): void {
+    const { brittleServers, serverLoads, logger } = this.#deps;
+    if (!brittleServers.receive(server, bearsPerS)) return;
+    logger.info("Server says that it is brittle", {
+      server: incarnationIdOf(server),
+      service: server.service,
+      bears_per_s: bearsPerS,
+      in_flight: serverLoads.inFlight(server.instance),
+    });
+  }
+
+  #endBrittle(server: ServerRecord): void {
+    const { brittleServers, logger } = this.#deps;
+    if (brittleServers.isEmpty || !brittleServers.receiveSound(server)) return;
+    logger.info("Server is no longer brittle", {
+      server: incarnationIdOf(server),
+      service: server.service,
+    });
+  }
+
   #applyLimit(server: ServerRecord, limitPerS: number): void {
     const { serverLimits, serverLoads, gatewayMetrics, clock, logger } =
       this.#deps;
--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -12,6 +12,7 @@
 import { ServerLoads } from "../core/servers/server_loads.ts";
 import { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
 import { ServerLimits } from "../core/servers/server_limits.ts";
+import { BrittleServers } from "../core/servers/brittle_servers.ts";
 import { ServerBackoffs } from "../core/servers/server_backoffs.ts";
 import { decodeCallerHead } from "../platform/header_wire.ts";
 import { unitHash } from "../runtime/hashing.ts";
@@ -93,6 +94,9 @@
       serverBackoffs,
       serverLimits,
       limitAdmission,
+      brittleServers: new BrittleServers({ chance }),
+      serverLoads,
+      slotShare: { of: () => ({ vms: 1, ownSlots: 1 }) },
       coldServerGuard: {
         withWarmupCapacity: (_service: unknown, servers: unknown) => servers,
         warmInMs: () => 0,
--- a/src/platform/server_notice_wire.ts
+++ b/src/platform/server_notice_wire.ts
@@ -7,6 +7,7 @@
 const SERVER_LEAVING = "server-leaving";
 const IS_LEAVING = "1";
 const SERVER_LIMIT = "server-limit";
+const SERVER_BRITTLE = "server-brittle";
 /** Only responses with this status may request a backoff. */
 const SERVICE_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1_000;
@@ -23,7 +24,8 @@
   return {
     restMs: status === SERVICE_UNAVAILABLE ? backoffMs(headers) : 0,
     leaves: valuesOf(headers[SERVER_LEAVING]).includes(IS_LEAVING),
-    limitPerS: lowestLimitPerS(headers),
+    limitPerS: lowestNumber(headers[SERVER_LIMIT]),
+    bearsPerS: lowestNumber(headers[SERVER_BRITTLE]),
   };
 }
 
@@ -39,9 +41,11 @@
   return Math.max(0, ...dateBackoffs, ...delays);
 }
 
-/** Returns the lowest limit among the header's values; undefined if none is valid. */
-function lowestLimitPerS(headers: Headers): number | undefined {
-  const limits = valuesOf(headers[SERVER_LIMIT])
+/** Returns the lowest number among a header's values; undefined if none is valid. */
+function lowestNumber(
+  header: string | string[] | undefined,
+): number | undefined {
+  const limits = valuesOf(header)
     .filter((value) => DECIMAL.test(value))
     .map(Number)
     .filter(Number.isFinite);
--- a/src/platform/server_notice_wire_test.ts
+++ b/src/platform/server_notice_wire_test.ts
@@ -103,4 +103,14 @@
       assert.ok(limitPerS >= 0 && Number.isFinite(limitPerS));
     }));
   });
+
+  it("should decode how many rejections a server bears, in any answer", () => {
+    for (const status of [200, 503]) {
+      const headers = { "server-brittle": "3" };
+      assert.equal(decodeServerNotice(status, headers).bearsPerS, 3);
+      assert.equal(decodeServerNotice(status, {}).bearsPerS, undefined);
+      const invalid = { "server-brittle": "few" };
+      assert.equal(decodeServerNotice(status, invalid).bearsPerS, undefined);
+    }
+  });
 });
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -77,6 +77,17 @@
   ageMs: z.number(),
 });
 
+/** A rejection for want of room by a server that bears only few of them. */
+const brittleRejectionSchema = z.object({
+  instance: id<InstanceId>(),
+  bornMs: z.number().optional(),
+  /** Rejections in a second that the server bears from all VMs together. */
+  bears: z.number().min(0),
+  /** Number of the rejection at the sending VM. */
+  sequence: z.number(),
+  ageMs: z.number(),
+});
+
 /** Schema of what one VM advertises: its own state and what it has received from others. */
 export const digestSchema = z.object({
   self: memberSchema,
@@ -107,6 +118,9 @@
     .max(MAX_DIGEST_LEAVING_SERVERS),
   /** Latest rate limits that servers have set for all VMs together. */
   limits: z.array(limitSchema).max(MAX_DIGEST_RATE_LIMITS),
+  /** Rejections by brittle servers within the last second. */
+  brittle: z.array(brittleRejectionSchema).max(MAX_DIGEST_RATE_LIMITS)
+    .default([]),
   /** Releases that were halted because they were found to be bad. */
   braked: z.array(z.object({
     service: id<ServiceId>(),
--- a/tests/brittle_server_test.ts
+++ b/tests/brittle_server_test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against brittle servers that fall over because all gateways together send them more than
  * they have room for. No users' record shows it: a burst that meets shrinking queues is played here.
+ * Nothing read what the servers say, so they fell over 6 times of 2 allowed.
  */
 
 import assert from "node:assert/strict";
@@ -33,16 +34,14 @@
 let fleet: GatewayFleet;
 let servers: BrittleServer[];
 let nextAttempt: number;
-let statuses: number[];
 
 async function callOnce(): Promise<void> {
   const attempt = (nextAttempt++).toString(16).padStart(16, "0");
   const vm = fleet.vms[nextAttempt % VMS] ?? "";
   const path = nextAttempt % 3 === 0 ? "/status/1" : "/hold/1";
-  const { status } = await fleet.call(vm, path, {
+  await fleet.call(vm, path, {
     "fieldrack-attempt-id": attempt,
   });
-  statuses.push(status);
 }
 
 async function press(perS: number, forMs: number): Promise<void> {
@@ -58,7 +57,6 @@
 
 beforeEach(async () => {
   nextAttempt = 1;
-  statuses = [];
   fleet = new GatewayFleet([
     routeWire({ Name: "r-idempotent", PathPrefix: "/status/" }),
     routeWire({
@@ -69,7 +67,7 @@
   ]);
   servers = Array.from({ length: SERVERS }, () => new BrittleServer(SERVER));
   for (const [at, { server }] of servers.entries()) {
-    await fleet.attachServer(`i-${at}`, server);
+    await fleet.attachServer(`i-${at}`, server, { Slots: SERVER.slots });
   }
   await fleet.start(VMS);
   for (const vm of fleet.vms) {
@@ -83,7 +81,6 @@
 describe("servers that say that they are brittle", () => {
   it("should not fall over more often than allowed in a burst, as their room shrinks", async () => {
     await press(USUAL_PER_S, CONTACT_MS);
-    statuses = [];
     const burst = press(BURST_PER_S, BURST_MS);
     await pause(BURST_MS / 3);
     for (const server of servers) server.setQueue(NARROW_QUEUE);
@@ -91,8 +88,6 @@
     await press(USUAL_PER_S, 1_000);
     const falls = servers.reduce((sum, it) => sum + it.fallsMs.length, 0);
     const rejected = servers.reduce((sum, it) => sum + it.rejected, 0);
-    const served = statuses.filter((status) => status === 200).length;
-    console.log({ falls, rejected, served, of: statuses.length });
     assert.ok(
       falls <= ALLOWED_FALLS + SERVERS / 10,
       `${falls} falls after ${rejected} rejections`,
