--- a/src/gateway/server_notice_handler.ts
+++ b/src/gateway/server_notice_handler.ts
@@ -69,7 +69,7 @@
     });
   }
 
-  /** Handles a rejection for want of room; `inFlight` requests of this VM are still there. */
+  /** Handles a rejection for want of room, which only brittle servers count. */
   handleRejection(server: ServerRecord): void {
     const { brittleServers, serverLoads, gatewayMetrics, clock } = this.#deps;
     const { instance, service } = server;
