--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -81,7 +81,8 @@
 
   it("should report the server's status even if its response is unusable", async () => {
     const statusHeaders = "Fieldrack-Not-Processed: 1\r\nRetry-After: 2\r\n" +
-      "Server-Leaving: 1\r\nServer-Limit: 0.5\r\nContent-Length: 5\r\n\r\n";
+      "Server-Leaving: 1\r\nServer-Limit: 0.5\r\nServer-Brittle: 3\r\n" +
+      "Content-Length: 5\r\n\r\n";
     const status = "503 Service Unavailable";
     const truncated = ({ socket }: RawRequest) => {
       socket.end(`${head({ status, extra: statusHeaders })}ab`);
@@ -96,6 +97,7 @@
         restMs: 2_000,
         leaves: true,
         limitPerS: 0.5,
+        bearsPerS: 3,
       }]);
       connections?.close();
       await server?.close();
--- a/src/backends/server_probe_test.ts
+++ b/src/backends/server_probe_test.ts
@@ -80,6 +80,7 @@
       "retry-after": "2",
       "server-leaving": "1",
       "server-limit": "0.5",
+      "server-brittle": "3",
     };
     const notice = await new Promise<ServerNotice>((resolve) =>
       newProbe().ask({ instance, address }, resolve)
@@ -88,6 +89,7 @@
       restMs: 2_000,
       leaves: true,
       limitPerS: 0.5,
+      bearsPerS: 3,
     });
   });
 
