Log prompt parts with each server crash, and answers without an end mark

Two hypotheses of the incident could not be told apart by the logs: crashes counted for each request alone, or crashes that are not recognized because the answer has neither a length nor chunks. The line of a crash now names the prompt's parts, and the line of an attempt says whether its answer marks its end. No decision changes.

--- a/src/gateway/attempt_record.ts
+++ b/src/gateway/attempt_record.ts
@@ -25,6 +25,8 @@
   sentMs: number | undefined;
   /** When the server was first known to have read the request; undefined before. */
   ackedMs: number | undefined;
+  /** Whether the response marks its end by a length or chunks; undefined before its head. */
+  framed: boolean | undefined;
   /** Confidence of the model in its answer, 0 to 100. */
   confidence: number | undefined;
   /** Rate limit over all VMs that the response states, in requests per second. */
@@ -53,6 +55,7 @@
     reason: undefined,
     sentMs: undefined,
     ackedMs: undefined,
+    framed: undefined,
     confidence: undefined,
     limitPerS: undefined,
   };
@@ -69,7 +72,7 @@
 
 /**
  * Formats an attempt for the log: "SERVER RELEASE MODEL sent at T ms: outcome (reason, first byte,
- * expected first byte, acknowledgement, confidence, rate limit)".
+ * expected first byte, acknowledgement, missing end mark, confidence, rate limit)".
  */
 export function describeAttempt(
   record: AttemptRecord,
@@ -83,6 +86,7 @@
       : `first byte after ${Math.round(record.firstByteMs)} ms`,
     `first byte expected after ${Math.round(record.expectedMs)} ms`,
     describeAck(record),
+    record.framed === false ? "no end mark" : undefined,
     record.confidence === undefined
       ? undefined
       : `confidence ${record.confidence}`,
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -280,6 +280,7 @@
       sink: {
         decideByHead: (head) => {
           observed.record.confidence = head.decoded.confidence;
+          observed.record.framed = head.decoded.framed;
           serverAdmission.recordAccepted(server, observed.record.startedMs);
           if (head.status < FIRST_FAILURE_STATUS) {
             serverNoticeHandler.handleAnswer(
--- a/src/gateway/crash_detector.ts
+++ b/src/gateway/crash_detector.ts
@@ -13,6 +13,7 @@
   type ServerRecord,
 } from "../core/servers/server_record.ts";
 import type { CrashGossip } from "../fleet/crash_gossip.ts";
+import type { PromptPart } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -36,6 +37,8 @@
   readonly attemptId: string | undefined;
   readonly account: AccountId | undefined;
   readonly service: ServiceId;
+  /** Parts of the prompt, the last of which no other request shares. */
+  readonly promptParts: readonly PromptPart[];
   /** Whether the first byte of the response shows that the request has started to run. */
   readonly streaming: boolean;
 }
@@ -146,6 +149,7 @@
       request,
       attempt: monitored.attemptId,
       service: monitored.service,
+      parts: monitored.promptParts.map(({ id }) => id).join(","),
       server: life,
       address,
       release: server.release,
--- a/src/gateway/request_crash_tracker_test.ts
+++ b/src/gateway/request_crash_tracker_test.ts
@@ -59,6 +59,7 @@
     attemptId: undefined,
     account: undefined,
     service: SERVICE,
+    promptParts: [],
     streaming: true,
   });
 });
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -101,6 +101,7 @@
       attemptId: head.attempt,
       account,
       service: this.#service,
+      promptParts: head.promptParts,
       streaming: route.kind === "stream",
     });
     this.#limitMs = Math.min(
