Add a failing test for a prompt part that crashes servers

Twelve plays of gateways before eight servers that end 25 ms after the first byte of a response to a prompt with a certain part, and come back 2.5 s later at their addresses under new ids. Eleven fail on the code as it stands: 24 to 38 servers end; 12 to 32 requests with the part are sent to servers more than 3 s after the fifth crash, of 3 allowed. In ten of them, 2 to 31 of 97 to 220 sound requests with the shared first part are served from 6 s after it on (all of 97 where bad requests are rare). Where responses have no end mark, 55 to 69 cut ones look complete to their callers. The twelfth, servers that crash by chance under a shared part, passes and must go on to.

--- /dev/null
+++ b/tests/crashing_part_test.ts
@@ -0,0 +1,75 @@
+/**
+ * Guards against a part of prompts that crashes each server that begins a response, while no two
+ * requests with it are alike. In a fleet of 7 VMs and 8 servers, 64 servers crashed in turn, as
+ * crashes were counted for each request alone: each new one was sent to up to three servers. On
+ * services whose responses have neither a length nor chunks, crashes were not recognized at all:
+ * their end is the end of the connection, so that a crash looked like a complete response.
+ */
+
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type PartCrashOptions,
+  type PartCrashResult,
+  playPartCrashes,
+  type ServedCount,
+} from "./fixtures/part_crash_play.ts";
+
+/** Requests with the part that may reach servers later than all gateways must know of it. */
+const MAX_SENT_LATE = 3;
+/** Smallest share of sound requests served, compared to the time before the crashes. */
+const MIN_SERVED_SHARE = 0.5;
+
+const STREAMS: PartCrashOptions = {
+  gateways: 7,
+  form: "chunked_stream",
+  badParts: () => ["shared", "bad"],
+};
+
+const PLAYS: Readonly<Record<string, PartCrashOptions>> = {
+  "streams at one gateway": { ...STREAMS, gateways: 1 },
+  "streams at 7 gateways": STREAMS,
+  "a companion that rarely comes alone": {
+    ...STREAMS,
+    badParts: () => ["shared", "companion", "bad"],
+    companionParts: ["companion"],
+  },
+  "the part first": { ...STREAMS, badParts: () => ["bad", "second"] },
+  "few requests": { ...STREAMS, badPerS: 0.7 },
+  "two parts": {
+    ...STREAMS,
+    badParts: (n) => ["shared", n % 2 === 0 ? "bad1" : "bad2"],
+  },
+  "responses that are no streams": { ...STREAMS, form: "plain" },
+  "streams without an end mark, cut inside an event": {
+    ...STREAMS,
+    form: "unframed_stream_in_event",
+  },
+  "streams without an end mark, cut between events": {
+    ...STREAMS,
+    form: "unframed_stream_between_events",
+  },
+  "responses without an end mark": { ...STREAMS, form: "unframed_plain" },
+  "a restart of all gateways": { ...STREAMS, restart: true },
+  "servers that crash by chance": { ...STREAMS, badParts: undefined },
+};
+
+function checkPlay(result: PartCrashResult): void {
+  const text = JSON.stringify(result);
+  assert.ok(result.sentTooLate <= MAX_SENT_LATE, `sent too late: ${text}`);
+  const isServed = ({ sent, served }: ServedCount) =>
+    sent > 0 && served >= MIN_SERVED_SHARE * sent;
+  assert.ok(isServed(result.sharedFirstPart), `shared first part: ${text}`);
+  assert.ok(isServed(result.otherFirstPart), `other first part: ${text}`);
+  assert.equal(result.cutButComplete, 0, `looked complete: ${text}`);
+}
+
+describe("a prompt part that crashes servers", { concurrency: 4 }, () => {
+  for (const [name, options] of Object.entries(PLAYS)) {
+    describe(`in ${name}`, () => {
+      it("should reach few servers and leave sound requests served", async () => {
+        checkPlay(await playPartCrashes(options));
+      });
+    });
+  }
+});
