Recognize crashes that cut responses without an end mark

Callers got responses with status 200 that were cut: without a length or chunks, a response ends with its connection, so that one whose server crashed between two events looked complete, and one that ended inside an event counted as streamed. Neither was recorded as a crash. Now a stream that ends inside an event is broken; any other response without an end mark counts as complete only if its server still runs: another idle connection to it is open, or a new one is not refused. A confirmed end also clears the request of suspicion, which such a response never did before.

Ruled out: believing the end only while a crash is on record, as the first crashes are then missed where all responses are of this form; a connection for every such response, as idle ones show the same at no cost.

--- a/src/backends/backend_connection_pool.ts
+++ b/src/backends/backend_connection_pool.ts
@@ -65,6 +65,11 @@
     this.#idle.set(server.instance, idle);
   }
 
+  /** Whether an idle connection to a server is open. */
+  hasIdle(instance: InstanceId): boolean {
+    return this.#idle.get(instance)?.some(({ reusable }) => reusable) ?? false;
+  }
+
   /** Closes the idle connections to a server that receives no new requests. */
   closeIdle(instance: InstanceId): void {
     const idle = this.#idle.get(instance) ?? [];
--- a/src/backends/server_exit_check.ts
+++ b/src/backends/server_exit_check.ts
@@ -7,10 +7,13 @@
 
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
+/** State of a server's process, as far as a connection attempt shows it. */
+export type ProcessState = "running" | "exited" | "unknown";
+
 /** Checks servers by connecting to them; concurrent checks of one server share a connection. */
 export class ServerExitCheck {
   readonly #connector: ServerConnector;
-  readonly #checks = new Map<InstanceId, Promise<boolean>>();
+  readonly #checks = new Map<InstanceId, Promise<ProcessState>>();
 
   constructor({ serverConnector }: { serverConnector: ServerConnector }) {
     this.#connector = serverConnector;
@@ -21,11 +24,19 @@
    * accepts the connection, only an earlier connection was lost; if the connection times out, the
    * server may be partitioned from this VM.
    */
-  hasExited({ instance, address }: ServerRecord): Promise<boolean> {
+  async hasExited(server: ServerRecord): Promise<boolean> {
+    return await this.stateOf(server) === "exited";
+  }
+
+  /** State of a server's process; unknown if the connection times out. */
+  stateOf({ instance, address }: ServerRecord): Promise<ProcessState> {
     const running = this.#checks.get(instance);
     if (running !== undefined) return running;
     const check = probeConnection(this.#connector, address)
-      .then((reason) => reason === CONNECTION_REFUSED)
+      .then((reason): ProcessState => {
+        if (reason === undefined) return "running";
+        return reason === CONNECTION_REFUSED ? "exited" : "unknown";
+      })
       .finally(() => this.#checks.delete(instance));
     this.#checks.set(instance, check);
     return check;
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -22,6 +22,7 @@
 import type { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
 import type { ReachabilityMonitor } from "./reachability_monitor.ts";
+import type { ResponseEndCheck } from "./response_end_check.ts";
 import type { RetryPermit } from "./retry_permit.ts";
 import type { ServerAdmission } from "./server_admission.ts";
 import type { ServerNoticeHandler } from "./server_notice_handler.ts";
@@ -58,6 +59,7 @@
   readonly backendConnectionPool: BackendConnectionPool;
   readonly attemptObserver: AttemptObserver;
   readonly attemptStallDetector: AttemptStallDetector;
+  readonly responseEndCheck: ResponseEndCheck;
   readonly attemptAcks: AttemptAcks;
   readonly serverNoticeHandler: ServerNoticeHandler;
   readonly serverLoads: ServerLoads;
@@ -110,6 +112,7 @@
   readonly #tried = new Set<InstanceId>();
   readonly #attempts: AttemptRecord[] = [];
   #current: BackendAttempt | undefined;
+  #isLastComplete = false;
   /** Server of the latest attempt. */
   #server: ServerRecord | undefined;
 
@@ -146,6 +149,11 @@
     return nowMs - (this.#attempts.at(-1)?.startedMs ?? nowMs);
   }
 
+  /** Whether the latest attempt brought a response that is known to be complete. */
+  get isLastComplete(): boolean {
+    return this.#isLastComplete;
+  }
+
   /** Whether a byte of the response was received in the latest attempt. */
   get hasFirstByte(): boolean {
     return this.#attempts.at(-1)?.firstByteMs !== undefined;
@@ -253,6 +261,7 @@
       suspectPlacement,
       attemptAcks,
       reachabilityMonitor,
+      responseEndCheck,
     } = this.#deps;
     const { exchange, stream } = this.#request;
     const observed = this.#observe(server, options.admitted);
@@ -306,8 +315,13 @@
           attemptAcks.connectionClosed(server, observed.record),
       },
     });
-    const outcome = await this.#current.run();
+    const ended = await this.#current.run();
     this.#current = undefined;
+    const { outcome, isComplete } = await responseEndCheck.check(ended, {
+      server,
+      hasPartialEvent: stream.hasPartialEvent,
+    });
+    this.#isLastComplete = isComplete;
     place.release();
     if (outcome.tag === "withheld") this.#tried.delete(server.instance);
     if (options.isolate) suspectPlacement.remove(server.instance);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -83,6 +83,7 @@
 import { Readiness } from "./readiness.ts";
 import { RequestAdmission } from "./request_admission.ts";
 import { RequestLog } from "./request_log.ts";
+import { ResponseEndCheck } from "./response_end_check.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
 import { ServerAdmission } from "./server_admission.ts";
@@ -327,6 +328,7 @@
     attemptObserver: singleton(AttemptObserver),
     attemptStallDetector: singleton(AttemptStallDetector),
     attemptAcks: singleton(AttemptAcks),
+    responseEndCheck: singleton(ResponseEndCheck),
     requestLog: singleton(RequestLog),
     requestServer: singleton(RequestServer),
     gatewayMetrics: singleton(GatewayMetrics),
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -336,7 +336,7 @@
       case "answered":
         return this.#handleAnswered(outcome);
       case "streamed":
-        return this.#handleStreamed(outcome);
+        return this.#handleStreamed();
       case "broken":
         return this.#handleBroken(outcome.reason);
       case "stream_broken":
@@ -371,18 +371,20 @@
     if (head.status >= 500 && this.#mayRetry() && this.#canRetryElsewhere()) {
       return "again";
     }
-    const complete = head.status < FIRST_ERROR_STATUS && head.decoded.framed;
-    if (complete) this.#crashes.recordSuccess();
+    if (head.status < FIRST_ERROR_STATUS) this.#recordSuccess();
     this.#exchange.respond(head, body);
     return "done";
   }
 
-  #handleStreamed({ framed }: { framed: boolean }): StepResult {
-    if (this.#stream.end()) {
-      if (framed) this.#crashes.recordSuccess();
-      return "done";
-    }
-    return this.#resumeStream("stream ended in the middle of an event");
+  #handleStreamed(): StepResult {
+    this.#recordSuccess();
+    this.#stream.end();
+    return "done";
+  }
+
+  /** Clears the request of suspicion, unless its response may have been cut. */
+  #recordSuccess(): void {
+    if (this.#sender.isLastComplete) this.#crashes.recordSuccess();
   }
 
   #handleBroken(reason: string): StepResult {
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -30,11 +30,14 @@
     return false;
   }
 
-  /** Ends the stream; returns false if its last event is incomplete. */
-  end(): boolean {
-    if (this.#splitter.pendingBytes > 0) return false;
+  /** Whether the last event is incomplete. */
+  get hasPartialEvent(): boolean {
+    return this.#splitter.pendingBytes > 0;
+  }
+
+  /** Ends the stream. */
+  end(): void {
     this.#exchange.endStream();
-    return true;
   }
 
   /** Drops a partial event before another server continues the stream. */
