Answer watches of the store stand-in with the revision of their changes

Cause: the stand-in took the changes of a watch, and read its revision some turns later. A server's entry stored in between was left out of an answer that claimed to be complete up to it; readers relisted, and their followers, already at that revision, were told nothing. The platform's store answers both at once.

--- a/src/standins/object_store_standin.ts
+++ b/src/standins/object_store_standin.ts
@@ -165,7 +165,7 @@
       closed = true;
       this.objects.wakeWatches();
     });
-    const events = await this.objects.waitFor(kind, {
+    const changes = await this.objects.waitFor(kind, {
       revision,
       waitMs,
       isStalled,
@@ -173,13 +173,13 @@
     });
     // A watch that waits during a restore ends as one from an unknown revision.
     if (isUnknown()) return reply.code(410).send();
-    const reported = this.#faults.watchesEmpty === true ? [] : events;
+    const reported = this.#faults.watchesEmpty === true ? [] : changes.events;
     return reply.send({
       events: reported.map(({ object, deleted }) => ({
         Object: encode(object),
         Deleted: deleted,
       })),
-      StoreRevision: this.objects.revision,
+      StoreRevision: changes.revision,
     });
   }
 
--- a/src/standins/versioned_objects.ts
+++ b/src/standins/versioned_objects.ts
@@ -129,7 +129,10 @@
     return revision < this.#compactedRevision;
   }
 
-  /** Waits up to `waitMs` for changes after a revision; returns none on time-out. */
+  /**
+   * Waits up to `waitMs` for changes after a revision; returns none on time-out. The returned
+   * revision is the one up to which the changes are complete.
+   */
   async waitFor(
     kind: string,
     { revision, waitMs, isStalled, isClosed }: {
@@ -140,12 +143,14 @@
       /** Whether the client has closed the connection. */
       isClosed: () => boolean;
     },
-  ): Promise<ChangeEvent[]> {
+  ): Promise<{ events: ChangeEvent[]; revision: number }> {
     const deadlineMs = Date.now() + waitMs;
     for (;;) {
       const events = isStalled() ? [] : this.#changesSince(kind, revision);
       const remainingMs = deadlineMs - Date.now();
-      if (events.length > 0 || remainingMs <= 0 || isClosed()) return events;
+      if (events.length > 0 || remainingMs <= 0 || isClosed()) {
+        return { events, revision: this.#revision };
+      }
       await this.#waitForChange(remainingMs);
     }
   }
--- a/src/store/kind_follower_test.ts
+++ b/src/store/kind_follower_test.ts
@@ -92,7 +92,7 @@
         this.#end(watch, fail({ tag: "history_lost" }));
         continue;
       }
-      const events = await this.objects.waitFor(kind, {
+      const { events, revision: until } = await this.objects.waitFor(kind, {
         revision,
         waitMs: 0,
         isStalled: () => false,
@@ -100,7 +100,6 @@
       });
       if (events.length === 0) continue;
       this.reveal();
-      const until = this.objects.revision;
       this.#end(watch, ok({ events, era, revision: until }));
     }
   }
