--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -53,7 +53,7 @@
     // Concurrent runs may reuse each other's ports, but never each other's server names.
     const name = `s-${process.pid}-${this.#serverNumber}`;
     const server = new SoakServer(name, history);
-    server.onPoisonCrash = () => {
+    server.onCrash = () => {
       // The server may have crashed for another reason meanwhile, and been replaced.
       if (servers[index] === server) void this.#crashServer(index);
     };
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -47,6 +47,8 @@
   incomplete: boolean;
   /** Whether the request crashes each server that starts to run it. */
   readonly poison: boolean;
+  /** Whether a part of its prompt crashes each server that starts to run it. */
+  readonly badPart: boolean;
 }
 
 /** A request that reached a server, whether or not it ran there. */
@@ -55,7 +57,7 @@
   readonly atMs: number;
 }
 
-/** A crash of a server, caused by a poison request that it had started to run. */
+/** A crash of a server, caused by a request that it had started to run. */
 export interface PoisonCrash {
   readonly server: string;
   readonly atMs: number;
@@ -145,6 +147,9 @@
   /** Attempts to send the poison request. */
   readonly poisonRequests: RequestRecord[] = [];
   readonly poisonCrashes: PoisonCrash[] = [];
+  /** Requests whose prompts hold a part that crashes servers; no two are alike. */
+  readonly badPartRequests: RequestRecord[] = [];
+  readonly badPartCrashes: PoisonCrash[] = [];
   readonly faultWindows: FaultWindow[] = [];
   readonly serverFaultWindows: ServerFaultWindow[] = [];
   readonly plannedStops: PlannedStop[] = [];
--- a/soak/poison_check.ts
+++ b/soak/poison_check.ts
@@ -1,7 +1,12 @@
 /** Checks that poison requests are blocked, and that no other requests are. */
 
 import type { History } from "./history.ts";
-import { MAX_DISCONNECTED_MS, MAX_POISON_CRASHES } from "./soak_settings.ts";
+import {
+  COUNTED_PART_CRASHES,
+  MAX_DISCONNECTED_MS,
+  MAX_LATE_PART_ARRIVALS,
+  MAX_POISON_CRASHES,
+} from "./soak_settings.ts";
 import {
   requestViolation,
   type Violation,
@@ -34,7 +39,34 @@
     });
 }
 
-/** Only the poison request may be refused as one. */
+/**
+ * Once five servers have crashed under a prompt part and all gateways know, at most three more
+ * requests with it reach servers, whichever they are.
+ */
+export function checkBadPart(
+  { badPartCrashes, badPartRequests, runs, ...history }: History,
+): Violation[] {
+  const thresholdCrash = badPartCrashes[COUNTED_PART_CRASHES - 1];
+  if (thresholdCrash === undefined) return [];
+  const requests = new Map(badPartRequests.map((one) => [one.attempt, one]));
+  const late = runs
+    .filter(({ badPart, atMs }) =>
+      badPart && atMs > thresholdCrash.atMs + MAX_DISCONNECTED_MS
+    )
+    .flatMap(({ attempt, server, atMs }) => {
+      const record = requests.get(attempt);
+      if (record === undefined) return [];
+      const { gateway, sentMs } = record;
+      const span = { gateway, fromMs: sentMs, untilMs: atMs };
+      if (wasAffectedByFault(history, span)) return [];
+      return [
+        requestViolation("crashing prompt part", record, `ran at ${server}`),
+      ];
+    });
+  return late.length > MAX_LATE_PART_ARRIVALS ? late : [];
+}
+
+/** Only requests that crash servers may be refused as such. */
 export function checkFalsePositives({ requests }: History): Violation[] {
   return requests
     .filter(({ ending }) =>
--- a/soak/poison_check_test.ts
+++ b/soak/poison_check_test.ts
@@ -49,3 +49,32 @@
     assert.deepEqual(soak.broken(), ["innocent requests"]);
   });
 });
+
+describe("check of a prompt part that crashes servers", () => {
+  /** Records five crashes this long before, and runs of other requests with the part. */
+  function runAfterCrashes(sinceMs: number, runs: number): void {
+    for (const n of [1, 2, 3, 4, 5]) {
+      const atMs = SENT_MS - sinceMs + n;
+      soak.history.badPartCrashes.push({ server: `s-${n}`, atMs });
+    }
+    soak.addRequest();
+    soak.history.badPartRequests.push(...soak.history.requests.splice(0));
+    for (let n = 0; n < runs; n++) {
+      soak.addRun({ badPart: true, incomplete: true, server: `t-${n}` });
+    }
+  }
+
+  it("should find that four requests with it were sent after all gateways had time to learn of it", () => {
+    runAfterCrashes(MAX_DISCONNECTED_MS + 100, 4);
+    assert.equal(new Set(soak.broken()).size, 1);
+    assert.equal(soak.broken()[0], "crashing prompt part");
+  });
+
+  it("should allow three, and any number before", () => {
+    runAfterCrashes(MAX_DISCONNECTED_MS + 100, 3);
+    assert.deepEqual(soak.broken(), []);
+    soak = new SoakHistory();
+    runAfterCrashes(MAX_DISCONNECTED_MS - 100, 10);
+    assert.deepEqual(soak.broken(), []);
+  });
+});
--- a/soak/promise_checker.ts
+++ b/soak/promise_checker.ts
@@ -8,7 +8,11 @@
   runsByAttempt,
 } from "./history.ts";
 import { responseBody, streamBody } from "./response_bodies.ts";
-import { checkFalsePositives, checkPoison } from "./poison_check.ts";
+import {
+  checkBadPart,
+  checkFalsePositives,
+  checkPoison,
+} from "./poison_check.ts";
 import { checkLimits } from "./limit_check.ts";
 import { checkBackoffNotices, checkDrainingNotices } from "./notice_check.ts";
 import { checkPartitions } from "./partition_check.ts";
@@ -40,6 +44,7 @@
     ...checkAccepted(history, runs),
     ...checkConfigurationVersions(history),
     ...checkPoison(history),
+    ...checkBadPart(history),
     ...checkFalsePositives(history),
     ...checkBackoffNotices(history),
     ...checkDrainingNotices(history),
--- a/soak/retry_check.ts
+++ b/soak/retry_check.ts
@@ -7,7 +7,11 @@
 /** No fault excuses a gateway: neither restarts nor kills, freezes or disconnections. */
 export function checkRetries(history: History): Violation[] {
   const served = {
-    sentMs: [...history.requests, ...history.poisonRequests]
+    sentMs: [
+      ...history.requests,
+      ...history.poisonRequests,
+      ...history.badPartRequests,
+    ]
       .map(({ sentMs }) => sentMs)
       .sort((a, b) => a - b),
     retriesMs: retryArrivalsMs(history),
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -6,7 +6,7 @@
 import type { SeededRandom } from "./seeded_random.ts";
 import type { Ending, History, RequestKind, RequestRecord } from "./history.ts";
 import type { SoakGateway } from "./soak_gateway.ts";
-import { HOST } from "./soak_settings.ts";
+import { HOST, PARTS_HEADER, SHARED_PART } from "./soak_settings.ts";
 
 const KINDS: readonly RequestKind[] = ["once", "repeatable", "stream"];
 const CONNECT_TIMEOUT_MS = 500;
@@ -82,6 +82,7 @@
           authorization: `Bearer ${key}`,
           "fieldrack-attempt-id": attempt,
           "fieldrack-deadline-ms": String(REQUEST_TIMEOUT_MS),
+          [PARTS_HEADER]: `${SHARED_PART},${attempt}:10`,
         },
         body: kind === "once" ? "a body" : undefined,
         dispatcher: this.#agent,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -20,11 +20,18 @@
 import { History } from "./history.ts";
 import { checkPromises } from "./promise_checker.ts";
 import { planRestores } from "./restore_plan.ts";
-import { PoisonCaller } from "./poison_caller.ts";
+import { CrashingCaller, type CrashingRequest } from "./crashing_caller.ts";
 import { RejectingService } from "./rejecting_service.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SoakGateway } from "./soak_gateway.ts";
-import { MAX_DISCONNECTED_MS, type SoakSize } from "./soak_settings.ts";
+import {
+  BAD_PART,
+  MAX_DISCONNECTED_MS,
+  PARTS_HEADER,
+  POISON_PATH,
+  SHARED_PART,
+  type SoakSize,
+} from "./soak_settings.ts";
 import { SoakStore } from "./soak_store.ts";
 import { hasConfigurationVersion, VersionProber } from "./version_prober.ts";
 import type { Violation } from "./violation.ts";
@@ -137,15 +144,27 @@
   await injector.run(planEvacuation());
   await injector.run(planRestores(random, size));
   history.recovered = await waitUntilAllServe(fleet);
-  const poison = new PoisonCaller(`p${process.pid}-${seed}`, {
-    history,
+  const crashing = {
     gateways,
     random: new SeededRandom(seed),
     keys: () => store.usedKeys,
+  };
+  const poison = new CrashingCaller(`p${process.pid}-${seed}`, {
+    ...crashing,
+    requestOf: () => ({ path: POISON_PATH, headers: {} }),
+    records: history.poisonRequests,
   });
   working.push(poison.run(() => stopped));
   await injector.run(planPoison(size));
   await pause(MAX_DISCONNECTED_MS);
+  const badPart = new CrashingCaller(`b${process.pid}-${seed}`, {
+    ...crashing,
+    requestOf: badPartRequest,
+    records: history.badPartRequests,
+  });
+  working.push(badPart.run(() => stopped));
+  await injector.run(planPoison(size));
+  await pause(MAX_DISCONNECTED_MS);
   await injector.run(planRestarts(size));
   stopped = true;
   await Promise.race([Promise.all(working), pause(REQUEST_DRAIN_MS)]);
@@ -153,6 +172,11 @@
   return plan;
 }
 
+function badPartRequest(attempt: string): CrashingRequest {
+  const parts = `${SHARED_PART},${BAD_PART},${attempt}:10`;
+  return { path: `/stream/${attempt}`, headers: { [PARTS_HEADER]: parts } };
+}
+
 /** Waits until all gateways have the latest configuration; returns the names of those that do. */
 async function waitUntilAllServe({ gateways, store }: Fleet) {
   const untilMs = Date.now() + READY_TIMEOUT_MS;
--- a/soak/soak_server.ts
+++ b/soak/soak_server.ts
@@ -18,7 +18,9 @@
 import type { History, NoticeRecord, RunRecord } from "./history.ts";
 import {
   BACKOFF_MS,
+  BAD_PART,
   MS_PER_SECOND,
+  PARTS_HEADER,
   POISON_PATH,
   SERVER_LIMIT_PER_S,
 } from "./soak_settings.ts";
@@ -62,8 +64,8 @@
   readonly #history: History;
   readonly #server: Server;
   mode: ServerMode = "sound";
-  /** Called when a poison request crashes the server. */
-  onPoisonCrash: () => void = () => {};
+  /** Called when a request crashes the server. */
+  onCrash: () => void = () => {};
 
   constructor(name: string, history: History) {
     this.name = name;
@@ -104,8 +106,7 @@
       this.#history.drainingNotices.push(this.#createNotice(attempt, 0));
     }
     if (this.mode === "limits") this.#advertiseLimit(attempt, res);
-    const poison = req.url === POISON_PATH;
-    const run = this.#recordRun(req, { attempt, poison });
+    const run = this.#recordRun(req, attempt);
     res.setHeader("fieldrack-server-seal", this.name);
     await pause(PROCESSING_MS);
     const isStream = req.url?.startsWith("/stream/") ?? false;
@@ -133,18 +134,19 @@
     return { server: this.name, attempt, atMs, backoffMs };
   }
 
-  #recordRun(
-    req: IncomingMessage,
-    { attempt, poison }: { attempt: string; poison: boolean },
-  ): RunRecord {
+  #recordRun(req: IncomingMessage, attempt: string): RunRecord {
+    const poison = req.url === POISON_PATH;
+    const parts = headerValue(req, PARTS_HEADER)?.split(",") ?? [];
+    const badPart = parts.includes(BAD_PART);
     const run: RunRecord = {
       attempt,
       server: this.name,
       atMs: performance.now(),
       account: headerValue(req, "fieldrack-tenant"),
       keyForwarded: req.headers.authorization !== undefined,
-      incomplete: poison,
+      incomplete: poison || badPart,
       poison,
+      badPart,
     };
     this.#history.runs.push(run);
     return run;
@@ -198,7 +200,8 @@
     res.setHeader("content-type", "text/event-stream");
     const after = Number(headerValue(req, "last-event-id") ?? 0);
     for (let event = after + 1; event <= EVENTS_PER_STREAM; event++) {
-      if (run.poison && event > after + 1) return this.#crashByPoison();
+      const crashes = run.poison || run.badPart;
+      if (crashes && event > after + 1) return this.#crash(run);
       if (await this.#abortsAtEvent(event)) {
         run.incomplete = true;
         res.write(streamEvent(run.attempt, event).slice(0, -4));
@@ -211,10 +214,11 @@
     res.end();
   }
 
-  #crashByPoison(): void {
-    const atMs = performance.now();
-    this.#history.poisonCrashes.push({ server: this.name, atMs });
-    this.onPoisonCrash();
+  #crash({ poison }: RunRecord): void {
+    const { poisonCrashes, badPartCrashes } = this.#history;
+    const crashes = poison ? poisonCrashes : badPartCrashes;
+    crashes.push({ server: this.name, atMs: performance.now() });
+    this.onCrash();
   }
 
   /**
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -50,6 +50,16 @@
 export const POISON_PATH = "/stream/poison";
 /** Number of servers that a poison request may crash before gateways must block it. */
 export const MAX_POISON_CRASHES = 3;
+/** Header that lists the parts of a prompt. */
+export const PARTS_HEADER = "fieldrack-prefix-hash";
+/** Prompt part that most streams share. */
+export const SHARED_PART = "a0:100";
+/** Prompt part that crashes each server that starts a response to it. */
+export const BAD_PART = "bad:100";
+/** Servers that crash under a prompt part before its requests are counted. */
+export const COUNTED_PART_CRASHES = 5;
+/** Requests with the part that may reach servers afterwards. */
+export const MAX_LATE_PART_ARRIVALS = 3;
 /** Name of the only client account. */
 export const ACCOUNT = "garden";
 /** Name of the service whose servers run requests. */
