--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,6 +7,7 @@
 import { parse } from "yaml";
 import type { SoakResult } from "./soak_run.ts";
 import { runSeed } from "./soak_run.ts";
+import { PHASES } from "./soak_settings.ts";
 
 /** Seeds that once violated a promise, with the cause. */
 const REGRESSIONS = "soak/regressions.yaml";
@@ -40,6 +41,12 @@
   .option("gateways", { default: 5, describe: "Number of gateway processes" })
   .option("servers", { default: 4, describe: "Number of backend servers" })
   .option("callers", { default: 12, describe: "Number of concurrent callers" })
+  .option("phases", {
+    choices: PHASES,
+    array: true,
+    default: [...PHASES],
+    describe: "Groups of faults to play after the drawn ones",
+  })
   .option("folder", {
     default: "target/soak",
     describe: "Folder for settings and logs of the processes",
@@ -52,6 +59,7 @@
   servers: options.servers,
   callers: options.callers,
   runMs: options.seconds * MS_PER_SECOND,
+  phases: options.phases,
 };
 
 async function main(): Promise<void> {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -131,45 +131,82 @@
   history.recovered = await waitUntilAllServe(fleet);
   // Time bounds only hold for connected gateways, and until now gateways may be disconnected.
   await pause(MAX_DISCONNECTED_MS);
+  const { phases } = size;
+  if (phases.includes("changes")) await playChanges(injector, { random, size });
+  if (phases.includes("outages")) await playOutages(injector, size);
+  if (phases.includes("crashes")) {
+    await injector.run(planRestores(random, size));
+    history.recovered = await waitUntilAllServe(fleet);
+    await playCrashes(injector, {
+      fleet,
+      seed,
+      size,
+      start: (caller) => working.push(caller.run(() => stopped)),
+    });
+  }
+  stopped = true;
+  await Promise.race([Promise.all(working), pause(REQUEST_DRAIN_MS)]);
+  await Promise.all(callers.map((caller) => caller.close()));
+  return plan;
+}
+
+async function playChanges(
+  injector: FaultInjector,
+  { random, size }: { random: SeededRandom; size: SoakSize },
+): Promise<void> {
   await injector.run(planFaultFreeChanges(random, size));
   await injector.run(planAbortedResponses(size));
   await injector.run(planServerNotices(size));
   await pause(MAX_DISCONNECTED_MS);
   await injector.run(planLimits(size));
   await pause(MAX_DISCONNECTED_MS);
+}
+
+async function playOutages(
+  injector: FaultInjector,
+  size: SoakSize,
+): Promise<void> {
   await injector.run(planServersCut(size));
   await pause(MAX_DISCONNECTED_MS);
   await injector.run(planKeyRemovalDuringOutage());
   await pause(MAX_DISCONNECTED_MS);
   await injector.run(planEvacuation());
-  await injector.run(planRestores(random, size));
-  history.recovered = await waitUntilAllServe(fleet);
-  const crashing = {
+}
+
+async function playCrashes(
+  injector: FaultInjector,
+  { fleet: { history, store, gateways }, seed, size, start }: {
+    fleet: Fleet;
+    seed: number;
+    size: SoakSize;
+    /** Runs a caller until the end of the play. */
+    start: (caller: CrashingCaller) => void;
+  },
+): Promise<void> {
+  const options = {
     gateways,
     random: new SeededRandom(seed),
     keys: () => store.usedKeys,
   };
-  const poison = new CrashingCaller(`p${process.pid}-${seed}`, {
-    ...crashing,
-    requestOf: () => ({ path: POISON_PATH, headers: {} }),
-    records: history.poisonRequests,
-  });
-  working.push(poison.run(() => stopped));
+  start(
+    new CrashingCaller(`p${process.pid}-${seed}`, {
+      ...options,
+      requestOf: () => ({ path: POISON_PATH, headers: {} }),
+      records: history.poisonRequests,
+    }),
+  );
   await injector.run(planPoison(size));
   await pause(MAX_DISCONNECTED_MS);
-  const badPart = new CrashingCaller(`b${process.pid}-${seed}`, {
-    ...crashing,
-    requestOf: badPartRequest,
-    records: history.badPartRequests,
-  });
-  working.push(badPart.run(() => stopped));
+  start(
+    new CrashingCaller(`b${process.pid}-${seed}`, {
+      ...options,
+      requestOf: badPartRequest,
+      records: history.badPartRequests,
+    }),
+  );
   await injector.run(planPoison(size));
   await pause(MAX_DISCONNECTED_MS);
   await injector.run(planRestarts(size));
-  stopped = true;
-  await Promise.race([Promise.all(working), pause(REQUEST_DRAIN_MS)]);
-  await Promise.all(callers.map((caller) => caller.close()));
-  return plan;
 }
 
 function badPartRequest(attempt: string): CrashingRequest {
--- a/soak/soak_settings.ts
+++ b/soak/soak_settings.ts
@@ -35,6 +35,10 @@
   allowance: 5,
 } as const;
 
+/** Groups of faults that are played after those that are drawn. */
+export const PHASES = ["changes", "outages", "crashes"] as const;
+export type SoakPhase = (typeof PHASES)[number];
+
 /** Size of one run. */
 export interface SoakSize {
   readonly gateways: number;
@@ -42,6 +46,7 @@
   readonly callers: number;
   /** Duration of the phase with drawn faults, in milliseconds. */
   readonly runMs: number;
+  readonly phases: readonly SoakPhase[];
 }
 
 /** Host of all routes. */
