--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -29,6 +29,8 @@
 const PLAYS: Readonly<Record<string, PartCrashOptions>> = {
   "streams at one gateway": { ...STREAMS, gateways: 1 },
   "streams at 7 gateways": STREAMS,
+  // The size from which on most gateways hear of crashes and servers through others.
+  "streams at 15 gateways": { ...STREAMS, gateways: 15 },
   "a companion that rarely comes alone": {
     ...STREAMS,
     badParts: () => ["shared", "companion", "bad"],
