--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -38,6 +38,11 @@
   },
   "the part first": { ...STREAMS, badParts: () => ["bad", "second"] },
   "few requests": { ...STREAMS, badPerS: 0.7 },
+  "many requests that may run once": {
+    ...STREAMS,
+    runsOnce: true,
+    badPerS: 60,
+  },
   "two parts": {
     ...STREAMS,
     badParts: (n) => ["shared", n % 2 === 0 ? "bad1" : "bad2"],
