--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -58,6 +58,13 @@
   },
   "responses without an end mark": { ...STREAMS, form: "unframed_plain" },
   "a restart of all gateways": { ...STREAMS, restart: true },
+  // Without the wait for the stored crashes, 14 are sent too late.
+  "a restart of all gateways amid many requests": {
+    ...STREAMS,
+    runsOnce: true,
+    badPerS: 60,
+    restart: true,
+  },
   "servers that crash by chance": { ...STREAMS, badParts: undefined },
 };
 
--- a/tests/late_retry_test.ts
+++ b/tests/late_retry_test.ts
@@ -4,8 +4,9 @@
  */
 
 import assert from "node:assert/strict";
+import process from "node:process";
 import { setTimeout as pause } from "node:timers/promises";
-import { afterEach, describe, it } from "node:test";
+import { after, afterEach, describe, it } from "node:test";
 import {
   type FleetOptions,
   GatewayProcesses,
@@ -24,6 +25,8 @@
 /** Duration of the load after the stall, in which all unread data arrives. */
 const RECOVERY_MS = 7_000;
 const FREEZE_MS = 4_000;
+/** Time after the tests in which the process normally ends. */
+const EXIT_MS = 10_000;
 
 let fleet: GatewayProcesses;
 
@@ -69,6 +72,14 @@
 
 afterEach(() => fleet.stop());
 
+// Names what keeps the process alive, should it not end after its tests.
+after(() => {
+  setTimeout(() => {
+    const open = process.getActiveResourcesInfo().join(", ");
+    console.error(`Still open ${EXIT_MS} ms after the tests: ${open}`);
+  }, EXIT_MS).unref();
+});
+
 describe("retries that servers read after a stall", () => {
   it("should stay within the bound if all servers are suspended and then reject", async () => {
     await startFleet();
