Report runs that this VM has closed if their servers crash

The VM had closed the connection, so that the run counted for nobody, and requests that had just begun beside it were the only suspects. Cause: only lost connections were looked at. Runs that were closed after their first byte are kept for a second, and reported once any run, here or at another VM, shows that their server crashed.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -40,7 +40,7 @@
  * A request that crashes servers does so as it begins to run, while a bystander, or a request on
  * a server that crashes by itself, may be at any stage. Wide enough for slow servers and VMs.
  */
-const CRASH_WINDOW_MS = 1_000;
+export const CRASH_WINDOW_MS = 1_000;
 
 /** Whether a run that ended together with its server may have caused the crash. */
 export function mayHaveCausedCrash(
--- a/src/fleet/crash_gossip.ts
+++ b/src/fleet/crash_gossip.ts
@@ -52,6 +52,7 @@
   readonly #deps: Deps;
   readonly #recipients = new Map<EntryId, Recipient>();
   #onUrgent: (here: boolean) => void = () => {};
+  #onCrash: (crash: Crash) => void = () => {};
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -65,6 +66,11 @@
     this.#onUrgent = listener;
   }
 
+  /** Sets the listener for crashes that this VM did not know before. */
+  onCrash(listener: (crash: Crash) => void): void {
+    this.#onCrash = listener;
+  }
+
   /** Records a crash that this VM observed. */
   recordLocal(crash: Crash): void {
     this.#record([crash], "own");
@@ -182,7 +188,11 @@
   /** Records crashes; returns those that were not known before. */
   #add(crashes: readonly Crash[], nowMs: number): readonly Crash[] {
     const { crashHistory } = this.#deps;
-    return crashes.filter((crash) => crashHistory.recordCrash(crash, nowMs));
+    const added = crashes.filter((crash) =>
+      crashHistory.recordCrash(crash, nowMs)
+    );
+    for (const crash of added) this.#onCrash(crash);
+    return added;
   }
 
   #areUrgent(crashes: readonly Crash[]): boolean {
--- a/src/gateway/crash_detector.ts
+++ b/src/gateway/crash_detector.ts
@@ -7,6 +7,7 @@
   QuarantineStatus,
 } from "../core/crashes/crash_history.ts";
 import type { Hypothesis } from "../core/crashes/crash_hypotheses.ts";
+import { UnwatchedRuns } from "../core/crashes/unwatched_runs.ts";
 import type { AccountId, ServerIncarnation, ServiceId } from "../core/ids.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import {
@@ -53,6 +54,12 @@
   readonly precedingServers: readonly ServerIncarnation[];
 }
 
+/** A run whose connection this VM closed. */
+interface UnwatchedRun {
+  readonly monitored: MonitoredRequest;
+  readonly attempt: BrokenAttempt;
+}
+
 /** Time between the trials of two VMs; far longer than a trial and the reports of it take. */
 const TRIAL_INTERVAL_MS = 3_000;
 
@@ -62,9 +69,11 @@
 /** Records server crashes and successes of the requests on this VM, for quarantine decisions. */
 export class CrashDetector {
   readonly #deps: Deps;
+  readonly #unwatched = new UnwatchedRuns<UnwatchedRun>();
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    deps.crashGossip.onCrash((crash) => this.#recordUnwatched(crash));
   }
 
   /** Quarantine status of a request. Its keys are computed only if any crash is on record. */
@@ -159,6 +168,36 @@
     if (suspected) this.#deps.crashGossip.recordLocal(crash);
   }
 
+  /**
+   * Records a run whose connection this VM closes. Servers may go on with it, and crash unseen;
+   * another run there may show that.
+   */
+  recordClosed(monitored: MonitoredRequest, attempt: BrokenAttempt): void {
+    const { server, record } = attempt;
+    const { startedMs, firstByteMs } = record;
+    if (monitored.streaming && firstByteMs === undefined) return;
+    const life = incarnationIdOf(server);
+    const beganMs = startedMs + (firstByteMs ?? 0);
+    const run = { monitored, attempt };
+    this.#unwatched.add(
+      { life, beganMs, run },
+      this.#deps.clock.monotonicMs(),
+    );
+  }
+
+  #recordUnwatched({ life, endedMs }: Crash): void {
+    for (
+      const { monitored, attempt } of this.#unwatched.takeEnded(life, endedMs)
+    ) {
+      const crash = this.#crashOf(monitored, {
+        brokenAttempt: attempt,
+        endedMs,
+      });
+      this.#log(crash, { monitored, brokenAttempt: attempt, suspected: true });
+      this.#deps.crashGossip.recordLocal(crash);
+    }
+  }
+
   #crashOf(
     { identity, account, service }: MonitoredRequest,
     { brokenAttempt, endedMs }: {
--- a/src/gateway/request_crash_tracker.ts
+++ b/src/gateway/request_crash_tracker.ts
@@ -99,14 +99,17 @@
       record: AttemptRecord | undefined;
     },
   ): Promise<void> {
-    if (outcome.tag !== "broken" && outcome.tag !== "stream_broken") return;
     if (record === undefined) return;
-    this.#isOnTrial = false;
     // Connections lost earlier precede this one, even if their server checks are still pending.
     const precedingServers = [
       ...new Set([...this.#crashedServers, ...this.#disconnectedServers]),
     ];
     const attempt = { server, record, precedingServers };
+    if (outcome.tag === "turned_down" || outcome.tag === "given_up") {
+      this.#detector.recordClosed(this.#request, attempt);
+    }
+    if (outcome.tag !== "broken" && outcome.tag !== "stream_broken") return;
+    this.#isOnTrial = false;
     this.#disconnectedServers.push(incarnationIdOf(server));
     const checked = this.#detector.recordDisconnect(this.#request, attempt);
     await Promise.race([checked, pause(MAX_CRASH_CHECK_WAIT_MS)]);
--- a/src/gateway/request_crash_tracker_test.ts
+++ b/src/gateway/request_crash_tracker_test.ts
@@ -10,8 +10,12 @@
 import type { ServerExitCheck } from "../backends/server_exit_check.ts";
 import { QUARANTINE_MS } from "../core/crashes/quarantine.ts";
 import { CrashHistory } from "../core/crashes/crash_history.ts";
-import type { ServiceId } from "../core/ids.ts";
+import type { RequestKey, ServiceId } from "../core/ids.ts";
 import type { MemberTable } from "../core/membership/member_table.ts";
+import {
+  incarnationIdOf,
+  type ServerRecord,
+} from "../core/servers/server_record.ts";
 import { ServerDirectory } from "../core/servers/server_directory.ts";
 import { CrashGossip } from "../fleet/crash_gossip.ts";
 import { SilentLogger } from "../runtime/logger.ts";
@@ -27,6 +31,7 @@
 
 let nowMs: number;
 let book: CrashHistory;
+let gossip: CrashGossip;
 let tracker: RequestCrashTracker;
 /** Completes the pending checks of the attempts so far: their servers have crashed. */
 let confirmCrashes: (() => void)[];
@@ -56,11 +61,12 @@
   const logger = new SilentLogger();
   const hasExited = () =>
     new Promise<boolean>((resolve) => confirmCrashes.push(() => resolve(true)));
+  gossip = new CrashGossip({ crashHistory: book, clock, logger });
   const detector = new CrashDetector({
     serverExitCheck: { hasExited } as unknown as ServerExitCheck,
     serverDirectory: new ServerDirectory(),
     crashHistory: book,
-    crashGossip: new CrashGossip({ crashHistory: book, clock, logger }),
+    crashGossip: gossip,
     crashRegistry: { isLoaded: true },
     memberTable: members as unknown as MemberTable,
     gatewayMetrics: new GatewayMetrics(),
@@ -138,3 +144,50 @@
     assert.equal(await status(), "quarantined");
   });
 });
+
+describe("run that this VM has closed", () => {
+  /** Another request loses its connection to the server as it crashes. */
+  function crashUnderAnother(server: ServerRecord): void {
+    gossip.recordLocal({
+      request: "other" as RequestKey,
+      parts: [],
+      account: undefined,
+      life: incarnationIdOf(server),
+      address: server.address,
+      after: [],
+      beganMs: nowMs - 10,
+      endedMs: nowMs,
+      serviceSize: 8,
+    });
+  }
+
+  /** Closes a run on the server, which crashes some time later; returns the reported crashes. */
+  async function crashesAfter(
+    waitMs: number,
+    { firstByteMs }: { firstByteMs: number | undefined },
+  ): Promise<number> {
+    const server = serverRecord("i-9", { address: "10.0.0.9:80" });
+    const record = createAttemptRecord(server, {
+      model: undefined,
+      startedMs: nowMs - 10,
+      expectedMs: 10,
+    });
+    record.firstByteMs = firstByteMs;
+    await tracker.recordAttemptEnd({ tag: "turned_down" }, { server, record });
+    nowMs += waitMs;
+    crashUnderAnother(server);
+    return book.crashesOf(identity.key).length;
+  }
+
+  it("should be reported if its server crashes shortly after", async () => {
+    assert.equal(await crashesAfter(100, { firstByteMs: 10 }), 1);
+  });
+
+  it("should not be reported if its server crashes long after", async () => {
+    assert.equal(await crashesAfter(2_000, { firstByteMs: 10 }), 0);
+  });
+
+  it("should not be reported if it had not begun", async () => {
+    assert.equal(await crashesAfter(100, { firstByteMs: undefined }), 0);
+  });
+});
