Store further crashes of what is stored when no more objects may be

Noticed by reading: at 200 stored objects all writes stopped, also of new crashes of requests that are stored, so that after a restart of all VMs a quarantine ended too early.

--- a/src/store/crash_registry.ts
+++ b/src/store/crash_registry.ts
@@ -47,8 +47,8 @@
  */
 const WRITE_DELAY_MS = 1_000;
 /**
- * Number of known stored culprits at which writing stops, as the store keeps objects until they
- * are deleted.
+ * Number of known stored culprits at which no further ones are written, as the store keeps objects
+ * until they are deleted.
  */
 const MAX_STORED_CULPRITS = 200;
 
@@ -134,12 +134,13 @@
 
   #nextUnstored(nowMs: number): Hypothesis | undefined {
     const { crashHistory } = this.#deps;
-    if (this.#storedCrashes.size >= MAX_STORED_CULPRITS) return undefined;
+    const isFull = this.#storedCrashes.size >= MAX_STORED_CULPRITS;
     return crashHistory.culprits.find((culprit) => {
       const { crashes } = culprit;
       const lastMs = Math.max(...crashes.map(({ endedMs }) => endedMs));
-      const stored = this.#storedCrashes.get(objectNameOf(culprit)) ?? 0;
-      return nowMs - lastMs >= WRITE_DELAY_MS && crashes.length > stored;
+      const stored = this.#storedCrashes.get(objectNameOf(culprit));
+      if (stored === undefined && isFull) return false;
+      return nowMs - lastMs >= WRITE_DELAY_MS && crashes.length > (stored ?? 0);
     });
   }
 
--- a/src/store/crash_registry_test.ts
+++ b/src/store/crash_registry_test.ts
@@ -140,6 +140,26 @@
     assert.equal(crashes.length, 4);
   });
 
+  // At the maximum number of objects, further crashes of what is stored already were not written
+  // either, so that after a restart of all VMs its quarantine had ended too early.
+  it("should write new crashes of a stored request when no more requests are stored", async () => {
+    const vm = new Vm();
+    for (let n = 0; n < 199; n++) {
+      store.objects.put(KIND, { name: `r-${n}`, spec: { crashes: [] } });
+    }
+    await vm.step();
+    vm.crash(REQUEST, 3);
+    await vm.step();
+    vm.crash(REQUEST, 1);
+    await vm.step();
+    const stored = store.objects.get(KIND, REQUEST);
+    const { crashes } = stored?.spec as { crashes: unknown[] };
+    assert.equal(crashes.length, 4);
+    vm.crash("one too many" as RequestKey, 3);
+    await vm.step();
+    assert.equal(store.objects.list(KIND).length, 200);
+  });
+
   // What was stored once was never written again, so that a restored store lacked it for good.
   it("should write a request again that a restored store lacks", async () => {
     const vm = new Vm();
