--- a/soak/poison_check.ts
+++ b/soak/poison_check.ts
@@ -1,6 +1,11 @@
 /** Checks that poison requests are blocked, and that no other requests are. */
 
-import type { History } from "./history.ts";
+import type {
+  History,
+  PoisonCrash,
+  RequestRecord,
+  RunRecord,
+} from "./history.ts";
 import {
   COUNTED_PART_CRASHES,
   MAX_DISCONNECTED_MS,
@@ -17,53 +22,51 @@
 const POISON_REFUSAL = /"crashes_servers"|servers crashed while running/;
 
 /** Once three servers have crashed and all gateways know, no gateway sends the request. */
-export function checkPoison(
-  { poisonCrashes, poisonRequests, runs, ...history }: History,
-): Violation[] {
-  const thresholdCrash = poisonCrashes[MAX_POISON_CRASHES - 1];
-  if (thresholdCrash === undefined) return [];
-  const requests = new Map(poisonRequests.map((one) => [one.attempt, one]));
-  return runs
-    .filter(({ poison, atMs }) =>
-      poison && atMs > thresholdCrash.atMs + MAX_DISCONNECTED_MS
-    )
-    .flatMap(({ attempt, server, atMs }) => {
-      const record = requests.get(attempt);
-      if (record === undefined) return [];
-      const { gateway, sentMs } = record;
-      const span = { gateway, fromMs: sentMs, untilMs: atMs };
-      if (wasAffectedByFault(history, span)) return [];
-      return [
-        requestViolation("crashing requests", record, `ran at ${server}`),
-      ];
-    });
+export function checkPoison(history: History): Violation[] {
+  return findLateRuns(history, {
+    promise: "crashing requests",
+    crash: history.poisonCrashes[MAX_POISON_CRASHES - 1],
+    requests: history.poisonRequests,
+    runs: history.runs.filter(({ poison }) => poison),
+  });
 }
 
 /**
  * Once five servers have crashed under a prompt part and all gateways know, at most three more
  * requests with it reach servers, whichever they are.
  */
-export function checkBadPart(
-  { badPartCrashes, badPartRequests, runs, ...history }: History,
+export function checkBadPart(history: History): Violation[] {
+  const late = findLateRuns(history, {
+    promise: "crashing prompt part",
+    crash: history.badPartCrashes[COUNTED_PART_CRASHES - 1],
+    requests: history.badPartRequests,
+    runs: history.runs.filter(({ badPart }) => badPart),
+  });
+  return late.length > MAX_LATE_PART_ARRIVALS ? late : [];
+}
+
+/** Runs that began after all gateways had time to learn of a crash, unless a fault excuses them. */
+function findLateRuns(
+  history: History,
+  { promise, crash, requests, runs }: {
+    promise: string;
+    crash: PoisonCrash | undefined;
+    requests: readonly RequestRecord[];
+    runs: readonly RunRecord[];
+  },
 ): Violation[] {
-  const thresholdCrash = badPartCrashes[COUNTED_PART_CRASHES - 1];
-  if (thresholdCrash === undefined) return [];
-  const requests = new Map(badPartRequests.map((one) => [one.attempt, one]));
-  const late = runs
-    .filter(({ badPart, atMs }) =>
-      badPart && atMs > thresholdCrash.atMs + MAX_DISCONNECTED_MS
-    )
+  if (crash === undefined) return [];
+  const byAttempt = new Map(requests.map((one) => [one.attempt, one]));
+  return runs
+    .filter(({ atMs }) => atMs > crash.atMs + MAX_DISCONNECTED_MS)
     .flatMap(({ attempt, server, atMs }) => {
-      const record = requests.get(attempt);
+      const record = byAttempt.get(attempt);
       if (record === undefined) return [];
       const { gateway, sentMs } = record;
       const span = { gateway, fromMs: sentMs, untilMs: atMs };
       if (wasAffectedByFault(history, span)) return [];
-      return [
-        requestViolation("crashing prompt part", record, `ran at ${server}`),
-      ];
+      return [requestViolation(promise, record, `ran at ${server}`)];
     });
-  return late.length > MAX_LATE_PART_ARRIVALS ? late : [];
 }
 
 /** Only requests that crash servers may be refused as such. */
--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -69,3 +69,9 @@
     serviceSize: Math.max(a.serviceSize, b.serviceSize),
   };
 }
+
+/** Whether a merged report tells more of the order or the parts than one of its sources. */
+export function addsTo(known: Crash, merged: Crash): boolean {
+  return merged.after.length > known.after.length ||
+    merged.parts.length > known.parts.length;
+}
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -9,9 +9,18 @@
   RequestKey,
   ServerIncarnation,
 } from "../ids.ts";
-import { type Crash, mergeReports, type RequestSuspects } from "./crash.ts";
+import {
+  addsTo,
+  type Crash,
+  mergeReports,
+  type RequestSuspects,
+} from "./crash.ts";
 import { CRASH_LIMIT, findCulprits } from "./crash_attribution.ts";
-import { buildHypotheses, type Hypothesis } from "./crash_hypotheses.ts";
+import {
+  buildHypotheses,
+  groupByPart,
+  type Hypothesis,
+} from "./crash_hypotheses.ts";
 import { type PartCompletion, PartCompletions } from "./part_completions.ts";
 import { quarantineEndMs, TrialRights } from "./quarantine.ts";
 
@@ -295,23 +304,3 @@
     return { culprits, crashesByPart: groupByPart(reports) };
   }
 }
-
-function groupByPart(
-  reports: readonly Crash[],
-): ReadonlyMap<PartKey, readonly Crash[]> {
-  const groups = new Map<PartKey, Crash[]>();
-  for (const report of reports) {
-    for (const part of report.parts) {
-      const group = groups.get(part);
-      if (group === undefined) groups.set(part, [report]);
-      else group.push(report);
-    }
-  }
-  return groups;
-}
-
-/** Whether a merged report tells more of the order or the parts than one of its sources. */
-function addsTo(known: Crash, merged: Crash): boolean {
-  return merged.after.length > known.after.length ||
-    merged.parts.length > known.parts.length;
-}
--- a/src/core/crashes/crash_hypotheses.ts
+++ b/src/core/crashes/crash_hypotheses.ts
@@ -71,3 +71,18 @@
     same === undefined ? report : mergeReports(same, report),
   );
 }
+
+/** Returns the crash reports by each part of their requests. */
+export function groupByPart(
+  reports: readonly Crash[],
+): ReadonlyMap<PartKey, readonly Crash[]> {
+  const groups = new Map<PartKey, Crash[]>();
+  for (const report of reports) {
+    for (const part of report.parts) {
+      const group = groups.get(part);
+      if (group === undefined) groups.set(part, [report]);
+      else group.push(report);
+    }
+  }
+  return groups;
+}
