--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -201,15 +201,29 @@
     const text = await res.body.text();
     return {
       status: res.statusCode,
-      body: text === "" ? undefined : JSON.parse(text),
+      body: parseJson(text),
       etag: String(res.headers.etag ?? ""),
-      retryAfterMs: Number(
-        res.headers["retry-after-ms"] ?? DEFAULT_RETRY_AFTER_MS,
-      ),
+      retryAfterMs: parseDelayMs(res.headers["retry-after-ms"]),
     };
   }
 }
 
+/** Returns undefined for a text that is no JSON, which matches no schema. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function parseDelayMs(header: string | string[] | undefined): number {
+  const delayMs = Number(header ?? DEFAULT_RETRY_AFTER_MS);
+  return Number.isFinite(delayMs) && delayMs >= 0
+    ? delayMs
+    : DEFAULT_RETRY_AFTER_MS;
+}
+
 function objectPath(key: string): string {
   return `/v1/objects/${encodeURIComponent(key)}`;
 }
