Bound crash reports, as VMs reject digests with longer ones

Found reading the diff: a report named all servers that had crashed under the request's parts, and merged the parts of all copies of a request. Beyond 100 of either, every VM would have rejected the whole digest, for as long as the crash was on record; callers could have brought that about with copies that name different parts. Reports keep the 32 latest servers and 64 parts. digest_service_test: invalid with 150 copies before.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -17,6 +17,11 @@
   readonly parts: readonly PartKey[];
 }
 
+/** Maximum number of prompt parts in a report; copies of a request may name different ones. */
+export const MAX_REPORT_PARTS = 64;
+/** Maximum number of preceding crashes in a report; the order needs only the latest. */
+export const MAX_REPORT_SERVERS = 32;
+
 /** One server crash attributed to one request. Times are from the monotonic clock. */
 export interface Crash extends RequestSuspects {
   /** Undefined where the route needs no API key. */
@@ -58,6 +63,15 @@
   return endedMs - (firstByteMs ?? 0) <= CRASH_WINDOW_MS;
 }
 
+/** Limits the length of a report, as VMs reject longer ones; the latest servers tell the order. */
+export function boundReport(crash: Crash): Crash {
+  return {
+    ...crash,
+    parts: crash.parts.slice(0, MAX_REPORT_PARTS),
+    after: crash.after.slice(-MAX_REPORT_SERVERS),
+  };
+}
+
 /** Merges two reports of one crash, each from a VM with its own copy of the request there. */
 export function mergeReports(a: Crash, b: Crash): Crash {
   return {
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -11,6 +11,7 @@
 } from "../ids.ts";
 import {
   addsTo,
+  boundReport,
   type Crash,
   mergeReports,
   type RequestSuspects,
@@ -110,7 +111,9 @@
     const record = this.#recordOf(crash, nowMs);
     const known = record.crashes.get(crash.life);
     if (known === undefined && crash.endedMs <= record.successMs) return false;
-    const merged = known === undefined ? crash : mergeReports(known, crash);
+    const merged = boundReport(
+      known === undefined ? crash : mergeReports(known, crash),
+    );
     record.crashes.set(crash.life, merged);
     // A repeated report may still add to the known order of the crashes.
     if (known === undefined) this.#trimCrashes(record);
@@ -173,12 +176,12 @@
     return [...this.#records.get(request)?.crashes.values() ?? []];
   }
 
-  /** Servers that are known to have ended under a request or its parts. */
+  /** Servers that are known to have ended under a request or its parts, the latest last. */
   crashedServers({ request, parts }: RequestSuspects): ServerIncarnation[] {
     const lives = [
       ...this.crashesOf(request),
       ...parts.flatMap((part) => this.#suspectedCrashes(part)),
-    ].map(({ life }) => life);
+    ].sort((a, b) => a.endedMs - b.endedMs).map(({ life }) => life);
     return [...new Set(lives)];
   }
 
--- a/src/fleet/digest_service_test.ts
+++ b/src/fleet/digest_service_test.ts
@@ -3,6 +3,7 @@
 import { testMember } from "../../tests/fixtures/test_member.ts";
 import type {
   InstanceId,
+  PartKey,
   PromptPartId,
   ReleaseId,
   RequestKey,
@@ -27,6 +28,10 @@
 import { serverRecord } from "../../tests/fixtures/server_record.ts";
 import { unitHash } from "../runtime/hashing.ts";
 import { SilentLogger } from "../runtime/logger.ts";
+import {
+  type DigestRequest,
+  digestRequestSchema,
+} from "../protocol/digest_schema.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { StoreSync } from "../store/store_sync.ts";
 import { BrittleServers } from "../core/servers/brittle_servers.ts";
@@ -117,6 +122,10 @@
     });
   }
 
+  createRequest(): DigestRequest {
+    return this.#service.createRequest();
+  }
+
   /** Exchanges digests with another VM, as in one round; both then aggregate what they received. */
   exchangeWith(other: Vm): void {
     const answer = other.#service.exchange(this.#service.createRequest());
@@ -307,6 +316,20 @@
     assert.ok(frozen !== undefined && isCulprit(frozen.crashes));
   });
 
+  // A digest that the receiver rejects is lost as a whole, so callers must not be able to cause it.
+  it("should stay valid when one request has many parts and follows many crashes", () => {
+    const sender = followers[0];
+    for (let n = 1; n <= 150; n++) {
+      const parts = Array.from({ length: 32 }, (_, at) => `${n}-${at}`);
+      sender?.crashes.recordCrash({
+        ...crash(1),
+        parts: parts as PartKey[],
+        after: [`i-${n}` as ServerIncarnation],
+      }, nowMs);
+    }
+    assert.ok(digestRequestSchema.safeParse(sender?.createRequest()).success);
+  });
+
   it("should report that a request has completed without a crash", () => {
     followers[0]?.crashes.recordCrash(crash(1), nowMs);
     runRound();
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -13,6 +13,7 @@
   ServerIncarnation,
   ServiceId,
 } from "../core/ids.ts";
+import { MAX_REPORT_PARTS } from "../core/crashes/crash.ts";
 import type { Evidence } from "../core/rollout/evidence.ts";
 import type { ServerReport } from "../core/servers/server_report.ts";
 import { memberSchema } from "./peer_schema.ts";
@@ -23,8 +24,6 @@
 /** Far more than the number of servers of one service. */
 export const MAX_DIGEST_RATE_LIMITS = 1_000;
 
-/** More than the number of prompt parts by which one request is suspected at two VMs. */
-const MAX_CRASH_PARTS = 100;
 /** Far more than the number of prompt parts that are suspected at the same time. */
 export const MAX_DIGEST_COMPLETIONS = 1_000;
 
@@ -58,7 +57,7 @@
 /** A server incarnation that ended shortly after a request had started to run on it. */
 const crashSchema = z.object({
   request: id<RequestKey>(),
-  parts: z.array(id<PartKey>()).max(MAX_CRASH_PARTS).readonly().default([]),
+  parts: z.array(id<PartKey>()).max(MAX_REPORT_PARTS).readonly().default([]),
   account: id<AccountId>().optional(),
   life: id<ServerIncarnation>(),
   address: z.string(),
