--- a/src/core/crashes/crash_hypotheses_test.ts
+++ b/src/core/crashes/crash_hypotheses_test.ts
@@ -76,7 +76,7 @@
   it("should not accuse the parts of bystanders", () => {
     const reports = [1, 2, 3, 4].flatMap((n) => [
       crash(n, `r${n}`, "bad"),
-      ...(n > 1 ? [crash(n, `beside${n}`, "innocent")] : []),
+      ...(n > 1 ? [crash(n, `beside${n}`, "unrelated")] : []),
     ]);
     assert.deepEqual(culpritsOf(reports), ["bad"]);
   });
--- a/src/gateway/request_crash_tracker_test.ts
+++ b/src/gateway/request_crash_tracker_test.ts
@@ -128,7 +128,7 @@
     return (await tracker.waitUntilSettled(() => false)).tag;
   }
 
-  it("should be tried by the first VM at once, by another one later", async () => {
+  it("should be tried by the first VM immediately, by another one later", async () => {
     assert.equal(await status(), "quarantined");
     nowMs += INTERVAL_MS;
     assert.equal(await status(), "free");
