--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -5,6 +5,10 @@
 
 import type { ServiceId } from "../ids.ts";
 import { BurstDetector } from "./burst_detector.ts";
+import {
+  type RetryWindowCounts,
+  RetryWindowStats,
+} from "./retry_window_stats.ts";
 import { SlidingWindowCounter } from "./sliding_window_counter.ts";
 
 /** Bounds on the retries of the whole fleet in any window. */
@@ -28,6 +32,8 @@
   readonly sendable: number;
   /** Earned retries that were sent and may still arrive at a server. */
   readonly unacked: number;
+  /** Age of the oldest retry that may still arrive, in milliseconds; 0 if there is none. */
+  readonly oldestUnackedMs: number;
   /** What remains of this VM's share of the fleet's allowance. */
   readonly allowance: number;
   /** Permits acquired and not used yet. */
@@ -38,6 +44,13 @@
   readonly vms: number | undefined;
 }
 
+/** What the budget of one service was charged and paid since the previous report. */
+export interface RetryWindowReport {
+  readonly service: ServiceId;
+  readonly counts: RetryWindowCounts;
+  readonly state: RetryBudgetState;
+}
+
 /** What a budget needs besides its bounds. */
 export interface RetryBudgetOptions {
   /** When the process started, by the monotonic clock. */
@@ -82,6 +95,7 @@
 /** A retry that was sent and is not known to have arrived. */
 export interface SentRetry {
   readonly service: ServiceId;
+  readonly sentMs: number;
   /** Fraction that requests had earned; the rest was charged to the allowance. */
   readonly earned: number;
   readonly charge: Charge | undefined;
@@ -91,6 +105,7 @@
   /** Requests that earned a fraction of a retry. */
   readonly requests: SlidingWindowCounter;
   readonly burstDetector: BurstDetector;
+  readonly stats: RetryWindowStats;
   earned: number;
   /** Retries that may still arrive at a server. */
   readonly unacked: Set<SentRetry>;
@@ -129,6 +144,7 @@
     const budget = this.#budgetOf(service);
     const isRecent = budget.burstDetector.recordRequest(nowMs) &&
       !this.#isDrainingBacklog(nowMs);
+    budget.stats.recordRequest({ isLate: !isRecent });
     // A request that was sent in an earlier window must not earn retries for this one.
     if (!isRecent) return;
     budget.requests.add(nowMs);
@@ -158,8 +174,9 @@
       ? undefined
       : { amount: 1 - paid, untilMs: Infinity };
     if (charge !== undefined) budget.charges.push(charge);
-    const retry = { service, earned: paid, charge };
+    const retry = { service, sentMs: nowMs, earned: paid, charge };
     budget.unacked.add(retry);
+    budget.stats.recordSent(1 - paid);
     return retry;
   }
 
@@ -169,6 +186,7 @@
     this.#capEarned(budget, nowMs);
     budget.unacked.delete(retry);
     budget.lastArrivalMs = nowMs;
+    budget.stats.recordArrival(nowMs - retry.sentMs);
     const { charge } = retry;
     if (charge !== undefined) charge.untilMs = nowMs + this.#bounds.windowMs;
   }
@@ -195,6 +213,7 @@
       earned,
       sendable,
       unacked: unackedEarned(budget),
+      oldestUnackedMs: oldestUnackedMs(budget, nowMs),
       allowance,
       held: budget.held,
       requests: budget.requests.total(nowMs),
@@ -202,6 +221,15 @@
     };
   }
 
+  /** Returns what each service was charged and paid since the previous call. */
+  takeReports(nowMs: number): RetryWindowReport[] {
+    return [...this.#budgets].map(([service, { stats }]) => ({
+      service,
+      counts: stats.take(),
+      state: this.state(service, nowMs),
+    }));
+  }
+
   #isDrainingBacklog(nowMs: number): boolean {
     return nowMs - this.#lastHeartbeatMs >= SUSPENSION_GAP_MS ||
       nowMs < this.#backlogUntilMs;
@@ -259,6 +287,7 @@
         windowMs: this.#bounds.windowMs,
         startedMs: this.#options.startedMs,
       }),
+      stats: new RetryWindowStats(),
       earned: 0,
       unacked: new Set<SentRetry>(),
       lastArrivalMs: -Infinity,
@@ -275,3 +304,9 @@
   for (const { earned } of unacked) sum += earned;
   return sum;
 }
+
+/** The set keeps the order in which retries were sent. */
+function oldestUnackedMs({ unacked }: ServiceBudget, nowMs: number): number {
+  const [oldest] = unacked;
+  return oldest === undefined ? 0 : nowMs - oldest.sentMs;
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -83,6 +83,7 @@
 import { Readiness } from "./readiness.ts";
 import { RequestAdmission } from "./request_admission.ts";
 import { RequestLog } from "./request_log.ts";
+import { RetryBudgetLog } from "./retry_budget_log.ts";
 import { ResponseEndCheck } from "./response_end_check.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
@@ -135,6 +136,7 @@
   readonly digestExchanger: DigestExchanger;
   readonly storeFeed: StoreFeed;
   readonly retryBudget: RetryBudget;
+  readonly retryBudgetLog: RetryBudgetLog;
   readonly reachabilityMonitor: ReachabilityMonitor;
   readonly serverNoticeHandler: ServerNoticeHandler;
   readonly brittleServers: BrittleServers;
@@ -332,6 +334,7 @@
     attemptAcks: singleton(AttemptAcks),
     responseEndCheck: singleton(ResponseEndCheck),
     requestLog: singleton(RequestLog),
+    retryBudgetLog: singleton(RetryBudgetLog),
     requestServer: singleton(RequestServer),
     gatewayMetrics: singleton(GatewayMetrics),
     controlServer: singleton(ControlServer),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -27,8 +27,9 @@
   readonly #heartbeat = new RepeatedTask({
     intervalMs: RETRY_BUDGET_HEARTBEAT_MS,
     run: () => {
-      const { retryBudget, clock } = this.#components;
+      const { retryBudget, retryBudgetLog, clock } = this.#components;
       retryBudget.heartbeat(clock.monotonicMs());
+      retryBudgetLog.logIfDue();
       return Promise.resolve();
     },
   });
