Take a release for sound only if it is known not to be several times slower

Cause: no evidence against a release was taken for evidence in its favour. A release was slow only from 4.2 times on in the mean of one kind with ten answers (half of the requests at 8 times have a mean of 2.8), failed answers counted as 1 ms, times counted only once answers had ended, and "sound" looked at failures alone.

Now times to first byte count as the head arrives, without those of failures and with those waited for in vain; all kinds together are compared with the stable release in the same step (sequential test, log times, each kind with itself), and "sound" needs that test as well. At a share of 1, where nothing runs beside, it asks for more. Steps are logged with their evidence.

--- a/src/core/rollout/canary_analyzer.ts
+++ b/src/core/rollout/canary_analyzer.ts
@@ -8,6 +8,11 @@
   evidenceSince,
 } from "./evidence.ts";
 import { type CanaryEvaluation, evaluateCanary } from "./canary_evaluation.ts";
+import {
+  combineComparisons,
+  compareLatencies,
+  type LatencyComparison,
+} from "./latency_comparison.ts";
 
 /** Current state of a canary. */
 export interface CanaryState {
@@ -24,14 +29,27 @@
   readonly evaluation: CanaryEvaluation;
   /** From the answers since the share last grew: a release may be bad only at full load. */
   readonly stepEvaluation: CanaryEvaluation;
+  /** Latencies since the start of the roll-out; undefined if there is nothing to compare. */
+  readonly latency: LatencyComparison | undefined;
   readonly canaryAnswers: number;
   readonly totalAnswers: number;
 }
 
+/** Evidence on both releases. */
+interface ReleasePair {
+  readonly stable: EvidenceByKind;
+  readonly canary: EvidenceByKind;
+}
+
 interface Step {
   readonly release: ReleaseId;
   readonly share: number;
-  readonly baseline: EvidenceByKind;
+  /** Evidence at the start of the step. */
+  readonly baseline: ReleasePair;
+  /** Latencies of the steps before. */
+  readonly earlier: readonly LatencyComparison[];
+  /** Latencies of this step, as last compared. */
+  latency: LatencyComparison | undefined;
 }
 
 const NO_EVIDENCE: EvidenceByKind = new Map();
@@ -54,27 +72,49 @@
     const stable = stableRelease === undefined
       ? NO_EVIDENCE
       : this.#evidenceAggregator.total(service, stableRelease);
-    const sinceStep = evidenceSince(
-      this.#stepOf(state, canary).baseline,
-      canary,
-    );
+    const step = this.#stepOf(state, { stable, canary });
+    const sinceStep = {
+      stable: evidenceSince(step.baseline.stable, stable),
+      canary: evidenceSince(step.baseline.canary, canary),
+    };
+    const isConcurrent = state.share < 1;
+    step.latency = compareLatencies({
+      stable: isConcurrent ? sinceStep.stable : stable,
+      canary: sinceStep.canary,
+      isConcurrent,
+    });
+    // Each step is compared by itself, as the load may change from one to the next.
+    const latency = combineComparisons(comparisonsOf(step));
     const canaryAnswers = countAnswers(canary);
     return {
-      evaluation: evaluateCanary({ stable, canary }),
-      stepEvaluation: evaluateCanary({ stable, canary: sinceStep }),
+      evaluation: evaluateCanary({ stable, canary, latency }),
+      stepEvaluation: evaluateCanary({
+        stable,
+        canary: sinceStep.canary,
+        latency: step.latency,
+      }),
+      latency,
       canaryAnswers,
       totalAnswers: canaryAnswers + countAnswers(stable),
     };
   }
 
-  #stepOf(
-    { service, release, share }: CanaryState,
-    canary: EvidenceByKind,
-  ): Step {
+  #stepOf({ service, release, share }: CanaryState, now: ReleasePair): Step {
     const known = this.#steps.get(service);
-    if (known?.release === release && known.share === share) return known;
-    const step = { release, share, baseline: canary };
+    const isSameRollOut = known?.release === release;
+    if (isSameRollOut && known.share === share) return known;
+    const step = {
+      release,
+      share,
+      baseline: now,
+      earlier: isSameRollOut ? comparisonsOf(known) : [],
+      latency: undefined,
+    };
     this.#steps.set(service, step);
     return step;
   }
 }
+
+function comparisonsOf({ earlier, latency }: Step): LatencyComparison[] {
+  return latency === undefined ? [...earlier] : [...earlier, latency];
+}
--- a/src/core/rollout/canary_analyzer_test.ts
+++ b/src/core/rollout/canary_analyzer_test.ts
@@ -13,13 +13,9 @@
   const analyzer = new CanaryAnalyzer({ evidenceAggregator });
   const answer = (release: ReleaseId, count: number, failures = 0) => {
     for (let n = 0; n < count; n++) {
-      evidenceAggregator.observe({
-        service: SERVICE,
-        release,
-        route: "r-1" as RouteId,
-        failed: n < failures,
-        firstByteMs: 100,
-      });
+      const origin = { service: SERVICE, release, route: "r-1" as RouteId };
+      evidenceAggregator.observe({ ...origin, failed: n < failures });
+      evidenceAggregator.observeLatency({ ...origin, firstByteMs: 100 });
     }
   };
   const analyzeAt = (share: number) =>
--- a/src/core/rollout/canary_evaluation.ts
+++ b/src/core/rollout/canary_evaluation.ts
@@ -2,6 +2,7 @@
 
 import type { Evidence, EvidenceByKind } from "./evidence.ts";
 import { logLikelihoodRatio } from "./failure_likelihood.ts";
+import { type LatencyComparison, meanLog } from "./latency_comparison.ts";
 
 /** `bad` ends the roll-out, `sound` lets it proceed, `unsure` requires more answers. */
 export type CanaryEvaluation =
@@ -25,8 +26,10 @@
 const BAD_LOG_RATIO = Math.log(300);
 /** Log-likelihood ratio up to which a release is sound, so that its share may grow. */
 const SOUND_LOG_RATIO = -Math.log(4);
-/** Minimum number of answers per route and model before latency is evaluated. */
-const MIN_LATENCY_ANSWERS = 10;
+/** The same for latencies: a slow release that proceeds is noticed by many more callers. */
+const SOUND_LATENCY_LOG_RATIO = -Math.log(20);
+/** Minimum number of responses per route and model before that kind's latency is evaluated. */
+const MIN_LATENCIES = 10;
 /**
  * Ratio of the geometric mean latencies from which a release is bad. High enough for a cold cache, with
  * which a release has to prefill whole prompts that are mostly cached otherwise.
@@ -37,9 +40,11 @@
 
 /** Evaluates a canary by the evidence of the whole fleet. */
 export function evaluateCanary(
-  { stable, canary }: {
+  { stable, canary, latency }: {
     stable: EvidenceByKind;
     canary: EvidenceByKind;
+    /** Comparison of the latencies; undefined if there is nothing to compare with. */
+    latency?: LatencyComparison | undefined;
   },
 ): CanaryEvaluation {
   const canaryTotal = sum([...canary.values()]);
@@ -60,13 +65,21 @@
     }) ?? checkLatency(kind, { canary: evidence, stable: stableCounts });
     if (badKind !== undefined) return badKind;
   }
-  const { answers } = canaryTotal;
+  const { answers, failures } = canaryTotal;
+  if (latency !== undefined && latency.logRatio >= BAD_LOG_RATIO) {
+    return { tag: "bad", kind: undefined, reason: "slow", answers, failures };
+  }
   const sound = answers >= MIN_SOUND_ANSWERS &&
-    logLikelihoodRatio(canaryTotal, totals) <= SOUND_LOG_RATIO;
+    logLikelihoodRatio(canaryTotal, totals) <= SOUND_LOG_RATIO &&
+    (latency === undefined || latency.logRatio <= SOUND_LATENCY_LOG_RATIO);
   return { tag: sound ? "sound" : "unsure", answers };
 }
 
-type Counts = Pick<Evidence, "answers" | "failures" | "logMsSum">;
+type Counts = Pick<Evidence, "answers" | "failures">;
+type LatencyTotals = Pick<
+  Evidence,
+  "answers" | "failures" | "latencies" | "logMsSum"
+>;
 
 function checkFailures(
   kind: string | undefined,
@@ -85,14 +98,16 @@
 
 function checkLatency(
   kind: string,
-  { canary, stable }: { canary: Counts; stable: Counts | undefined },
+  { canary, stable }: {
+    canary: LatencyTotals;
+    stable: LatencyTotals | undefined;
+  },
 ): CanaryEvaluation | undefined {
-  if (stable === undefined || stable.answers < MIN_LATENCY_ANSWERS) {
+  if (stable === undefined || stable.latencies < MIN_LATENCIES) {
     return undefined;
   }
-  if (canary.answers < MIN_LATENCY_ANSWERS) return undefined;
-  const logSlowdown = canary.logMsSum / canary.answers -
-    stable.logMsSum / stable.answers;
+  if (canary.latencies < MIN_LATENCIES) return undefined;
+  const logSlowdown = meanLog(canary) - meanLog(stable);
   if (logSlowdown < Math.log(SLOW_FACTOR)) return undefined;
   const { answers, failures } = canary;
   return { tag: "bad", kind, reason: "slow", answers, failures };
@@ -102,6 +117,5 @@
   return rows.reduce<Counts>((total, row) => ({
     answers: total.answers + row.answers,
     failures: total.failures + row.failures,
-    logMsSum: total.logMsSum + row.logMsSum,
-  }), { answers: 0, failures: 0, logMsSum: 0 });
+  }), { answers: 0, failures: 0 });
 }
--- a/src/core/rollout/evidence.ts
+++ b/src/core/rollout/evidence.ts
@@ -18,22 +18,32 @@
   readonly answers: number;
   /** Failed answers; included in `answers`. */
   readonly failures: number;
-  /** Sum of the natural logarithms of the times to the first byte, in milliseconds. */
+  /** Times to first byte; those of failures are left out, as errors are often fast. */
+  readonly latencies: number;
+  /** Sum of the natural logarithms of these times, in milliseconds. */
   readonly logMsSum: number;
+  /** Sum of the squares of these logarithms. */
+  readonly logMsSquares: number;
 }
 
 /** Evidence by route and model: only answers of the same route and model are comparable. */
 export type EvidenceByKind = ReadonlyMap<string, Evidence>;
 
+/** Release, route and model that an observation is attributed to. */
+export type EvidenceOrigin = Pick<
+  Evidence,
+  "service" | "release" | "route" | "model"
+>;
+
 /** Outcome of one answer. */
-export interface AnswerObservation {
-  readonly service: ServiceId;
-  readonly release: ReleaseId;
-  readonly route: RouteId;
-  readonly model?: ModelId | undefined;
+export interface AnswerObservation extends EvidenceOrigin {
   readonly failed: boolean;
-  /** Time to the first byte; undefined if none was received. */
-  readonly firstByteMs: number | undefined;
+}
+
+/** Time to first byte of one response. */
+export interface LatencyObservation extends EvidenceOrigin {
+  /** If no byte was received, how long it was waited for. */
+  readonly firstByteMs: number;
 }
 
 /** What evidence covers: the sending VM, a relay and its followers, or the whole fleet. */
@@ -52,25 +62,47 @@
   readonly report: ReceivedEvidence;
 }
 
+const NO_COUNTS = {
+  answers: 0,
+  failures: 0,
+  latencies: 0,
+  logMsSum: 0,
+  logMsSquares: 0,
+};
+
 /** Aggregates the evidence of this VM and the latest that each other VM has sent. */
 export class EvidenceAggregator {
   readonly #own = new Map<string, Evidence>();
   readonly #reports = new Map<string, PeerEvidence>();
 
   /** Counts an answer. */
-  observe(observation: AnswerObservation): void {
-    const { failed, firstByteMs, ...origin } = observation;
-    const key = `${origin.service}/${origin.release}/${evidenceKey(origin)}`;
-    const known = this.#own.get(key) ??
-      { ...origin, answers: 0, failures: 0, logMsSum: 0 };
-    this.#own.set(key, {
-      ...known,
-      answers: known.answers + 1,
-      failures: known.failures + (failed ? 1 : 0),
-      logMsSum: known.logMsSum + Math.log(Math.max(1, firstByteMs ?? 1)),
+  observe({ failed, ...origin }: AnswerObservation): void {
+    this.#add({
+      ...origin,
+      ...NO_COUNTS,
+      answers: 1,
+      failures: failed ? 1 : 0,
     });
   }
 
+  /** Counts a time to first byte, which is known before the answer has ended. */
+  observeLatency({ firstByteMs, ...origin }: LatencyObservation): void {
+    const logMs = Math.log(Math.max(1, firstByteMs));
+    this.#add({
+      ...origin,
+      ...NO_COUNTS,
+      latencies: 1,
+      logMsSum: logMs,
+      logMsSquares: logMs ** 2,
+    });
+  }
+
+  #add(row: Evidence): void {
+    const key = `${row.service}/${row.release}/${evidenceKey(row)}`;
+    const known = this.#own.get(key);
+    this.#own.set(key, known === undefined ? row : addCounts(known, row, 1));
+  }
+
   /** Evidence of this VM on a service. */
   ownEvidence(service: ServiceId): Evidence[] {
     return [...this.#own.values()].filter((row) => row.service === service);
@@ -151,14 +183,19 @@
   const since = new Map<string, Evidence>();
   for (const [kind, row] of now) {
     const known = before.get(kind);
-    const answers = row.answers - (known?.answers ?? 0);
-    if (answers <= 0) continue;
-    const failures = row.failures - (known?.failures ?? 0);
+    const added = known === undefined ? row : addCounts(row, known, -1);
+    const answers = Math.max(0, added.answers);
+    const failures = Math.min(answers, Math.max(0, added.failures));
+    const latency = added.latencies > 0 ? added : NO_COUNTS;
+    const { latencies, logMsSum, logMsSquares } = latency;
+    if (answers === 0 && latencies === 0) continue;
     since.set(kind, {
       ...row,
       answers,
-      failures: Math.min(answers, Math.max(0, failures)),
-      logMsSum: row.logMsSum - (known?.logMsSum ?? 0),
+      failures,
+      latencies,
+      logMsSum,
+      logMsSquares,
     });
   }
   return since;
@@ -184,6 +221,18 @@
   ]);
 }
 
+/** Adds `factor` times the counts of `other`. */
+function addCounts(row: Evidence, other: Evidence, factor: 1 | -1): Evidence {
+  return {
+    ...row,
+    answers: row.answers + factor * other.answers,
+    failures: row.failures + factor * other.failures,
+    latencies: row.latencies + factor * other.latencies,
+    logMsSum: row.logMsSum + factor * other.logMsSum,
+    logMsSquares: row.logMsSquares + factor * other.logMsSquares,
+  };
+}
+
 function evidenceKey(
   { route, model }: Pick<Evidence, "route" | "model">,
 ): string {
@@ -197,12 +246,7 @@
     const known = sums.get(kind);
     sums.set(
       kind,
-      known === undefined ? row : {
-        ...row,
-        answers: known.answers + row.answers,
-        failures: known.failures + row.failures,
-        logMsSum: known.logMsSum + row.logMsSum,
-      },
+      known === undefined ? row : addCounts(row, known, 1),
     );
   }
   return sums;
--- a/src/core/rollout/rollout_test.ts
+++ b/src/core/rollout/rollout_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type {
   EntryId,
+  ModelId,
   PromptPartId,
   ReleaseId,
   RouteId,
@@ -14,6 +15,7 @@
 import { ReleaseGate } from "./release_gate.ts";
 import { SessionTracker } from "./session_tracker.ts";
 import { evaluateCanary } from "./canary_evaluation.ts";
+import { compareLatencies } from "./latency_comparison.ts";
 import { serverRecord } from "../../../tests/fixtures/server_record.ts";
 
 const SERVICE = "inspect" as ServiceId;
@@ -173,7 +175,8 @@
   const route = "r-1" as RouteId;
   function failing(answers: number, failures: number): EvidenceByKind {
     const row = { service: SERVICE, release: NEW, route };
-    return new Map([["r-1/", { ...row, answers, failures, logMsSum: 0 }]]);
+    const noLatencies = { latencies: 0, logMsSum: 0, logMsSquares: 0 };
+    return new Map([["r-1/", { ...row, answers, failures, ...noLatencies }]]);
   }
   function evaluate(
     { answers, failures, firstByteMs }: {
@@ -183,23 +186,22 @@
     },
   ) {
     const evidence = new EvidenceAggregator();
-    const base = { service: SERVICE, route };
+    const base = { service: SERVICE, route, model: "m-1" as ModelId };
     for (let n = 0; n < 100; n++) {
-      evidence.observe({
-        ...base,
-        release: OLD,
-        failed: n < 2,
-        firstByteMs: 100,
-      });
+      evidence.observe({ ...base, release: OLD, failed: n < 2 });
+      if (n < 2) continue;
+      evidence.observeLatency({ ...base, release: OLD, firstByteMs: 100 });
     }
     for (let n = 0; n < answers; n++) {
       const failed = n < failures;
-      evidence.observe({ ...base, release: NEW, failed, firstByteMs });
+      evidence.observe({ ...base, release: NEW, failed });
+      if (failed) continue;
+      evidence.observeLatency({ ...base, release: NEW, firstByteMs });
     }
-    return evaluateCanary({
-      stable: evidence.total(SERVICE, OLD),
-      canary: evidence.total(SERVICE, NEW),
-    }).tag;
+    const stable = evidence.total(SERVICE, OLD);
+    const canary = evidence.total(SERVICE, NEW);
+    const latency = compareLatencies({ stable, canary, isConcurrent: true });
+    return evaluateCanary({ stable, canary, latency }).tag;
   }
 
   it("should report a release as bad if it fails much more often", () => {
@@ -258,7 +260,9 @@
       route,
       answers: 5,
       failures: 2,
+      latencies: 5,
       logMsSum: 20,
+      logMsSquares: 80,
     };
     evidence.receive("vm-2" as EntryId, {
       life: 1,
--- a/src/fleet/digest_service_test.ts
+++ b/src/fleet/digest_service_test.ts
@@ -147,7 +147,6 @@
       release: NEW,
       route: ROUTE,
       failed: true,
-      firstByteMs: 100,
     });
   }
 
--- a/src/gateway/attempt_observer.ts
+++ b/src/gateway/attempt_observer.ts
@@ -16,6 +16,7 @@
 import {
   requestKindOf,
   type ServerStallDetector,
+  type StallReason,
 } from "../core/servers/server_stall_detector.ts";
 import type { CallerHead } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -24,6 +25,11 @@
 import type { AttemptRecord } from "./attempt_record.ts";
 import { type PredictedWork, unsharedPromptTokens } from "./work_predictor.ts";
 
+/** Responses with this status or a higher one count as failures of the server. */
+const FIRST_SERVER_ERROR = 500;
+
+const NO_FIRST_BYTE: StallReason = "no_first_byte";
+
 interface Deps {
   readonly serverLoads: ServerLoads;
   readonly evidenceAggregator: EvidenceAggregator;
@@ -111,6 +117,13 @@
     });
   }
 
+  /** Called with the status of a response that the server has processed. */
+  headReceived(observed: ObservedAttempt, status: number): void {
+    const { firstByteMs } = observed.record;
+    if (status >= FIRST_SERVER_ERROR || firstByteMs === undefined) return;
+    this.#recordLatency(observed, firstByteMs);
+  }
+
   /** Called when an attempt has ended; `expired` says whether its request has timed out. */
   attemptEnded(
     observed: ObservedAttempt,
@@ -133,9 +146,10 @@
   }
 
   #recordEvidence(
-    { server, service, route, record }: ObservedAttempt,
+    observed: ObservedAttempt,
     { outcome, expired }: { outcome: BackendAttemptOutcome; expired: boolean },
   ): void {
+    const { server, service, route, record } = observed;
     const failed = isReleaseFailure(outcome, expired);
     if (failed === undefined) return;
     // While no server is reachable, failures lie with the links of this VM.
@@ -146,7 +160,23 @@
       route,
       model: record.model,
       failed,
-      firstByteMs: record.firstByteMs,
+    });
+    // A response that never began took at least as long as it was waited for.
+    if (!isOverdue(outcome) || record.firstByteMs !== undefined) return;
+    const { clock } = this.#deps;
+    this.#recordLatency(observed, clock.monotonicMs() - record.startedMs);
+  }
+
+  #recordLatency(
+    { server, service, route, record }: ObservedAttempt,
+    firstByteMs: number,
+  ): void {
+    this.#deps.evidenceAggregator.observeLatency({
+      service,
+      release: server.release,
+      route,
+      model: record.model,
+      firstByteMs,
     });
   }
 
@@ -191,7 +221,7 @@
         serverLoads.recordSuccess(instance, nowMs);
         return undefined;
       case "answered":
-        if (outcome.head.status >= 500) {
+        if (outcome.head.status >= FIRST_SERVER_ERROR) {
           return serverLoads.recordFailure(instance, nowMs);
         }
         serverLoads.recordSuccess(instance, nowMs);
@@ -228,7 +258,7 @@
     case "turned_down":
       return false;
     case "answered":
-      return outcome.head.status >= 500;
+      return outcome.head.status >= FIRST_SERVER_ERROR;
     case "broken":
     case "stream_broken":
       return true;
@@ -238,3 +268,10 @@
       return undefined;
   }
 }
+
+/** Whether an attempt was abandoned because its response took too long. */
+function isOverdue(outcome: BackendAttemptOutcome): boolean {
+  if (outcome.tag === "broken") return outcome.reason === NO_FIRST_BYTE;
+  // Counted only if the request has expired, not if its caller has left.
+  return outcome.tag === "given_up";
+}
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -296,6 +296,7 @@
         decideByHead: (head) => {
           observed.record.confidence = head.decoded.confidence;
           observed.record.framed = head.decoded.framed;
+          attemptObserver.headReceived(observed, head.status);
           serverAdmission.recordAccepted(server, observed.record.startedMs);
           if (head.status < FIRST_FAILURE_STATUS) {
             serverNoticeHandler.handleAnswer(
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -100,11 +100,13 @@
       const progress = this.#progressOf(order);
       const judgement = this.#judge(order);
       for (const verdict of [judgement.evaluation, judgement.stepEvaluation]) {
-        if (verdict.tag === "bad") this.#haltTrial(order, verdict);
+        if (verdict.tag === "bad") {
+          this.#haltTrial(order, { verdict, analysis: judgement });
+        }
       }
       const step = this.#nextStep(order, { progress, judgement });
       if (step.tag === "stay") this.#logHold(order, { progress, judgement });
-      await this.#applyStep(order, { progress, step });
+      await this.#applyStep(order, { progress, step, judgement });
     }
   }
 
@@ -140,12 +142,13 @@
 
   #haltTrial(
     order: RollOutOrder,
-    { kind, reason, answers, failures }: Extract<
-      CanaryEvaluation,
-      { tag: "bad" }
-    >,
+    { verdict, analysis }: {
+      verdict: Extract<CanaryEvaluation, { tag: "bad" }>;
+      analysis: CanaryAnalysis;
+    },
   ): void {
     const { service, release } = order;
+    const { kind, reason, answers, failures } = verdict;
     if (!this.#deps.releaseGate.halt({ service, release })) return;
     this.#deps.logger.warn("Release halted", {
       service,
@@ -155,6 +158,8 @@
       reason,
       answers,
       failures,
+      share: this.#deps.releaseGate.canaryShare(service),
+      ...describeLatency(analysis),
     });
   }
 
@@ -224,6 +229,30 @@
       step_answers: judgement.stepEvaluation.answers,
       trial_answers: judgement.canaryAnswers,
       all_answers: judgement.totalAnswers,
+      ...describeLatency(judgement),
+    });
+  }
+
+  #logStep(
+    { service, release }: RollOutOrder,
+    { step, judgement }: {
+      step: CanaryStep | { readonly tag: "begin" };
+      judgement: CanaryAnalysis;
+    },
+  ): void {
+    const { evaluation, stepEvaluation, canaryAnswers, totalAnswers } =
+      judgement;
+    this.#deps.logger.info("Trial takes a step", {
+      service,
+      release,
+      step: step.tag,
+      share: step.tag === "share" ? step.share : undefined,
+      verdict: evaluation.tag,
+      step_verdict: stepEvaluation.tag,
+      step_answers: stepEvaluation.answers,
+      trial_answers: canaryAnswers,
+      all_answers: totalAnswers,
+      ...describeLatency(judgement),
     });
   }
 
@@ -236,13 +265,15 @@
 
   async #applyStep(
     order: RollOutOrder,
-    { progress, step }: {
+    { progress, step, judgement }: {
       progress: OrderProgress;
       step: CanaryStep | { readonly tag: "begin" };
+      judgement: CanaryAnalysis;
     },
   ): Promise<void> {
     if (step.tag === "stay") return;
     if (!this.#isMyTurn(progress, JSON.stringify(step))) return;
+    this.#logStep(order, { step, judgement });
     if (await this.#writeStep(order, step)) return;
     progress.nextWriteMs = this.#deps.clock.monotonicMs() +
       WRITE_RETRY_DELAY_MS;
@@ -307,3 +338,13 @@
     });
   }
 }
+
+/** Log fields on the latency of a canary: its slowdown, and the evidence for it. */
+function describeLatency({ latency }: CanaryAnalysis) {
+  if (latency === undefined) return {};
+  return {
+    latencies: latency.latencies,
+    slowdown: Number(Math.exp(latency.logSlowdown).toFixed(2)),
+    slow_log_ratio: Number(latency.logRatio.toFixed(1)),
+  };
+}
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -36,7 +36,10 @@
   model: id<ModelId>().optional(),
   answers: z.number(),
   failures: z.number(),
+  // Absent from programs that counted the times of failures as well.
+  latencies: z.number().default(0),
   logMsSum: z.number(),
+  logMsSquares: z.number().default(0),
 });
 
 const serverReportSchema: z.ZodType<ServerReport, unknown> = z.object({
