Limit what a response may consist of, so that bytes without end cost no request

Callers of a fleet with one server that sends bytes without end got 504 at their deadline or cut streams, a fifth of them. Cause: each byte was taken for progress of a response. Bodies were collected without a limit, and reason phrases, empty lines, interim heads, chunk sizes and extensions are not limited by the parser.

Raw bytes beyond the payload are counted at each read of the socket, before the parser processes them: 256 KiB and four for each byte of the payload. Bodies share 48 MiB, each at most half of what the others leave; an event, or a series of events without data, is at most 1 MiB. A response beyond that is a failure of its server, which is ejected as for others, and the request goes elsewhere within its retry budget. The same for answers of other VMs to forwarded requests.

Ruled out: a limit of undici on the whole size, which would cut long streams; a timer, which fires only after the parser has processed a flood.

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to send a request to one backend server. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { ServerNotice } from "../core/servers/server_notice.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
@@ -16,6 +16,7 @@
   ResponseHeaders,
 } from "./backend_connection.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
+import type { ResponseCollector } from "./response_limits.ts";
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -90,6 +91,7 @@
   readonly sink: ResponseSink;
 }
 
+const BODY_TOO_LARGE = "response body is too large";
 const MISDIRECTED = 421;
 const NOT_PROCESSED_STATUSES: ReadonlySet<number> = new Set([400, 429, 503]);
 
@@ -98,7 +100,7 @@
   readonly #pool: BackendConnectionPool;
   readonly #options: BackendAttemptOptions;
   readonly #connection: BackendConnection;
-  readonly #chunks: Buffer[] = [];
+  readonly #collector: ResponseCollector;
   #resolve: (outcome: BackendAttemptOutcome) => void = () => {};
   #head: ResponseHead | undefined;
   #decision: HeadDecision = "collect";
@@ -112,6 +114,7 @@
   ) {
     this.#pool = pool;
     this.#options = options;
+    this.#collector = pool.responseMemory.collect();
     this.#connection = pool.acquire(options.server, {
       fresh: options.fresh,
     });
@@ -145,6 +148,7 @@
     if (this.#done) return;
     this.#done = true;
     this.#connection.destroy();
+    this.#collector.discard();
     this.#resolve(outcome);
   }
 
@@ -183,7 +187,8 @@
     if (this.#done) return;
     this.#options.sink.onProgress();
     if (this.#decision === "collect") {
-      this.#chunks.push(chunk);
+      if (this.#collector.add(chunk)) return;
+      this.abort({ tag: "broken", reason: BODY_TOO_LARGE });
       return;
     }
     if (this.#options.sink.write(chunk)) return;
@@ -196,6 +201,7 @@
     this.#done = true;
     this.#pool.release(this.#options.server, this.#connection);
     this.#resolve(this.#completedOutcome());
+    this.#collector.discard();
   }
 
   onFailure(failure: ExchangeFailure): void {
@@ -207,9 +213,12 @@
       this.#resolve({ tag: "stream_broken", reason: failure.reason });
     } else if (this.#head !== undefined && isNotProcessed(this.#head)) {
       this.#resolve(this.#completedOutcome());
+    } else if (failure.tag === "overlong") {
+      this.#resolve({ tag: "broken", reason: failure.reason });
     } else {
       this.#resolve(failure);
     }
+    this.#collector.discard();
   }
 
   #completedOutcome(): BackendAttemptOutcome {
@@ -223,7 +232,7 @@
     if (this.#decision === "stream") {
       return { tag: "streamed", framed: head.decoded.framed };
     }
-    return { tag: "answered", head, body: Buffer.concat(this.#chunks) };
+    return { tag: "answered", head, body: this.#collector.take() };
   }
 
   /** Returns why a response cannot be this server's response to this attempt, if so. */
--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -5,6 +5,7 @@
 import { SystemClock } from "../runtime/clock.ts";
 import { type RawRequest, RawServer } from "../../tests/fixtures/raw_server.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
+import { ResponseMemory } from "./response_limits.ts";
 import { TcpServerConnector } from "./server_connector.ts";
 import {
   BackendAttempt,
@@ -32,6 +33,7 @@
   connections = new BackendConnectionPool({
     clock: new SystemClock(),
     serverConnector: new TcpServerConnector(),
+    responseMemory: new ResponseMemory(),
   });
   const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -4,6 +4,8 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { parseAddress } from "../runtime/address.ts";
+import { MeteredSocket } from "../runtime/metered_socket.ts";
+import { OverheadMeter } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
 
 /** Idle timeout of connections for which the server advertises none. */
@@ -32,7 +34,9 @@
   /** No byte of the request was written, because the listener withheld it. */
   | { readonly tag: "withheld" }
   /** The connection failed after the server may have received the request. */
-  | { readonly tag: "broken"; readonly reason: string };
+  | { readonly tag: "broken"; readonly reason: string }
+  /** This VM closed the connection, as the server sends bytes that are no response. */
+  | { readonly tag: "overlong"; readonly reason: string };
 
 /** Receives the events of an exchange. */
 export interface ExchangeListener {
@@ -48,6 +52,7 @@
 
 /** Written to detect a reset connection; HTTP servers ignore empty lines before a request. */
 const EMPTY_LINE = "\r\n";
+const OVERLONG = "server sends bytes that are no response";
 const RESET_CODES: readonly unknown[] = ["EPIPE", "ECONNRESET"];
 
 /** Sends one request at a time over an undici client with a single connection. */
@@ -60,6 +65,7 @@
   #socketFailed = false;
   #endReceived = false;
   #idleSinceMs = 0;
+  readonly #overhead = new OverheadMeter();
 
   /** `onLost` is called when the connection ends while idle. */
   constructor(
@@ -103,6 +109,7 @@
   /** Sends a request. */
   send(req: BackendRequest, listener: ExchangeListener): void {
     this.#busy = true;
+    this.#overhead.reset();
     try {
       this.#client.dispatch(
         {
@@ -117,6 +124,8 @@
           onController: (controller) => this.#controller = controller,
           onFinished: (complete) => this.#finish(complete),
           detectReset: (report) => this.#detectReset(report),
+          onHead: () => this.#overhead.reset(),
+          onPayload: (bytes) => this.#overhead.recordPayload(bytes),
         }),
       );
     } catch (err) {
@@ -156,6 +165,18 @@
     this.#socket = socket;
     socket.once("error", () => this.#socketFailed = true);
     socket.once("end", () => this.#endReceived = true);
+    if (socket instanceof MeteredSocket) {
+      socket.meterReads((bytes) => this.#mayProcess(bytes));
+    }
+  }
+
+  /** Whether bytes that were read may belong to a response; resets the connection if they cannot. */
+  #mayProcess(bytes: number): boolean {
+    if (this.#overhead.recordRead(bytes)) return true;
+    this.#reusable = false;
+    this.#socket?.resetAndDestroy();
+    this.#controller?.abort(new OverlongResponseError(OVERLONG));
+    return false;
   }
 
   /**
@@ -181,12 +202,19 @@
   }
 }
 
+/** A server sent more bytes than a response may have beyond its payload. */
+class OverlongResponseError extends Error {}
+
 /** Callbacks of a handler to its connection. */
 interface HandlerHooks {
   readonly onController: (controller: Dispatcher.DispatchController) => void;
   readonly onFinished: (complete: boolean) => void;
   /** Reports whether the connection was reset. */
   readonly detectReset: (report: (reset: boolean) => void) => void;
+  /** A final head was received. */
+  readonly onHead: () => void;
+  /** Bytes of the body were received. */
+  readonly onPayload: (bytes: number) => void;
 }
 
 /** Translates undici's callbacks for a listener; calls nothing more after the end or a failure. */
@@ -224,6 +252,7 @@
     headers: ResponseHeaders,
   ): void {
     if (status < 200 || this.#ended) return;
+    this.#hooks.onHead();
     this.#listener.onHead(status, headers);
   }
 
@@ -231,6 +260,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#hooks.onPayload(chunk.length);
     if (!this.#ended) this.#listener.onData(chunk);
   }
 
@@ -255,6 +285,10 @@
       this.#listener.onFailure({ tag: "withheld" });
       return;
     }
+    if (err instanceof OverlongResponseError) {
+      this.#listener.onFailure({ tag: "overlong", reason: err.message });
+      return;
+    }
     const { code, message } = err as NodeJS.ErrnoException;
     const reason = code ?? message;
     this.#listener.onFailure({
--- a/src/backends/backend_connection_pool.ts
+++ b/src/backends/backend_connection_pool.ts
@@ -4,6 +4,7 @@
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { BackendConnection } from "./backend_connection.ts";
+import type { ResponseMemory } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
 
 /** Idle connections kept per server; each uses memory on both sides. */
@@ -16,17 +17,21 @@
 
 /** Opens connections and reuses idle ones. */
 export class BackendConnectionPool {
+  /** Memory for the responses on all connections. */
+  readonly responseMemory: ResponseMemory;
   readonly #clock: Clock;
   readonly #connector: ServerConnector;
   readonly #idle = new Map<InstanceId, BackendConnection[]>();
   #opened = 0;
 
   constructor(
-    { clock, serverConnector }: {
+    { clock, serverConnector, responseMemory }: {
       clock: Clock;
       serverConnector: ServerConnector;
+      responseMemory: ResponseMemory;
     },
   ) {
+    this.responseMemory = responseMemory;
     this.#clock = clock;
     this.#connector = serverConnector;
   }
--- a/src/backends/event_splitter.ts
+++ b/src/backends/event_splitter.ts
@@ -1,9 +1,11 @@
 /** Splits a stream of server-sent events so that only complete events are forwarded. */
 
 import { Buffer } from "node:buffer";
+import { MAX_EVENT_BYTES } from "./response_limits.ts";
 
 const EVENT_END = "\n\n";
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/g;
+const DATA_LINE = /(?:^|\n)(?:data|id):/;
 
 /** Consecutive complete events of a stream. */
 export interface CompleteEvents {
@@ -15,6 +17,12 @@
 /** Buffers an incomplete event until the rest of it is received. */
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
+  #bytesWithoutData = 0;
+
+  /** Whether an event, or a series of events without data, is longer than any proper one. */
+  get isOverlong(): boolean {
+    return this.#pending.length + this.#bytesWithoutData > MAX_EVENT_BYTES;
+  }
 
   /** Number of buffered bytes of the incomplete event. */
   get pendingBytes(): number {
@@ -33,7 +41,11 @@
     }
     const complete = bytes.subarray(0, end + EVENT_END.length);
     this.#pending = bytes.subarray(end + EVENT_END.length);
-    return { bytes: complete, lastId: lastEventId(complete) };
+    const text = complete.toString("latin1");
+    this.#bytesWithoutData = DATA_LINE.test(text)
+      ? 0
+      : this.#bytesWithoutData + complete.length;
+    return { bytes: complete, lastId: lastEventId(text) };
   }
 
   /** Returns and clears the buffered bytes; called at the end of the stream. */
@@ -44,7 +56,7 @@
   }
 }
 
-function lastEventId(bytes: Buffer): string | undefined {
-  const ids = [...bytes.toString("latin1").matchAll(ID_LINE)];
+function lastEventId(text: string): string | undefined {
+  const ids = [...text.matchAll(ID_LINE)];
   return ids.at(-1)?.[1];
 }
--- a/src/backends/server_connector.ts
+++ b/src/backends/server_connector.ts
@@ -1,7 +1,8 @@
 /** Opens TCP connections to backend servers. */
 
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { HostPort } from "../runtime/address.ts";
+import { MeteredSocket } from "../runtime/metered_socket.ts";
 import { nextTurn } from "../runtime/next_turn.ts";
 
 /** Round trips to backend servers take a few milliseconds. */
@@ -26,7 +27,8 @@
 export class TcpServerConnector implements ServerConnector {
   connect({ host, port }: HostPort, listener: ConnectListener): void {
     // Half-open, so that it is possible to write after the server has ended the connection.
-    const socket = connect({ host, port, allowHalfOpen: true });
+    const socket = new MeteredSocket({ allowHalfOpen: true });
+    socket.connect({ host, port });
     socket.setNoDelay(true).setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     // The timers of undici have ticks of half a second, which is longer than this timeout.
     const timer = setTimeout(
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -71,6 +71,8 @@
   readonly clock: Clock;
 }
 
+const OVERLONG_EVENT = "event of the stream is too long";
+
 /** The request as it is shared by all its attempts. */
 export interface OutgoingRequest {
   readonly exchange: CallerExchange;
@@ -307,8 +309,16 @@
           }
           return options.onHead(head);
         },
-        write: (chunk) =>
-          stream.write(chunk, () => this.#resumeReading(observed)),
+        write: (chunk) => {
+          const isWritten = stream.write(
+            chunk,
+            () => this.#resumeReading(observed),
+          );
+          if (stream.isOverlong) {
+            this.abort({ tag: "stream_broken", reason: OVERLONG_EVENT });
+          }
+          return isWritten;
+        },
         onNotice: (notice) => {
           observed.record.limitPerS = notice.limitPerS;
           serverNoticeHandler.handleNotice(server, notice);
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -9,6 +9,7 @@
   type Resolver,
 } from "awilix";
 import { BackendConnectionPool } from "../backends/backend_connection_pool.ts";
+import { ResponseMemory } from "../backends/response_limits.ts";
 import {
   type ServerConnector,
   TcpServerConnector,
@@ -315,6 +316,7 @@
       { seedList, vmRegistry }: { seedList: SeedList; vmRegistry: VmRegistry },
     ) =>
     () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
+    responseMemory: asFunction(() => new ResponseMemory()).singleton(),
     backendConnectionPool: singleton(BackendConnectionPool),
     serverProbe: singleton(ServerProbe),
     serverExitCheck: singleton(ServerExitCheck),
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -1,12 +1,16 @@
 /** Sends a request of a caller through another VM, which runs it like one of its own callers'. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import {
   BackendConnection,
   type ExchangeFailure,
   type ExchangeListener,
   type ResponseHeaders,
 } from "../backends/backend_connection.ts";
+import type {
+  ResponseCollector,
+  ResponseMemory,
+} from "../backends/response_limits.ts";
 import type { ServerConnector } from "../backends/server_connector.ts";
 import type { EntryId, ServiceId } from "../core/ids.ts";
 import type { Member } from "../core/membership/member.ts";
@@ -36,6 +40,7 @@
   /** Opens connections to other VMs. */
   readonly peerConnector: ServerConnector;
   readonly gatewayMetrics: GatewayMetrics;
+  readonly responseMemory: ResponseMemory;
 }
 
 /** Result of forwarding a request. */
@@ -115,7 +120,7 @@
     peer: Member,
     { configurationVersion, isCounted, leftMs }: ForwardOptions,
   ): Promise<ForwardOutcome> {
-    const { vmSettings, peerConnector } = this.#deps;
+    const { vmSettings, peerConnector, responseMemory } = this.#deps;
     const { method, url, host, rawHeaders } = this.#exchange;
     const origin = { vm: vmSettings.vm, configurationVersion, isCounted };
     const headers = encodeForwardedRequestHeaders(rawHeaders, {
@@ -128,7 +133,10 @@
       connector: peerConnector,
       onLost: (lost) => lost.destroy(),
     });
-    this.#current = new ForwardAttempt(this.#exchange, connection);
+    this.#current = new ForwardAttempt(this.#exchange, {
+      connection,
+      collector: responseMemory.collect(),
+    });
     return await this.#current.run({
       method,
       path: url,
@@ -142,7 +150,7 @@
 class ForwardAttempt implements ExchangeListener {
   readonly #exchange: CallerExchange;
   readonly #connection: BackendConnection;
-  readonly #chunks: Buffer[] = [];
+  readonly #collector: ResponseCollector;
   #head: { status: number; headers: ResponseHeaders } | undefined;
   #isStreamed = false;
   #isDeclined = false;
@@ -150,9 +158,16 @@
   #done = false;
   #resolve: (outcome: ForwardOutcome) => void = () => {};
 
-  constructor(exchange: CallerExchange, connection: BackendConnection) {
+  constructor(
+    exchange: CallerExchange,
+    { connection, collector }: {
+      connection: BackendConnection;
+      collector: ResponseCollector;
+    },
+  ) {
     this.#exchange = exchange;
     this.#connection = connection;
+    this.#collector = collector;
   }
 
   get isSent(): boolean {
@@ -192,7 +207,8 @@
   onData(chunk: Buffer): void {
     if (this.#done) return;
     if (!this.#isStreamed) {
-      this.#chunks.push(chunk);
+      if (this.#collector.add(chunk)) return;
+      this.#finish({ tag: "broken", reason: "response body is too large" });
       return;
     }
     if (this.#exchange.write(chunk)) return;
@@ -206,7 +222,7 @@
     if (this.#done) return;
     if (this.#isStreamed) this.#exchange.endStream();
     else if (this.#head !== undefined) {
-      this.#exchange.respond(this.#head, Buffer.concat(this.#chunks));
+      this.#exchange.respond(this.#head, this.#collector.take());
     }
     this.#finish({ tag: "answered" });
   }
@@ -214,7 +230,7 @@
   onFailure(failure: ExchangeFailure): void {
     if (this.#done) return;
     this.#finish(
-      failure.tag === "broken"
+      failure.tag === "broken" || failure.tag === "overlong"
         ? { tag: "broken", reason: failure.reason }
         : { tag: "declined" },
     );
@@ -224,6 +240,7 @@
     if (this.#done) return;
     this.#done = true;
     this.#connection.destroy();
+    this.#collector.discard();
     this.#resolve(outcome);
   }
 }
--- a/src/gateway/stream_relay.ts
+++ b/src/gateway/stream_relay.ts
@@ -35,6 +35,11 @@
     return this.#splitter.pendingBytes > 0;
   }
 
+  /** Whether an event is longer than any proper one. */
+  get isOverlong(): boolean {
+    return this.#splitter.isOverlong;
+  }
+
   /** Ends the stream. */
   end(): void {
     this.#exchange.endStream();
