Limit responses of the store, the platform, other VMs and an entry's servers

The same cause at the other ports: a watch of the store read a body without end until its time-out of 25 s; an event of a model server without end was buffered by the entry. Clients get a limit on the size of a response far above the largest proper one (store 16 MiB, other VMs 4 MiB as they state already, platform and an entry's servers 64 MiB); an entry cuts a stream whose event exceeds 1 MiB.

Left: heads without end at these ports last until the call times out.

--- a/src/backends/chat_stream_reader.ts
+++ b/src/backends/chat_stream_reader.ts
@@ -5,6 +5,7 @@
 import type { RequestId } from "../core/ids.ts";
 import { chatChunkSchema, END_OF_STREAM } from "../protocol/chat_schema.ts";
 import { toBackendError } from "./backend_error.ts";
+import { MAX_EVENT_BYTES } from "./response_limits.ts";
 import type { ChatStream, StreamEvent } from "./model_servers.ts";
 
 /** Response body as provided by undici. */
@@ -19,6 +20,10 @@
   let ended = false;
   const parser = createParser({
     onEvent: ({ data }) => batch.push(parseEvent(data, requestId)),
+    onError: ({ message, type }) => {
+      if (type === "max-buffer-size-exceeded") batch.push(cut(message));
+    },
+    maxBufferSize: MAX_EVENT_BYTES,
   });
   const decoder = new TextDecoder();
   try {
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -129,6 +129,9 @@
   });
 }
 
+/** Far more than any chat or plain response, streams included. */
+const MAX_RESPONSE_BYTES = 64 * 1_024 * 1_024;
+
 function registerEdges(container: AwilixContainer, settings: Settings): void {
   const { platform, backends } = settings;
   container.register({
@@ -139,6 +142,7 @@
         connections: backends.connections,
         pipelining: 1,
         connect: { timeout: backends.connect_timeout_ms },
+        maxResponseSize: MAX_RESPONSE_BYTES,
       }),
     ),
     platform: asFunction(({ platformMeter }: { platformMeter: SocketMeter }) =>
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -22,8 +22,8 @@
   readonly packed: boolean;
 }
 
-/** Maximum decompressed size of an answer. */
-const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Maximum size of an answer, also once it is decompressed. */
+export const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
 /** The fields of a tRPC operation that the link uses. */
 interface PeerCall {
--- a/src/peers/trpc_clients.ts
+++ b/src/peers/trpc_clients.ts
@@ -10,7 +10,7 @@
 import { fail, ok, type Result } from "../core/result.ts";
 import { meteredAgent, type SocketMeter } from "../runtime/socket_meter.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
-import { peerLink } from "./peer_link.ts";
+import { MAX_ANSWER_BYTES, peerLink } from "./peer_link.ts";
 import type { PeerError } from "./peers.ts";
 
 /** Maximum number of cached clients; more than the entry VMs that are alive at the same time. */
@@ -48,6 +48,7 @@
       connections: MAX_CONNECTIONS_PER_VM,
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: { timeout: CONNECT_TIMEOUT_MS },
+      maxResponseSize: MAX_ANSWER_BYTES,
     });
   }
 
--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -91,6 +91,9 @@
 /** A value decoded from an answer, with the era in which the store answered. */
 type AtEra<T> = T & { readonly era: number };
 
+/** Far more than the largest page of a list. */
+const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
+
 /** Client of the platform's object API. */
 export class HttpObjectStore implements ObjectStore {
   readonly #url: string;
@@ -98,6 +101,7 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MS },
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
   readonly #answerListeners: ((answer: StoreAnswer) => void)[] = [];
   #calls = 0;
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -46,6 +46,9 @@
   readonly etag: string;
 }
 
+/** Far more than any configuration and its fleet state. */
+const MAX_RESPONSE_BYTES = 64 * 1_024 * 1_024;
+
 /** Client of the platform's object API. */
 export class HttpPlatform implements Platform {
   readonly #url: string;
@@ -62,6 +65,7 @@
   ) {
     this.#agent = meteredAgent(meter ?? new SocketMeter(), {
       connections: MAX_CONNECTIONS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
     this.#url = url.replace(/\/$/, "");
     this.#timeoutMs = timeoutMs;
