Let a sound canary gain traffic step by step as well

A release whose requests took 3 times as long at models was found sound at a share of 0.07 and then got all sessions: at a small share its servers are idle and answer faster than the busy ones of the stable release (0.36 to 0.89 of their times where half of its requests were 3 times slower). It now doubles its share within the part of the exposure limit that unsure ones had already, so that it is compared with more answers and nearer to its later load.

--- a/src/core/rollout/canary_plan.ts
+++ b/src/core/rollout/canary_plan.ts
@@ -12,12 +12,12 @@
 /** Fraction of the roll-out time during which sessions stay on their release. */
 const SESSION_PINNING_FRACTION = 0.5;
 /**
- * Fraction of the roll-out time between two doublings of a canary with too few answers: the
+ * Fraction of the roll-out time between two doublings of a canary: the
  * sessions that a share selects, and thus their number of requests, are random.
  */
 const DOUBLING_INTERVAL_FRACTION = 0.1;
-/** Fraction of the exposure limit that may be used while the evaluation is unsure. */
-const UNSURE_EXPOSURE_FRACTION = 0.55;
+/** Fraction of the exposure limit that may be used before all sessions move. */
+const GRADUAL_EXPOSURE_FRACTION = 0.55;
 /**
  * Fraction of the exposure limit that is planned for. The rest covers requests in flight and
  * traffic that grows until the roll-out time is over.
@@ -82,7 +82,7 @@
       fraction: PLANNED_EXPOSURE_FRACTION,
     });
   if (canMoveAll) return { tag: "share", share: 1 };
-  return evaluation.tag === "unsure" ? growWhileUnsure(input, elapsed) : STAY;
+  return growGradually(input, elapsed);
 }
 
 /** Returns the fraction of the roll-out time at which a share is planned to be reached. */
@@ -97,8 +97,11 @@
   return share > 0 ? { tag: "share", share } : STAY;
 }
 
-/** Doubles the share of a canary that yields too few answers. */
-function growWhileUnsure(
+/**
+ * Doubles the share of a canary within part of its exposure limit: for more answers, and because a release
+ * at a small share has idle servers, on which it answers faster than at its later load.
+ */
+function growGradually(
   { share, exposure }: CanaryPlanInput,
   elapsed: number,
 ): CanaryStep {
@@ -110,7 +113,7 @@
   const next = {
     elapsed,
     share: 2 * share,
-    fraction: UNSURE_EXPOSURE_FRACTION,
+    fraction: GRADUAL_EXPOSURE_FRACTION,
   };
   const canDouble = next.share < 1 && isWithinExposureLimit(exposure, next);
   return canDouble ? { tag: "share", share: next.share } : STAY;
