Allow for cold prompt caches when running sessions move to a canary

Releases of models are now tested by the less strict hypotheses from the first doubling on, and a step by itself only where all sessions have moved.

--- a/src/core/rollout/canary_analyzer.ts
+++ b/src/core/rollout/canary_analyzer.ts
@@ -22,6 +22,8 @@
   readonly stableRelease: ReleaseId | undefined;
   /** Share of sessions on the canary. */
   readonly share: number;
+  /** Whether the share has grown since the start, so that running sessions have moved. */
+  readonly hasGrown: boolean;
 }
 
 /** Result of the analysis of a canary. */
@@ -82,6 +84,7 @@
       stable: isConcurrent ? sinceStep.stable : stable,
       canary: sinceStep.canary,
       isConcurrent,
+      haveSessionsMoved: state.hasGrown,
     });
     // Each step is compared by itself, as the load may change from one to the next.
     const latency = combineComparisons(comparisonsOf(step));
@@ -91,7 +94,8 @@
       stepEvaluation: evaluateCanary({
         stable,
         canary: sinceStep.canary,
-        latency: step.latency,
+        // For a moment after sessions have moved, their prompts are cached nowhere on the canary.
+        latency: isConcurrent ? undefined : step.latency,
       }),
       latency,
       canaryAnswers,
--- a/src/core/rollout/canary_plan.ts
+++ b/src/core/rollout/canary_plan.ts
@@ -91,9 +91,14 @@
   return share < 1 ? START_FRACTION : SESSION_PINNING_FRACTION;
 }
 
+/** Returns the share with which a canary starts. */
+export function initialShare(maxShare: number): number {
+  return INITIAL_SHARE_FRACTION * maxShare;
+}
+
 function startCanary(elapsed: number, maxShare: number): CanaryStep {
   if (elapsed < START_FRACTION) return STAY;
-  const share = INITIAL_SHARE_FRACTION * maxShare;
+  const share = initialShare(maxShare);
   return share > 0 ? { tag: "share", share } : STAY;
 }
 
@@ -105,7 +110,7 @@
   { share, exposure }: CanaryPlanInput,
   elapsed: number,
 ): CanaryStep {
-  const initial = INITIAL_SHARE_FRACTION * exposure.share;
+  const initial = initialShare(exposure.share);
   const doublings = Math.round(Math.log2(share / initial));
   if (
     elapsed < SESSION_PINNING_FRACTION + doublings * DOUBLING_INTERVAL_FRACTION
--- a/src/core/rollout/latency_comparison.ts
+++ b/src/core/rollout/latency_comparison.ts
@@ -23,8 +23,11 @@
   tolerated: Math.log(1.5),
   slow: Math.log(2.5),
 };
-/** Without concurrent requests on the stable release, the load may differ from that of its requests. */
-const NOT_CONCURRENT: Hypotheses = {
+/**
+ * Sessions that move to the canary bring long prompts of which its servers have cached nothing; and without
+ * concurrent requests on the stable release, the load may differ from that of its requests.
+ */
+const SESSIONS_MOVED: Hypotheses = {
   tolerated: Math.log(2),
   slow: Math.log(3.6),
 };
@@ -51,23 +54,25 @@
  * weighted by the precision of its estimate. Returns undefined if no kind has responses of both.
  */
 export function compareLatencies(
-  { stable, canary, isConcurrent }: {
+  { stable, canary, isConcurrent, haveSessionsMoved }: {
     readonly stable: EvidenceByKind;
     readonly canary: EvidenceByKind;
     /** Whether both releases received requests at the same time. */
     readonly isConcurrent: boolean;
+    /** Whether running sessions have moved to the canary. */
+    readonly haveSessionsMoved: boolean;
   },
 ): LatencyComparison | undefined {
   const variance = varianceWithinKinds([...stable.values()]);
   let latencies = 0;
   let precision = 0;
   let weighted = 0;
-  let hypotheses = PLAIN;
+  let hasModels = false;
   for (const [kind, counts] of canary) {
     const reference = stable.get(kind);
     if (reference === undefined || reference.latencies === 0) continue;
     if (counts.latencies === 0) continue;
-    if (counts.model !== undefined) hypotheses = WITH_MODELS;
+    hasModels ||= counts.model !== undefined;
     const weight = 1 /
       (variance * (1 / counts.latencies + 1 / reference.latencies));
     latencies += counts.latencies;
@@ -76,13 +81,28 @@
   }
   if (precision === 0) return undefined;
   const logSlowdown = weighted / precision;
-  const { tolerated, slow } = isConcurrent ? hypotheses : NOT_CONCURRENT;
+  const { tolerated, slow } = hypothesesFor({
+    hasModels,
+    isConcurrent,
+    haveSessionsMoved,
+  });
   // Of two normal distributions with the same variance.
   const logRatio = (slow - tolerated) * precision *
     (logSlowdown - (tolerated + slow) / 2);
   return { latencies, logSlowdown, precision, logRatio };
 }
 
+function hypothesesFor(
+  { hasModels, isConcurrent, haveSessionsMoved }: {
+    hasModels: boolean;
+    isConcurrent: boolean;
+    haveSessionsMoved: boolean;
+  },
+): Hypotheses {
+  if (!isConcurrent || (hasModels && haveSessionsMoved)) return SESSIONS_MOVED;
+  return hasModels ? WITH_MODELS : PLAIN;
+}
+
 /** Combines the comparisons of several periods, each of which had a load of its own. */
 export function combineComparisons(
   comparisons: readonly LatencyComparison[],
--- a/src/gateway/trial_controller.ts
+++ b/src/gateway/trial_controller.ts
@@ -8,6 +8,7 @@
 import type { ReleaseGate } from "../core/rollout/release_gate.ts";
 import {
   type CanaryStep,
+  initialShare,
   nextCanaryStep,
   plannedTimeOfShare,
 } from "../core/rollout/canary_plan.ts";
@@ -128,15 +129,18 @@
   }
 
   #judge({ service, release }: RollOutOrder): CanaryAnalysis {
-    const { releaseGate, serverDirectory, canaryAnalyzer, clock } = this.#deps;
+    const { releaseGate, serverDirectory, canaryAnalyzer, clock, bounds } =
+      this.#deps;
     const servers = serverDirectory.usable(service);
     const nowMs = clock.monotonicMs();
     const { stable } = releaseGate.eligibleServers(service, { servers, nowMs });
+    const share = releaseGate.canaryShare(service);
     return canaryAnalyzer.analyze({
       service,
       release,
       stableRelease: stable[0]?.release,
-      share: releaseGate.canaryShare(service),
+      share,
+      hasGrown: share > initialShare(bounds.canaryShare),
     });
   }
 
