--- /dev/null
+++ b/src/backends/response_limits_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { OverheadMeter, ResponseMemory } from "./response_limits.ts";
+
+const MIB = 1_024 * 1_024;
+/** Memory for all responses together, and what each may use in any case. */
+const LIMIT_BYTES = 48 * MIB;
+const MIN_BODY_BYTES = MIB / 2;
+
+describe("ResponseMemory", () => {
+  it("should let one response be large, and keep many within the limit", () => {
+    const memory = new ResponseMemory();
+    const chunk = Buffer.alloc(64 * 1_024);
+    const large = memory.collect();
+    let bytes = 0;
+    while (large.add(chunk)) bytes += chunk.length;
+    assert.ok(bytes > 15 * MIB);
+    for (let n = 0; n < 40; n++) {
+      const other = memory.collect();
+      while (other.add(chunk));
+    }
+    assert.ok(memory.used <= LIMIT_BYTES + 40 * MIN_BODY_BYTES);
+    assert.ok(memory.collect().add(chunk));
+  });
+
+  it("should have no memory in use once all responses are taken or discarded", () => {
+    const action = fc.record({
+      at: fc.nat({ max: 5 }),
+      bytes: fc.nat({ max: 4 * MIB }),
+      tag: fc.constantFrom("add", "take", "discard"),
+    });
+    fc.assert(
+      fc.property(fc.array(action, { maxLength: 60 }), (actions) => {
+        const memory = new ResponseMemory();
+        const collectors = Array.from({ length: 6 }, () => memory.collect());
+        for (const { at, bytes, tag } of actions) {
+          const collector = collectors[at];
+          if (tag === "add") collector?.add(Buffer.alloc(bytes));
+          if (tag === "take") collector?.take();
+          if (tag === "discard") collector?.discard();
+          assert.ok(memory.used >= 0);
+        }
+        for (const collector of collectors) collector.discard();
+        assert.equal(memory.used, 0);
+      }),
+      { seed: 1, numRuns: 50 },
+    );
+  });
+});
+
+describe("OverheadMeter", () => {
+  it("should allow any payload in small chunks, and no overhead without end", () => {
+    const meter = new OverheadMeter();
+    for (let n = 0; n < 200_000; n++) {
+      assert.ok(meter.recordRead(10 + 9));
+      meter.recordPayload(10);
+    }
+    let bytes = 0;
+    while (meter.recordRead(1_024)) bytes += 1_024;
+    assert.ok(bytes <= MIB / 4);
+    meter.reset();
+    assert.ok(meter.recordRead(1_024));
+  });
+});
--- a/src/gateway/attempt_stall_detector_test.ts
+++ b/src/gateway/attempt_stall_detector_test.ts
@@ -79,4 +79,14 @@
     assert.equal(detector.check(PENDING, SENT_MS + 5_000), undefined);
     assert.equal(probes, 0);
   });
+
+  it("should have its server probed for an acknowledgement, but not during backoff", () => {
+    detector.requestAck(SERVER, SENT_MS);
+    assert.equal(probes, 1);
+    earliestProbeMs = SENT_MS + 3_000;
+    detector.requestAck(SERVER, SENT_MS + 2_900);
+    assert.equal(probes, 1);
+    detector.requestAck(SERVER, SENT_MS + 3_000);
+    assert.equal(probes, 2);
+  });
 });
--- a/src/gateway/retry_permit_test.ts
+++ b/src/gateway/retry_permit_test.ts
@@ -74,4 +74,37 @@
     nowMs += WINDOW_MS + 1;
     assert.equal(waiting.consume(), false);
   });
+
+  it("should be waited for, for a limited time, while it takes an acknowledgement of another retry", () => {
+    const bounds = { ratio: 0.9, windowMs: WINDOW_MS, allowance: 0 };
+    retryBudget = new RetryBudget(bounds, {
+      startedMs: -Infinity,
+      vms: () => 1,
+    });
+    for (; nowMs < 5_000; nowMs += 100) {
+      retryBudget.heartbeat(nowMs);
+      retryBudget.countRequest(SERVICE, nowMs);
+    }
+    const sent = permit();
+    assert.ok(sent.acquire() && sent.consume());
+    const waiting = permit();
+    assert.equal(waiting.acquire(), false);
+    assert.ok(waiting.budgetState().isAckScarce);
+    let waitedMs = 0;
+    for (;;) {
+      const waitMs = waiting.nextAckWaitMs();
+      if (waitMs === undefined) break;
+      waitedMs += waitMs;
+    }
+    assert.equal(waitedMs, 300);
+    sent.attemptArrived();
+    sent.attemptArrived();
+    assert.equal(waiting.acquire(), true);
+  });
+
+  it("should not be waited for if no acknowledgement makes it available", () => {
+    const one = permit();
+    assert.ok(one.acquire() && one.consume());
+    assert.equal(permit().nextAckWaitMs(), undefined);
+  });
 });
