--- a/src/core/limits/retry_arrival_test.ts
+++ b/src/core/limits/retry_arrival_test.ts
@@ -67,8 +67,10 @@
   });
 
   it("should stay within the bound where requests nearly stop and the allowance grows with the fleet", () => {
-    for (const fraction of [0.1, 0]) {
-      playRateDrop(fraction, 12_000, deployedBound);
+    for (const stopMs of [12_000, 30_000]) {
+      for (const fraction of [0.25, 0.1, 0]) {
+        playRateDrop(fraction, stopMs, deployedBound);
+      }
     }
   });
 
