Remove three functions without callers

ServerPool.retainOnly and MemberTable.recordProbeResponse were called nowhere, EventSplitter.takeRemainder by its test only, which now checks the number of pending bytes: the same assertion.

--- a/src/backends/event_splitter.ts
+++ b/src/backends/event_splitter.ts
@@ -47,13 +47,6 @@
       : this.#bytesWithoutData + complete.length;
     return { bytes: complete, lastId: lastEventId(text) };
   }
-
-  /** Returns and clears the buffered bytes; called at the end of the stream. */
-  takeRemainder(): Buffer {
-    const remainder = this.#pending;
-    this.#pending = Buffer.alloc(0);
-    return remainder;
-  }
 }
 
 function lastEventId(text: string): string | undefined {
--- a/src/backends/event_splitter_test.ts
+++ b/src/backends/event_splitter_test.ts
@@ -22,7 +22,7 @@
           assert.ok(returned === "" || returned.endsWith("\n\n"));
         }
         assert.equal(returned, STREAM);
-        assert.equal(splitter.takeRemainder().length, 0);
+        assert.equal(splitter.pendingBytes, 0);
       }),
       { seed: 1 },
     );
--- a/src/core/membership/member_table.ts
+++ b/src/core/membership/member_table.ts
@@ -118,11 +118,6 @@
     return updates.filter((member) => this.#mergeOne(member, nowMs));
   }
 
-  /** Merges the record that an entry VM sent of itself in response to a probe. */
-  recordProbeResponse(member: Member, nowMs: number): Member[] {
-    return this.merge([member], nowMs);
-  }
-
   /** Marks an entry VM as suspect that failed both direct and indirect probes. */
   suspect(id: EntryId, nowMs: number): boolean {
     // Leaving entry VMs are expected to stop, so they get no time to refute.
--- a/src/core/routing/server_pool.ts
+++ b/src/core/routing/server_pool.ts
@@ -119,13 +119,6 @@
     state.inFlightAtReport = state.inFlight;
   }
 
-  /** Removes servers that are idle and not among `ids`, the declared ones. */
-  retainOnly(ids: ReadonlySet<BackendId>): void {
-    for (const [id, state] of this.#states) {
-      if (!ids.has(id) && state.inFlight === 0) this.#states.delete(id);
-    }
-  }
-
   #eject(state: ServerState, nowMs: number): void {
     const length = FIRST_EJECTION_MS * 2 ** Math.min(state.ejections, 10);
     state.ejectedUntilMs = nowMs + Math.min(length, MAX_EJECTION_MS);
