Fail a list of the store that can't be read to its end

Cause (noticed by readers of the code): a list ended without a sign after 100 pages, and at a page whose objects have no names. What is missing from a list counts as removed, so that a fleet would have lost the servers on later pages. Change: 1,000 pages at most; a list with more, or one that doesn't advance, is an error, and the cache stays as it is. Result: a list of 250 pages has 250 objects, 100 before; four lists without an end fail, all of which were taken for whole. Ruled out: demanding that names ascend, as nothing says by which order the store compares them.

--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -24,8 +24,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Added to the requested wait of a watch before the client times it out. */
 const WATCH_TIMEOUT_MARGIN_MS = 1_500;
-/** A page holds about 500 objects. */
-const MAX_LIST_PAGES = 100;
+/** Far more than the pages of any list; a page holds about 500 objects, or 1 MB of them. */
+const MAX_LIST_PAGES = 1_000;
 /** Lists that are begun again because the store was restored between two pages. */
 const MAX_LIST_RESTARTS = 2;
 const ERA_HEADER = "store-era";
@@ -165,10 +165,16 @@
       first ??= { era, revision };
       if (era !== first.era) return undefined;
       objects.push(...response.value.objects);
-      if (!hasMore || lastName === undefined) break;
+      if (!hasMore) return ok({ objects, ...first });
+      // Objects that are missing from a list count as removed, so that no part of one is returned.
+      if (lastName === undefined || lastName === after) {
+        const reason = `list of ${kind} does not continue after "${after}"`;
+        return fail({ tag: "uncertain", reason });
+      }
       after = lastName;
     }
-    return ok({ objects, ...(first ?? { era: this.#era, revision: 0 }) });
+    const reason = `list of ${kind} has more than ${MAX_LIST_PAGES} pages`;
+    return fail({ tag: "uncertain", reason });
   }
 
   watch(
--- a/src/platform/http_object_store_test.ts
+++ b/src/platform/http_object_store_test.ts
@@ -154,6 +154,55 @@
   }
 });
 
+// Guards against a list that ends early without a sign: what is missing from it counts as removed.
+// It ended after 100 pages, at a page without names, and went round where pages repeated.
+describe("a list of many pages", () => {
+  const PAGES = 250;
+
+  /** Answers each call for a page with a name derived from its number. */
+  async function listNames(
+    nameOf: (page: number) => string | undefined,
+    isLast = (_page: number) => false,
+  ) {
+    let page = 0;
+    const server = createServer((_req, res) => {
+      page += 1;
+      const Metadata = { Name: nameOf(page), Revision: 1 };
+      const Entries = [{ Metadata, Spec: {}, Status: null }];
+      const HasMore = !isLast(page);
+      res.end(JSON.stringify({ Entries, HasMore, StoreRevision: 1 }));
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const client = new HttpObjectStore(`127.0.0.1:${port}`);
+    const listing = await client.list("things", CALL);
+    await client.close();
+    server.close();
+    return listing;
+  }
+
+  const numbered = (page: number) => String(page).padStart(8, "0");
+
+  it("should be read to its end", async () => {
+    const listing = await listNames(numbered, (page) => page === PAGES);
+    assert.equal(listing.ok && listing.value.objects.length, PAGES);
+  });
+
+  for (
+    const [name, nameOf] of Object.entries({
+      "has no end": numbered,
+      "repeats a page": () => "a",
+      "goes back": (page: number) => String(9 - page % 9),
+      "names no object to continue from": () => undefined,
+    })
+  ) {
+    it(`should fail if it ${name}`, async () => {
+      const listing = await listNames(nameOf);
+      assert.equal(!listing.ok && listing.error.tag, "uncertain");
+    });
+  }
+});
+
 describe("era of the store", () => {
   /** Answers each call with the next of these headers. */
   async function eraOfAnswers(
