Let each chat request earn retries once

Cause (noticed by readers of the code): the retry budget of `fieldrack entry` counts requests where a cascade step is dispatched, so that each further step, and each stream started again after a cut, earned retries as a request of its own. Change: counted where the request is taken up. Ruled out: service requests, which dispatch once.

--- a/src/core/limits/entry_retry_budget.ts
+++ b/src/core/limits/entry_retry_budget.ts
@@ -9,7 +9,7 @@
 export class EntryRetryBudget {
   #balance = MAX_BALANCE;
 
-  /** Counts the first attempt of a request. */
+  /** Counts a caller's request; called once for each, however many steps and attempts it takes. */
   deposit(): void {
     this.#balance = Math.min(MAX_BALANCE, this.#balance + RETRIES_PER_REQUEST);
   }
--- a/src/entry/chat_service.ts
+++ b/src/entry/chat_service.ts
@@ -79,6 +79,7 @@
   ): Promise<Result<ServedAnswer, RequestError>> {
     const plan = this.#deps.backendSelector.plan(ctx, req.model);
     if (!plan.ok) return plan;
+    this.#deps.retryBudget.deposit();
     let fallback: Dispatched<ModelResponse> | undefined;
     let lastError: RequestError | undefined;
     for (const step of plan.value) {
@@ -111,6 +112,7 @@
   ): Promise<Result<undefined, RequestError>> {
     const plan = this.#deps.backendSelector.plan(ctx, req.model);
     if (!plan.ok) return plan;
+    this.#deps.retryBudget.deposit();
     let fallback: LowConfidenceStream | undefined;
     let lastError: RequestError | undefined;
     const dropFallback = () => {
--- a/src/entry/model_dispatcher.ts
+++ b/src/entry/model_dispatcher.ts
@@ -66,7 +66,6 @@
     const { tried } = input;
     let sentBefore = false;
     let lastError: RequestError | undefined;
-    this.#deps.retryBudget.deposit();
     while (tried.size < MAX_ATTEMPTS) {
       const target = this.#nextTarget(input);
       if (!target.ok) return lastError === undefined ? target : fail(lastError);
