Compare the latencies of each kind within a step of the canary

Cause: the check of each kind by itself compared the canary's responses with all of the stable release since the order, most of which came before the canary's first request, when the load was lighter. Change: while both releases get requests, only responses since the share last grew are compared, as in the test over all kinds.

--- a/src/core/rollout/canary_analyzer.ts
+++ b/src/core/rollout/canary_analyzer.ts
@@ -7,7 +7,11 @@
   type EvidenceByKind,
   evidenceSince,
 } from "./evidence.ts";
-import { type CanaryEvaluation, evaluateCanary } from "./canary_evaluation.ts";
+import {
+  type CanaryEvaluation,
+  evaluateCanary,
+  type ReleasePair,
+} from "./canary_evaluation.ts";
 import {
   combineComparisons,
   compareLatencies,
@@ -37,12 +41,6 @@
   readonly totalAnswers: number;
 }
 
-/** Evidence on both releases. */
-interface ReleasePair {
-  readonly stable: EvidenceByKind;
-  readonly canary: EvidenceByKind;
-}
-
 interface Step {
   readonly release: ReleaseId;
   readonly share: number;
@@ -88,12 +86,14 @@
     });
     // Each step is compared by itself, as the load may change from one to the next.
     const latency = combineComparisons(comparisonsOf(step));
+    const concurrent = isConcurrent ? sinceStep : undefined;
     const canaryAnswers = countAnswers(canary);
     return {
-      evaluation: evaluateCanary({ stable, canary, latency }),
+      evaluation: evaluateCanary({ stable, canary, concurrent, latency }),
       stepEvaluation: evaluateCanary({
         stable,
         canary: sinceStep.canary,
+        concurrent,
         // For a moment after sessions have moved, their prompts are cached nowhere on the canary.
         latency: isConcurrent ? undefined : step.latency,
       }),
--- a/src/core/rollout/canary_analyzer_test.ts
+++ b/src/core/rollout/canary_analyzer_test.ts
@@ -82,6 +82,29 @@
     assert.equal(analyzeAt(1).stepEvaluation.tag, "bad");
   });
 
+  // Guards against rolling back a good release because all servers of the other one crashed: each
+  // kind was compared with the calm time before the canary got requests. Good releases were rolled
+  // back in 16 of 36 plays on a busy machine, although their concurrent responses were no slower.
+  it("should not find a release bad for a load that slows both releases down", () => {
+    const { respond, analyzeAt } = fixture();
+    respond(OLD, 100, 20);
+    analyzeAt(0.07);
+    respond(OLD, 40, 200);
+    respond(NEW, 12, 180);
+    const { evaluation, stepEvaluation } = analyzeAt(0.07);
+    assert.notEqual(evaluation.tag, "bad");
+    assert.notEqual(stepEvaluation.tag, "bad");
+  });
+
+  it("should find a release bad that is slow while a load slows both releases down", () => {
+    const { respond, analyzeAt } = fixture();
+    respond(OLD, 100, 20);
+    analyzeAt(0.07);
+    respond(OLD, 40, 200);
+    respond(NEW, 12, 1_000);
+    assert.equal(analyzeAt(0.07).evaluation.tag, "bad");
+  });
+
   it("should count the answers of both releases", () => {
     const { answer, analyzeAt } = fixture();
     answer(OLD, 30);
--- a/src/core/rollout/canary_evaluation.ts
+++ b/src/core/rollout/canary_evaluation.ts
@@ -38,11 +38,20 @@
 /** Minimum number of canary answers before a release is found sound. */
 const MIN_SOUND_ANSWERS = 12;
 
+/** Evidence on both releases. */
+export interface ReleasePair {
+  readonly stable: EvidenceByKind;
+  readonly canary: EvidenceByKind;
+}
+
 /** Evaluates a canary by the evidence of the whole fleet. */
 export function evaluateCanary(
-  { stable, canary, latency }: {
-    stable: EvidenceByKind;
-    canary: EvidenceByKind;
+  { stable, canary, concurrent, latency }: ReleasePair & {
+    /**
+     * Evidence from a time in which both releases received requests; undefined if there is none. The
+     * load before may have been lighter, and the stable release faster.
+     */
+    concurrent?: ReleasePair | undefined;
     /** Comparison of the latencies; undefined if there is nothing to compare with. */
     latency?: LatencyComparison | undefined;
   },
@@ -62,7 +71,7 @@
       canary: evidence,
       stable: stableCounts ?? stableTotal,
       overall: stableTotal,
-    }) ?? checkLatency(kind, { canary: evidence, stable: stableCounts });
+    }) ?? checkLatency(kind, concurrent ?? { stable, canary });
     if (badKind !== undefined) return badKind;
   }
   const { answers, failures } = canaryTotal;
@@ -76,10 +85,6 @@
 }
 
 type Counts = Pick<Evidence, "answers" | "failures">;
-type LatencyTotals = Pick<
-  Evidence,
-  "answers" | "failures" | "latencies" | "logMsSum"
->;
 
 function checkFailures(
   kind: string | undefined,
@@ -98,15 +103,16 @@
 
 function checkLatency(
   kind: string,
-  { canary, stable }: {
-    canary: LatencyTotals;
-    stable: LatencyTotals | undefined;
-  },
+  pair: ReleasePair,
 ): CanaryEvaluation | undefined {
+  const stable = pair.stable.get(kind);
+  const canary = pair.canary.get(kind);
   if (stable === undefined || stable.latencies < MIN_LATENCIES) {
     return undefined;
   }
-  if (canary.latencies < MIN_LATENCIES) return undefined;
+  if (canary === undefined || canary.latencies < MIN_LATENCIES) {
+    return undefined;
+  }
   const logSlowdown = meanLog(canary) - meanLog(stable);
   if (logSlowdown < Math.log(SLOW_FACTOR)) return undefined;
   const { answers, failures } = canary;
