Watch a kind at once where the VM has run for long

Cause: the first watch of a kind waits 2 s, so that a VM that has just started may find a relay first. VMs begin to follow trials when a roll-out opens, long after their start, and waited all the same; the first share of the canary, written meanwhile, looked like a missed change. Change: the wait ends 2 s after the start of the VM. Test red before.

--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -26,9 +26,9 @@
 const WATCH_TIMEOUT_MS = 25_000;
 const LIST_TIMEOUT_MS = 1_500;
 /**
- * Delay before the first watch. In this time a VM that has just started finds a relay to follow,
- * even if many VMs restart together, and then needs no watch of its own. A watch opened after the
- * delay still returns the changes made in the meantime.
+ * Time after the start before the first watch. In it a VM finds a relay to follow, even if many VMs
+ * restart together, and then needs no watch of its own. A watch opened after it still returns the
+ * changes made in the meantime.
  */
 const FIRST_WATCH_DELAY_MS = 2_000;
 /** Age from which on a list without an answer may wait on a dead connection. */
@@ -72,6 +72,7 @@
   /** When the list that is being read was requested, by the monotonic clock. */
   #listingSinceMs: number | undefined;
   #firstWatchAllowed = false;
+  readonly #createdMs: number;
   /** Position up to which reads by this VM have shown that the cache lacks no change. */
   #verified: StorePosition = { era: UNREPORTED_ERA, revision: 0 };
   /** Watches in a row that were refused because the store lacks their revision. */
@@ -92,6 +93,7 @@
     },
   ) {
     this.#deps = deps;
+    this.#createdMs = deps.clock.monotonicMs();
     this.#timestampMs = timestampMs ?? (() => deps.clock.monotonicMs());
     this.kind = kind;
     this.#listener = listener;
@@ -250,7 +252,10 @@
   async #watchOnce(position: StorePosition): Promise<StoreError | undefined> {
     if (!this.#firstWatchAllowed) {
       this.#firstWatchAllowed = true;
-      await pause(FIRST_WATCH_DELAY_MS);
+      const ageMs = this.#deps.clock.monotonicMs() - this.#createdMs;
+      if (ageMs < FIRST_WATCH_DELAY_MS) {
+        await pause(FIRST_WATCH_DELAY_MS - ageMs);
+      }
       return undefined;
     }
     this.#watch = new AbortController();
--- a/src/store/kind_follower_test.ts
+++ b/src/store/kind_follower_test.ts
@@ -13,6 +13,7 @@
   StoreAnswer,
   StoredObject,
 } from "../platform/object_store.ts";
+import type { Clock } from "../runtime/clock.ts";
 import { SilentLogger } from "../runtime/logger.ts";
 import { VersionedObjects } from "../standins/versioned_objects.ts";
 import { createStoreEraMonitor } from "../../tests/fixtures/store_era.ts";
@@ -110,7 +111,7 @@
   }
 }
 
-function follow(store: ManualStore) {
+function follow(store: ManualStore, clock: Clock = CLOCK) {
   const logger = new SilentLogger();
   const objectStore = store.asObjectStore();
   const deps = {
@@ -118,7 +119,7 @@
     storeHealth: new StoreHealthMonitor({ clock: CLOCK, logger }),
     storeEraMonitor: createStoreEraMonitor(objectStore),
     seenRevisions: new SeenRevisions(),
-    clock: CLOCK,
+    clock,
     logger,
     chance: () => 0,
   };
@@ -186,6 +187,38 @@
   },
 );
 
+// Guards against changes that are seen 2 s late, and lists of all kinds because of them, where a VM
+// begins to follow a kind long after its start, as it does with trials.
+describe("a kind that a VM begins to follow", () => {
+  /** Event loop turns in which pending promises resolve, but no timer of a delay expires. */
+  const TURNS = 5;
+
+  async function isWatchedAfter(startedAgoMs: number): Promise<boolean> {
+    let nowMs = 0;
+    const store = new ManualStore();
+    const clock = { monotonicMs: () => nowMs, wallMs: () => 0 };
+    const { followers: [follower] } = follow(store, clock);
+    assert.ok(follower !== undefined);
+    follower.setAccess("listener");
+    follower.start();
+    nowMs += startedAgoMs;
+    follower.setAccess("reader");
+    for (let n = 0; n < TURNS; n++) await new Promise(setImmediate);
+    const isWatched = store.isWatched(follower.kind);
+    assert.equal(store.lists, 1);
+    follower.stop();
+    return isWatched;
+  }
+
+  it("should be watched at once if the VM has run for long", async () => {
+    assert.ok(await isWatchedAfter(60_000));
+  });
+
+  it("should not be watched yet if the VM has just started", async () => {
+    assert.ok(!await isWatchedAfter(0));
+  });
+});
+
 describe("follower of a kind of a restored store", () => {
   it("should agree with the store after any history, with few calls", async () => {
     await fc.assert(
