--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,7 @@
 /**
- * A streaming request crashes each server that begins to run it, before a byte of its answer has
- * left. Its client sends it again and again.
+ * A part of a prompt crashes each server that begins to write an answer on it. Its route has no
+ * StreamResumption, so that each request goes to one server, and affinity leads all requests with the
+ * part to the same one.
  */
 
 import { dirname } from "node:path";
@@ -8,23 +9,26 @@
 import { BAD_PATH, playCrashes } from "../lib/crash_play.mjs";
 import { play } from "../lib/play.mjs";
 
+const BAD_PART = "bad1:60";
+
 await play(
   dirname(fileURLToPath(import.meta.url)),
   (context) =>
     playCrashes(context, {
-      route: { StreamResumption: true, MaxAttempts: 3 },
-      hasFirstEvent: false,
-      crashes: 3,
-      // The same path, caller and body each time.
-      bad: () => ({
-        path: BAD_PATH,
-        body: "curled leaves",
-        prompt: "a0f:340,c7d1:60",
+      route: { StreamResumption: false, MaxAttempts: 1 },
+      hasFirstEvent: true,
+      crashes: 5,
+      // No two alike: path, body and last part differ.
+      bad: (n) => ({
+        path: `${BAD_PATH}/${n}`,
+        body: `bad ${n}`,
+        prompt: `a0f:280,${BAD_PART},e${n}:60`,
       }),
+      // Some share the first part with the bad ones.
       sound: (n) => ({
         path: `/care/${n}`,
         body: `sound ${n}`,
-        prompt: `a0${n % 8}:340,b${n}:60`,
+        prompt: n % 3 === 0 ? `a0f:280,b${n}:60` : `a0${n % 8}:340,b${n}:60`,
       }),
     }),
 );
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -50,13 +50,19 @@
     this.#heartbeat ??= setInterval(() => this.#beat(), HEARTBEAT_MS);
   }
 
-  /** Ends the process of the server: no more byte is sent, and nothing listens. */
-  crash(backAfterMs) {
+  /**
+   * Ends the process of the server: no more byte is sent, and nothing listens. As with a process that
+   * is killed, connections end plainly, or by a reset if bytes had not been read.
+   */
+  crash(backAfterMs, { resets = true } = {}) {
     if (!this.isUp) return;
     this.isUp = false;
     this.crashes += 1;
     this.#http.close();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) {
+      if (resets) socket.resetAndDestroy();
+      else socket.destroy();
+    }
     setTimeout(() => {
       if (!this.#stopped) void this.start();
     }, backAfterMs);
