--- a/review/lib/play.mjs
+++ b/review/lib/play.mjs
@@ -12,6 +12,8 @@
 
 const LIMIT_MS = 115_000;
 const READY_MS = 15_000;
+/** Longest time that the end of all processes is waited for. */
+const CLOSE_MS = 3_000;
 
 /** Whether the case plays with its disruption. */
 export const TROUBLE = process.env.TROUBLE !== "0";
@@ -28,7 +30,11 @@
   const scratch = mkdtempSync(join(tmpdir(), "fieldrack-review-"));
   const closers = [];
   let code = 2;
+  let isFinished = false;
   const finish = async (verdict) => {
+    if (isFinished) return;
+    isFinished = true;
+    setTimeout(() => process.exit(code), CLOSE_MS).unref();
     log(verdict);
     console.log(verdict);
     writeFileSync(join(folder, "record.txt"), `${lines.join("\n")}\n`);
@@ -38,7 +44,16 @@
     process.exit(code);
   };
   setTimeout(() => void finish("could not run: time limit"), LIMIT_MS).unref();
-  process.on("SIGTERM", () => void finish("could not run: stopped"));
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.on(signal, () => void finish("could not run: stopped"));
+  }
+  // A fault of the script itself is no verdict, and must not leave processes behind.
+  for (const event of ["uncaughtException", "unhandledRejection"]) {
+    process.on(event, (err) => {
+      if (!isFinished) code = 2;
+      void finish(`could not run: ${err?.stack ?? err}`);
+    });
+  }
   try {
     const store = await startStore("127.0.0.1");
     closers.push(() => store.close());
