Decide by one record whether a request may have run

Cause: the answer was derived from the attempt in flight, the forwarded exchange and the tally of ended runs. Between the end of an attempt and its entry in the tally, the end of the response or the exit of its server is checked; a time limit that fired meanwhile found all three empty.

Evidence: the log of one such request: sent at 1 ms, response with status 200 after 793 ms, "no end mark", refused as expired_unsent at 800 ms, ended at 811 ms.

Change: DispatchRecord is set before the first byte and cleared only by an outcome that says "not run". All refusals that promise something read it, so that no await can open a window. A response that has arrived whole and is only being checked as the time is up is delivered.

Ruled out: servers that state "not run" and run it (tries say "answered"); another VM (one try).

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -59,6 +59,12 @@
   | { readonly tag: "turned_down" }
   | { readonly tag: "given_up" };
 
+/** Whether it is certain that the server did not run the request, and never will. */
+export function isNotRun({ tag }: BackendAttemptOutcome): boolean {
+  return tag === "not_run" || tag === "withheld" || tag === "not_sent" ||
+    tag === "misdirected";
+}
+
 /** How a response is handled, as decided by its head. */
 export type HeadDecision = "collect" | "stream" | "turn_down";
 
--- a/src/gateway/attempt_observer.ts
+++ b/src/gateway/attempt_observer.ts
@@ -1,6 +1,9 @@
 /** Updates statistics of servers, models, releases and sessions from the progress of attempts. */
 
-import type { BackendAttemptOutcome } from "../backends/backend_attempt.ts";
+import {
+  type BackendAttemptOutcome,
+  isNotRun,
+} from "../backends/backend_attempt.ts";
 import type { ModelLatencyEstimator } from "../core/cascade/model_latency_estimator.ts";
 import type { InstanceId, RouteId, ServiceId } from "../core/ids.ts";
 import type { EvidenceAggregator } from "../core/rollout/evidence.ts";
@@ -133,7 +136,7 @@
     const read = record.firstByteMs !== undefined;
     const remainingMs = work.decodeMs + (read ? 0 : work.prefillMs);
     this.#deps.serverLoads.end(server.instance, remainingMs);
-    if (wasNotRun(outcome)) this.#revertSession(observed);
+    if (isNotRun(outcome)) this.#revertSession(observed);
     this.#recordHealth(outcome, server.instance);
     this.#recordEvidence(observed, { outcome, expired });
     this.#recordPace(observed, outcome);
@@ -242,12 +245,6 @@
   }
 }
 
-/** Whether it is certain that the server did not run the request. */
-function wasNotRun({ tag }: BackendAttemptOutcome): boolean {
-  return tag === "not_run" || tag === "withheld" || tag === "not_sent" ||
-    tag === "misdirected";
-}
-
 /** Whether an outcome counts as a failure of the release; undefined if it does not count at all. */
 function isReleaseFailure(
   outcome: BackendAttemptOutcome,
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -7,6 +7,7 @@
   BackendAttempt,
   type BackendAttemptOutcome,
   type HeadDecision,
+  isNotRun,
   type ResponseHead,
 } from "../backends/backend_attempt.ts";
 import type { InstanceId, ModelId, ServiceId } from "../core/ids.ts";
@@ -18,6 +19,7 @@
 import { encodeBackendRequestHeaders } from "../platform/header_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { AttemptAcks } from "./attempt_acks.ts";
+import type { DispatchRecord } from "./dispatch_record.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
@@ -80,6 +82,7 @@
   readonly service: ServiceId;
   readonly models: ModelCascade;
   readonly stream: StreamRelay;
+  readonly dispatches: DispatchRecord;
 }
 
 /** Constraints on the choice of the next server. */
@@ -116,6 +119,7 @@
   readonly #tried = new Set<InstanceId>();
   readonly #attempts: AttemptRecord[] = [];
   #current: BackendAttempt | undefined;
+  #isCheckingEnd = false;
   #isLastComplete = false;
   /** Server of the latest attempt. */
   #server: ServerRecord | undefined;
@@ -147,6 +151,11 @@
     return this.#current?.sent ?? false;
   }
 
+  /** Whether a response has arrived, and the check whether it is whole is still running. */
+  get isCheckingEnd(): boolean {
+    return this.#isCheckingEnd;
+  }
+
   /** Time since the latest attempt started, in milliseconds. */
   get lastAttemptAgeMs(): number {
     const nowMs = this.#deps.clock.monotonicMs();
@@ -267,7 +276,7 @@
       reachabilityMonitor,
       responseEndCheck,
     } = this.#deps;
-    const { exchange, stream } = this.#request;
+    const { exchange, stream, dispatches } = this.#request;
     const observed = this.#observe(server, options.admitted);
     this.#server = server;
     this.#attempts.push(observed.record);
@@ -275,6 +284,7 @@
     const place = serverAdmission.reserve(server);
     if (options.isolate) suspectPlacement.add(server.instance);
     attemptObserver.attemptStarted(observed);
+    const dispatch = dispatches.prepare();
     this.#current = new BackendAttempt(backendConnectionPool, {
       server,
       request: this.#backendRequest(server, options),
@@ -289,6 +299,7 @@
           serverAdmission.maySend(server, place) &&
           this.#consumeRetryPermit(server, options);
         if (maySend) {
+          dispatch.begin();
           this.#trackAck(observed, options);
           this.#requestAckIfScarce(server, options);
         }
@@ -334,10 +345,13 @@
     });
     const ended = await this.#current.run();
     this.#current = undefined;
+    if (isNotRun(ended)) dispatch.confirmNotRun();
+    this.#isCheckingEnd = true;
     const { outcome, isComplete } = await responseEndCheck.check(ended, {
       server,
       hasPartialEvent: stream.hasPartialEvent,
     });
+    this.#isCheckingEnd = false;
     this.#isLastComplete = isComplete;
     place.release();
     if (outcome.tag === "withheld") this.#tried.delete(server.instance);
--- a/src/gateway/forwarding_fallback.ts
+++ b/src/gateway/forwarding_fallback.ts
@@ -5,6 +5,7 @@
 import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { AttemptSender } from "./attempt_sender.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import type { DispatchRecord } from "./dispatch_record.ts";
 import { PeerForwarder, type PeerForwarderDeps } from "./peer_forwarder.ts";
 import type { RequestFinisher } from "./request_finisher.ts";
 import type { RequestLog } from "./request_log.ts";
@@ -25,6 +26,7 @@
   readonly exchange: CallerExchange;
   readonly body: Buffer | undefined;
   readonly service: ServiceId;
+  readonly dispatches: DispatchRecord;
   readonly sender: AttemptSender;
   readonly tally: RunTally;
   readonly permit: RetryPermit;
@@ -49,11 +51,6 @@
     return this.#forwarding.vm;
   }
 
-  /** Whether another VM may have received the request and has not declined it. */
-  get isSent(): boolean {
-    return this.#forwarding.isSent;
-  }
-
   /** Whether the request should go through another VM, as none of its servers is reachable. */
   get isNeeded(): boolean {
     const { serverReachability } = this.#deps;
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -26,6 +26,7 @@
   FORWARD_ORIGIN_HEADER,
 } from "../protocol/forward_schema.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import type { Dispatch, DispatchRecord } from "./dispatch_record.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 /** VMs that are asked for one request. */
@@ -67,22 +68,25 @@
   readonly #exchange: CallerExchange;
   readonly #body: Buffer | undefined;
   readonly #service: ServiceId;
+  readonly #dispatches: DispatchRecord;
   readonly #asked = new Set<EntryId>();
   #current: ForwardAttempt | undefined;
   #vm: EntryId | undefined;
 
   constructor(
     deps: PeerForwarderDeps,
-    { exchange, body, service }: {
+    { exchange, body, service, dispatches }: {
       exchange: CallerExchange;
       body: Buffer | undefined;
       service: ServiceId;
+      dispatches: DispatchRecord;
     },
   ) {
     this.#deps = deps;
     this.#exchange = exchange;
     this.#body = body;
     this.#service = service;
+    this.#dispatches = dispatches;
   }
 
   /** VM that was asked last; undefined if none was. */
@@ -90,11 +94,6 @@
     return this.#vm;
   }
 
-  /** Whether another VM may have received the request and has not declined it. */
-  get isSent(): boolean {
-    return this.#current?.isSent ?? false;
-  }
-
   /** Asks one VM after another until one takes the request. */
   async run(options: ForwardOptions): Promise<ForwardOutcome> {
     const { forwardingPeers, gatewayMetrics } = this.#deps;
@@ -136,6 +135,7 @@
     this.#current = new ForwardAttempt(this.#exchange, {
       connection,
       collector: responseMemory.collect(),
+      dispatch: this.#dispatches.prepare(),
     });
     return await this.#current.run({
       method,
@@ -151,27 +151,24 @@
   readonly #exchange: CallerExchange;
   readonly #connection: BackendConnection;
   readonly #collector: ResponseCollector;
+  readonly #dispatch: Dispatch;
   #head: { status: number; headers: ResponseHeaders } | undefined;
   #isStreamed = false;
-  #isDeclined = false;
-  #sent = false;
   #done = false;
   #resolve: (outcome: ForwardOutcome) => void = () => {};
 
   constructor(
     exchange: CallerExchange,
-    { connection, collector }: {
+    { connection, collector, dispatch }: {
       connection: BackendConnection;
       collector: ResponseCollector;
+      dispatch: Dispatch;
     },
   ) {
     this.#exchange = exchange;
     this.#connection = connection;
     this.#collector = collector;
-  }
-
-  get isSent(): boolean {
-    return this.#sent && !this.#isDeclined;
+    this.#dispatch = dispatch;
   }
 
   run(req: Parameters<BackendConnection["send"]>[0]): Promise<ForwardOutcome> {
@@ -183,19 +180,21 @@
 
   abort(): void {
     this.#finish(
-      this.#sent ? { tag: "broken", reason: "aborted" } : { tag: "declined" },
+      this.#dispatch.hasBegun
+        ? { tag: "broken", reason: "aborted" }
+        : { tag: "declined" },
     );
   }
 
   onSending(): boolean {
-    this.#sent = !this.#done;
-    return this.#sent;
+    if (this.#done) return false;
+    this.#dispatch.begin();
+    return true;
   }
 
   onHead(status: number, headers: ResponseHeaders): void {
     if (this.#done) return;
     if (headers[FORWARD_DECLINED_HEADER] !== undefined) {
-      this.#isDeclined = true;
       return this.#finish({ tag: "declined" });
     }
     this.#head = { status, headers };
@@ -239,6 +238,7 @@
   #finish(outcome: ForwardOutcome): void {
     if (this.#done) return;
     this.#done = true;
+    if (outcome.tag === "declined") this.#dispatch.confirmNotRun();
     this.#connection.destroy();
     this.#collector.discard();
     this.#resolve(outcome);
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -15,6 +15,7 @@
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { CrashDetector } from "./crash_detector.ts";
+import { DispatchRecord } from "./dispatch_record.ts";
 import { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
 import {
@@ -70,7 +71,8 @@
   readonly #admitted: AdmittedRequest;
   readonly #identity: RequestIdentity;
   readonly #crashes: RequestCrashTracker;
-  readonly #tally = new RunTally();
+  readonly #dispatches = new DispatchRecord();
+  readonly #tally = new RunTally(this.#dispatches);
   readonly #retryPermit: RetryPermit;
   readonly #end: RequestFinisher;
   #expired = false;
@@ -126,11 +128,13 @@
       service: this.#service,
       models: this.#models,
       stream: this.#stream,
+      dispatches: this.#dispatches,
     });
     this.#forwarding = new ForwardingFallback(deps, {
       exchange,
       body,
       service: this.#service,
+      dispatches: this.#dispatches,
       sender: this.#sender,
       tally: this.#tally,
       permit: this.#retryPermit,
@@ -458,9 +462,8 @@
 
   #expire(): void {
     this.#expired = true;
-    if (this.#sender.isCurrentSent || this.#forwarding.isSent) {
-      this.#tally.recordAbandonedRun();
-    }
+    // A response that has arrived is delivered even if it turns out to be whole only now.
+    if (this.#sender.isCheckingEnd) return;
     this.#timeUp();
     this.#abort();
   }
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -3,6 +3,7 @@
 import type { PartKey } from "../core/ids.ts";
 import { describeCulprit, type Refusal } from "../core/refusal.ts";
 import { mayRunMoreThanOnce, type Route } from "../core/routes/route.ts";
+import type { DispatchRecord } from "./dispatch_record.ts";
 
 /** Servers tried per run of a request while each replies that it did not process it. */
 const MAX_REFUSALS_PER_RUN = 3;
@@ -22,12 +23,16 @@
 
 /** Outcomes of the attempts so far. */
 export class RunTally {
+  readonly #dispatches: DispatchRecord;
   #runs = 0;
   #refusals = 0;
   #unsent = 0;
   #unsentTimeMs = 0;
   #waits = 0;
-  #mayHaveRun = false;
+
+  constructor(dispatches: DispatchRecord) {
+    this.#dispatches = dispatches;
+  }
 
   /** Number of times the request has run on a server, or may have. */
   get runs(): number {
@@ -37,7 +42,6 @@
   /** Records that a server ran the request, or may have. */
   recordRun(): void {
     this.#runs += 1;
-    this.#mayHaveRun = true;
     this.#resetRefusals();
   }
 
@@ -67,11 +71,6 @@
     return this.#waits <= MAX_WAITS;
   }
 
-  /** Records that an attempt was abandoned in flight, so its outcome stays unknown. */
-  recordAbandonedRun(): void {
-    this.#mayHaveRun = true;
-  }
-
   /** Records a server that did not run the request; returns whether to try another. */
   recordRefusal(): boolean {
     this.#refusals += 1;
@@ -106,7 +105,7 @@
       opensInMs?: number;
     } = {},
   ): Refusal {
-    if (this.#mayHaveRun) return { tag: "answer_lost", reason };
+    if (this.#dispatches.mayHaveRun) return { tag: "answer_lost", reason };
     const asked = this.#refusals + this.#unsent;
     if (asked > 0) return { tag: "servers_full", asked, opensInMs };
     return { tag: "no_server", opensInMs };
@@ -120,7 +119,7 @@
       parts: readonly PartKey[];
     },
   ): Refusal {
-    if (!this.#mayHaveRun) {
+    if (!this.#dispatches.mayHaveRun) {
       return { tag: "crashes_servers", crashes, leftMs, parts };
     }
     const reason = `${crashes} backend servers crashed while running ${
@@ -131,7 +130,9 @@
 
   /** Refusal for a request that exceeded its deadline. */
   timeoutRefusal(): Refusal {
-    return this.#mayHaveRun ? { tag: "expired" } : { tag: "expired_unsent" };
+    return this.#dispatches.mayHaveRun
+      ? { tag: "expired" }
+      : { tag: "expired_unsent" };
   }
 
   /** After a wait only one server is tried at a time, as each refusal uses up a retry. */
--- a/src/gateway/run_tally_test.ts
+++ b/src/gateway/run_tally_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { Route } from "../core/routes/route.ts";
+import { DispatchRecord } from "./dispatch_record.ts";
 import { RunTally } from "./run_tally.ts";
 
 const REPEATABLE = { kind: "repeatable", maxRuns: 2 } as Route;
@@ -8,18 +9,23 @@
 
 describe("run tally", () => {
   it("should report that nothing ran only while nothing may have run", () => {
-    const tally = new RunTally();
+    const dispatches = new DispatchRecord();
+    const tally = new RunTally(dispatches);
     assert.equal(tally.noServerRefusal().tag, "no_server");
     tally.recordRefusal();
     assert.equal(tally.noServerRefusal().tag, "servers_full");
     assert.equal(tally.timeoutRefusal().tag, "expired_unsent");
-    tally.recordAbandonedRun();
+    const dispatch = dispatches.prepare();
+    dispatch.begin();
     assert.equal(tally.noServerRefusal().tag, "answer_lost");
     assert.equal(tally.timeoutRefusal().tag, "expired");
+    dispatch.confirmNotRun();
+    assert.equal(tally.noServerRefusal().tag, "servers_full");
+    assert.equal(tally.timeoutRefusal().tag, "expired_unsent");
   });
 
   it("should count the run in flight towards the runs that the route allows", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     assert.equal(tally.mayRetry(REPEATABLE, 1), true);
     tally.recordRun();
     assert.equal(tally.mayRetry(REPEATABLE), true);
@@ -29,11 +35,11 @@
   });
 
   it("should never retry a request that may run only once", () => {
-    assert.equal(new RunTally().mayRetry(ONCE), false);
+    assert.equal(new RunTally(new DispatchRecord()).mayRetry(ONCE), false);
   });
 
   it("should stop after three servers did not run the request", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     const asked = [1, 2, 3, 4, 5].filter(() => tally.recordRefusal()).length +
       1;
     assert.equal(asked, 3);
@@ -47,7 +53,7 @@
       [400, true, 3],
     ];
     for (const [tookMs, hasSound, asked] of cases) {
-      const tally = new RunTally();
+      const tally = new RunTally(new DispatchRecord());
       let n = 0;
       while (n < 100 && tally.recordUnsent({ tookMs, hasSound })) n += 1;
       assert.equal(n, asked);
@@ -55,7 +61,7 @@
   });
 
   it("should try one server per round after a wait, and limit the number of waits", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     tally.recordRun();
     assert.equal(tally.recordRefusal(), true);
     assert.equal(tally.recordWait(), true);
@@ -66,7 +72,7 @@
   });
 
   it("should reset the refusal count after each run", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     tally.recordRefusal();
     tally.recordRefusal();
     tally.recordRun();
@@ -74,7 +80,7 @@
   });
 
   it("should wait for a backoff that ends before the deadline, however long", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     for (let opensInMs = 3_000; opensInMs > 0; opensInMs -= 250) {
       assert.equal(
         tally.nextWaitMs({ opensInMs, leftMs: 4_000, mustComplete: true }),
@@ -93,7 +99,7 @@
   });
 
   it("should wait after a lost run only for a known time unless it must complete", () => {
-    const tally = new RunTally();
+    const tally = new RunTally(new DispatchRecord());
     const availableSoon = {
       opensInMs: 300,
       leftMs: 2_000,
