Accept at a stopping VM only what ends before its process

Cause: new requests were accepted for a share of the grace period (0.85, streams 0.33), whatever time they may take.

Change: after the first 3 s, in which callers cannot know of the stop, a request that cannot have run is sent to a server only if its time limit ends before the process does, else it is refused at once. This is asked before each attempt and before its first byte, so that it also holds for requests that waited. As the process exits, it stops listening and answers what is in flight: 503 if it cannot have run, else 502.

Test: planned_stop_test fails on the code before (12 requests passed on and unanswered at the exit); its first form was red once on the new code as well, as it did not wait for the server to be known. stop_state_test draws grace periods, limits and delays.

Ruled out: an exit that is too early (150 ms were left, requests may take 2 s); a drain that does not wait.

--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -109,7 +109,7 @@
   /** Whether the request has expired; evaluated when the attempt ends. */
   readonly isExpired: () => boolean;
   /** Whether the request must not be sent any more; evaluated before its first byte. */
-  readonly isQuarantined: () => boolean;
+  readonly isBarred: () => boolean;
 }
 
 /** Makes the attempts of one request. */
@@ -295,7 +295,7 @@
       // While the connection was set up, the server may have asked for backoff or a lower rate,
       // or may have started draining.
       maySend: () => {
-        const maySend = !options.isQuarantined() &&
+        const maySend = !options.isBarred() &&
           serverAdmission.maySend(server, place) &&
           this.#consumeRetryPermit(server, options);
         if (maySend) {
--- a/src/gateway/forwarding_fallback.ts
+++ b/src/gateway/forwarding_fallback.ts
@@ -79,8 +79,7 @@
   ): Promise<boolean> {
     const { exchange, permit, end } = this.#run;
     if (exchange.origin !== undefined) {
-      this.#deps.requestLog.recordDeclined(exchange, UNREACHABLE);
-      exchange.decline(UNREACHABLE);
+      this.decline(UNREACHABLE);
       return true;
     }
     this.#isTried = true;
@@ -96,6 +95,14 @@
     return outcome.tag !== "declined" || exchange.isFinished;
   }
 
+  /** Tells the VM that forwarded the request here that it has not run. */
+  decline(reason: string): void {
+    const { exchange } = this.#run;
+    if (exchange.isFinished) return;
+    this.#deps.requestLog.recordDeclined(exchange, reason);
+    exchange.decline(reason);
+  }
+
   /** Ends the exchange with another VM, if there is one. */
   abort(): void {
     this.#forwarding.abort();
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -13,8 +13,8 @@
 
 /** Interval between checks for in-flight requests during a drain. */
 const DRAIN_POLL_INTERVAL_MS = 50;
-/** Time before the platform kills the process at which it ends by itself. */
-const EXIT_MARGIN_MS = 150;
+/** Time for the last responses to leave the process before it exits. */
+const FLUSH_MS = 50;
 const RETRY_BUDGET_HEARTBEAT_MS = 150;
 /** Share of the grace period in which callers may still arrive although none is in flight. */
 const MIN_DRAIN_SHARE = 0.8;
@@ -114,14 +114,18 @@
     });
     const { stopGraceMs } = this.#options.vmSettings.bounds;
     const idleExitMs = stopGraceMs * (1 - MIN_DRAIN_SHARE);
-    while (stopState.graceLeftMs() > EXIT_MARGIN_MS) {
+    for (;;) {
+      const exitInMs = stopState.exitInMs();
       const idle = requestServer.inFlight === 0;
-      if (idle && stopState.graceLeftMs() < idleExitMs) break;
-      await pause(DRAIN_POLL_INTERVAL_MS);
+      if (exitInMs <= 0 || (idle && exitInMs < idleExitMs)) break;
+      await pause(Math.min(DRAIN_POLL_INTERVAL_MS, exitInMs));
     }
     this.#logger.info("Gateway drain finished", {
       in_flight: requestServer.inFlight,
     });
+    const hasResponses = requestServer.inFlight > 0;
+    requestServer.endAll();
+    if (hasResponses) await pause(FLUSH_MS);
   }
 
   /** Applies changed settings; changed listen addresses need a restart. */
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -19,6 +19,9 @@
  */
 const MAX_CONFIRMATION_AGE = 0.8;
 
+/** Time limit of a request whose caller states none; its route may set a lower one. */
+const DEFAULT_TIME_LIMIT_MS = 30_000;
+
 /** The route, account and priority under which all attempts at an admitted request run. */
 export interface AdmittedRequest {
   readonly table: RouteTable;
@@ -26,6 +29,8 @@
   /** Undefined if the route requires no key. */
   readonly account: AccountId | undefined;
   readonly priority: number;
+  /** Time limit of the request, from its arrival. */
+  readonly limitMs: number;
   /** Time since the configuration was last confirmed as the newest. */
   readonly confirmedAgeMs: number;
 }
@@ -49,20 +54,28 @@
     if (table === undefined) return fail({ tag: "no_configuration" });
     const route = table.match(hostName(exchange.host), exchange.path);
     if (route === undefined) return fail({ tag: "unknown_route" });
-    if (route.anonymous) return this.#admitted(table, { route });
+    if (route.anonymous) return this.#admitted(exchange, { table, route });
     const found = table.lookUpKey(exchange.head.key);
-    if (found.tag === "no_accounts") return this.#admitted(table, { route });
+    if (found.tag === "no_accounts") {
+      return this.#admitted(exchange, { table, route });
+    }
     const stale = this.#staleRefusal();
     // An unknown key may have been added since the last confirmation, so staleness comes first.
     if (stale !== undefined) return fail(stale);
     if (found.tag === "unknown") return fail({ tag: "unknown_key" });
     const { id: account, priority } = found.account;
-    return this.#admitted(table, { route, account, priority });
+    return this.#admitted(exchange, {
+      table,
+      route,
+      account,
+      priority,
+    });
   }
 
   #admitted(
-    table: RouteTable,
-    { route, account, priority }: {
+    { head }: CallerExchange,
+    { table, route, account, priority }: {
+      table: RouteTable;
       route: Route;
       account?: AccountId;
       priority?: number;
@@ -73,6 +86,10 @@
       route,
       account,
       priority: priority ?? route.priority,
+      limitMs: Math.min(
+        head.timeoutMs ?? DEFAULT_TIME_LIMIT_MS,
+        route.timeLimitMs ?? Infinity,
+      ),
       confirmedAgeMs: this.#deps.routingFollower.confirmedAgeMs(),
     });
   }
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -29,17 +29,18 @@
 import { RetryPermit } from "./retry_permit.ts";
 import { RunTally } from "./run_tally.ts";
 import type { RunSummary } from "./run_summary.ts";
+import type { StopState } from "./stop_state.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { AttemptSender, type AttemptSenderDeps } from "./attempt_sender.ts";
 
-/** Time limit of a request whose caller states none; its route may set a lower one. */
-const DEFAULT_TIME_LIMIT_MS = 30_000;
 /** A request with less time left than this is not sent to a server any more. */
 const MIN_LEFT_MS = 20;
 /** Responses with this status or a higher one are errors. */
 const FIRST_ERROR_STATUS = 400;
 /** Reason given when a request may not be retried. */
 const BUDGET_EXHAUSTED = "retry budget exhausted";
+/** Reason given to a VM that forwards a request to one that is shutting down. */
+const STOPPING = "stopping";
 
 /** Dependencies shared by all runs. */
 export interface RequestRunDeps
@@ -48,6 +49,7 @@
   readonly retryBudget: RetryBudget;
   readonly modelLatencyEstimator: ModelLatencyEstimator;
   readonly crashDetector: CrashDetector;
+  readonly stopState: Pick<StopState, "refusal">;
   readonly chance: () => number;
 }
 
@@ -108,10 +110,7 @@
       service: this.#service,
       streaming: route.kind === "stream",
     });
-    this.#limitMs = Math.min(
-      head.timeoutMs ?? DEFAULT_TIME_LIMIT_MS,
-      route.timeLimitMs ?? Infinity,
-    );
+    this.#limitMs = admitted.limitMs;
     this.#models = new ModelCascade(deps.modelLatencyEstimator, {
       head,
       route,
@@ -175,6 +174,7 @@
   async #step(): Promise<StepResult> {
     if (this.#exchange.isFinished) return "done";
     if (this.#expired || this.#leftMs() < MIN_LEFT_MS) return this.#timeUp();
+    if (this.#isBarredByStop()) return this.#refuseForStop();
     const crashState = await this.#crashes.waitUntilSettled(() =>
       this.#isFinished
     );
@@ -279,10 +279,31 @@
       permit: this.#retryPermit,
       isRetry: this.#sender.wasSent,
       isExpired: () => this.#expired,
-      isQuarantined: () => this.#crashes.isQuarantined,
+      isBarred: () => this.#crashes.isQuarantined || this.#isBarredByStop(),
     });
   }
 
+  /** Whether the request must not begin to run, as it may outlast this process. */
+  #isBarredByStop(): boolean {
+    return !this.#dispatches.mayHaveRun &&
+      this.#deps.stopState.refusal(this.#leftMs()) !== undefined;
+  }
+
+  #refuseForStop(): StepResult {
+    const { origin } = this.#exchange;
+    if (origin !== undefined && !this.#dispatches.mayHaveRun) {
+      this.#forwarding.decline(STOPPING);
+      return "done";
+    }
+    return this.#refuse(this.#tally.stopRefusal());
+  }
+
+  /** Ends the request, as this process exits. */
+  endForStop(): void {
+    this.#refuseForStop();
+    this.#abort();
+  }
+
   /** Called periodically while the request runs; aborts quarantined or stalled attempts. */
   check(nowMs: number): void {
     this.#sender.checkConnecting();
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -38,7 +38,6 @@
 const OWN_REFUSALS: ReadonlySet<Refusal["tag"]> = new Set([
   "no_configuration",
   "unconfirmed_keys",
-  "stopping",
 ]);
 
 interface Deps extends RequestRunDeps {
@@ -55,12 +54,12 @@
   readonly #deps: Deps;
   readonly #http: FastifyInstance;
   #limits = INITIAL_LIMITS;
+  readonly #exchanges = new Set<CallerExchange>();
   readonly #runs = new Set<RequestRun>();
   readonly #stallChecks = new RepeatedTask({
     intervalMs: STALL_CHECK_INTERVAL_MS,
     run: () => this.#checkRuns(),
   });
-  #inFlight = 0;
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -85,7 +84,19 @@
 
   /** Number of requests that have no complete response yet. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#exchanges.size;
+  }
+
+  /** Stops listening and answers all requests that are in flight, as this process exits. */
+  endAll(): void {
+    this.#http.server.close();
+    for (const run of this.#runs) run.endForStop();
+    for (const exchange of this.#exchanges) {
+      // Without a run, the request was not read completely.
+      if (exchange.isFinished) continue;
+      exchange.refuse({ tag: "stopping" });
+      this.#deps.requestLog.recordRefusal(exchange, { tag: "stopping" });
+    }
   }
 
   /** Serves a request that another VM forwards for its caller. */
@@ -127,7 +138,6 @@
       isForwarded?: boolean;
     },
   ): Promise<void> {
-    this.#inFlight += 1;
     const { clock, stopState, logger } = this.#deps;
     const closing = () => stopState.stopping;
     const exchange = new CallerExchange({
@@ -138,6 +148,7 @@
       closing,
       isForwarded,
     });
+    this.#exchanges.add(exchange);
     try {
       await this.#serve(exchange, { isForwarded });
     } catch (err) {
@@ -147,7 +158,7 @@
       });
       exchange.cut();
     } finally {
-      this.#inFlight -= 1;
+      this.#exchanges.delete(exchange);
     }
   }
 
@@ -172,14 +183,15 @@
     exchange: CallerExchange,
     { isForwarded }: { isForwarded: boolean },
   ): Promise<void> {
-    const { requestAdmission, requestLog, stopState } = this.#deps;
+    const { requestAdmission, requestLog } = this.#deps;
     const body = await exchange.readBody(this.#limits.maxBodyBytes);
     if (body.ok) await exchange.detectDisconnect();
-    const refusal = stopState.refusal(exchange.head);
     const admitted = requestAdmission.admit(exchange);
     const err = !body.ok
       ? body.error
-      : refusal ?? (admitted.ok ? undefined : admitted.error);
+      : admitted.ok
+      ? undefined
+      : admitted.error;
     const declined = isForwarded
       ? this.#declineReason(exchange, err)
       : undefined;
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -128,6 +128,13 @@
     return { tag: "answer_lost", reason };
   }
 
+  /** Refusal for a request that must not outlast this process. */
+  stopRefusal(): Refusal {
+    return this.#dispatches.mayHaveRun
+      ? { tag: "answer_lost", reason: "this VM is shutting down" }
+      : { tag: "stopping" };
+  }
+
   /** Refusal for a request that exceeded its deadline. */
   timeoutRefusal(): Refusal {
     return this.#dispatches.mayHaveRun
--- a/src/gateway/stop_state.ts
+++ b/src/gateway/stop_state.ts
@@ -1,26 +1,31 @@
-/** Whether this VM is shutting down, and which requests it still accepts. */
+/** Whether this VM is shutting down, and which requests it may still send to servers. */
 
 import type { Refusal } from "../core/refusal.ts";
-import type { CallerHead } from "../platform/header_wire.ts";
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 
-/**
- * Share of the grace period after which new streams are refused, as they may outlast the process.
- * By then callers have been notified not to use this VM.
- */
-const STREAM_CUTOFF = 0.33;
-/** Share of the grace period after which all new requests are refused. */
-const REQUEST_CUTOFF = 0.85;
+/** Callers cannot know of the shutdown earlier than this after its start. */
+const NOTICE_MS = 3_000;
+/** Largest share of the grace period that is left to callers as notice. */
+const MAX_NOTICE_SHARE = 0.5;
+/** Time before the platform kills the process at which it exits by itself; covers slow VMs. */
+const EXIT_MARGIN_MS = 250;
+/** Time that the response to a request takes to leave the process after its time limit. */
+const RESPONSE_MARGIN_MS = 100;
 
 /** Records when the shutdown began; it cannot be undone. */
 export class StopState {
-  readonly #bounds: DeploymentBounds;
+  readonly #graceMs: number;
   readonly #clock: Clock;
   #sinceMs: number | undefined;
 
-  constructor({ bounds, clock }: { bounds: DeploymentBounds; clock: Clock }) {
-    this.#bounds = bounds;
+  constructor(
+    { bounds, clock }: {
+      bounds: Pick<DeploymentBounds, "stopGraceMs">;
+      clock: Clock;
+    },
+  ) {
+    this.#graceMs = bounds.stopGraceMs;
     this.#clock = clock;
   }
 
@@ -29,9 +34,9 @@
     return this.#sinceMs !== undefined;
   }
 
-  /** Milliseconds until the platform kills the process, once the shutdown has begun. */
-  graceLeftMs(): number {
-    return this.#bounds.stopGraceMs - this.#elapsedMs();
+  /** Milliseconds until the process exits, once the shutdown has begun. */
+  exitInMs(): number {
+    return this.#graceMs - EXIT_MARGIN_MS - this.#elapsedMs();
   }
 
   /** Begins the shutdown; further calls have no effect. */
@@ -39,17 +44,21 @@
     this.#sinceMs ??= this.#clock.monotonicMs();
   }
 
-  /** Returns a refusal if a new request might not finish before the process is killed. */
-  refusal(head: CallerHead): Refusal | undefined {
+  /**
+   * Returns a refusal if a request that may take another `leftMs` might outlast the process. It
+   * applies to requests that no server may have run. Callers that cannot know of the shutdown yet
+   * are served: few requests take as long as they may.
+   */
+  refusal(leftMs: number): Refusal | undefined {
     if (this.#sinceMs === undefined) return undefined;
-    const share = this.#elapsedMs() / this.#bounds.stopGraceMs;
-    const isStream = head.maxOutputTokens > 0;
-    if (share < (isStream ? STREAM_CUTOFF : REQUEST_CUTOFF)) return undefined;
-    return { tag: "stopping" };
+    const noticeMs = Math.min(NOTICE_MS, MAX_NOTICE_SHARE * this.#graceMs);
+    if (this.#elapsedMs() < noticeMs) return undefined;
+    const isSafe = leftMs + RESPONSE_MARGIN_MS <= this.exitInMs();
+    return isSafe ? undefined : { tag: "stopping" };
   }
 
   #elapsedMs(): number {
-    return this.#clock.monotonicMs() -
-      (this.#sinceMs ?? this.#clock.monotonicMs());
+    const nowMs = this.#clock.monotonicMs();
+    return nowMs - (this.#sinceMs ?? nowMs);
   }
 }
