Send what is suspected of crashes to a server that has not crashed under it

Cause: crashes count at distinct addresses only, as one server may fail by itself, and affinity led all requests with the part to one address. Nothing made the experiment that tells the two apart.

Change: what is suspected after a crash, a request or its parts, prefers servers at other addresses. It is a preference within the release, after health. If a sender that knew of the crash used the server again, it had no other: such crashes count, and five of them name a culprit.

Evidence: the lines "Server process ended during a request" name the part and one address each time.

Tests: crashing_part_test, "streams that run once, at servers that soon start again under their ids": before 17 crashes and 8 requests too late, red; crash_attribution_test, five known crashes of one server: red before. failing_server_test guards the other side (a server that crashes under whatever it runs; eight parts, none kept back) and holds before as well.

--- a/bench/choice_cost.ts
+++ b/bench/choice_cost.ts
@@ -52,6 +52,7 @@
       sharedMs: SHARED_MS,
       dataCentre: "dc-0" as DataCentreId,
       tried: new Set(),
+      avoided: new Set(),
       rateLimited: [],
       nowMs: 0,
     });
--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -11,6 +11,11 @@
 
 /** Maximum number of servers that one request may crash, as required by the users. */
 export const CRASH_LIMIT = 3;
+/**
+ * Crashes that name a culprit if some of them hit one server again, for want of another. They are
+ * weaker evidence, as that server may be the cause.
+ */
+const REPEATED_CRASH_LIMIT = 5;
 
 /** Approximate maximum delay of a crash report on its way to this VM. */
 const MAX_REPORT_DELAY_MS = 1_000;
@@ -61,7 +66,9 @@
     rivals.flatMap((other) => other.crashes.map(({ life }) => life)),
   );
   const unshared = crashes.filter(({ life }) => !shared.has(life));
-  return countSequentialCrashes(unshared) >= CRASH_LIMIT;
+  return countSequentialCrashes(unshared) >= CRASH_LIMIT ||
+    countSequentialCrashes(unshared, { isRepeatKnown: true }) >=
+      REPEATED_CRASH_LIMIT;
 }
 
 /**
@@ -94,9 +101,14 @@
  * Counts crashes in sequence, each under a run that began after the previous crash. Servers that
  * fail together are no evidence against a request that ran on all of them, such as one that many
  * callers send concurrently. Nor is one server that fails repeatedly: if the service has at least
- * `CRASH_LIMIT` servers, only crashes of distinct servers count.
+ * `CRASH_LIMIT` servers, only crashes of distinct servers count. With `isRepeatKnown`, a further
+ * crash of a server counts as well if the sender knew of the earlier one: it prefers servers that
+ * have not crashed, so that it had no other.
  */
-export function countSequentialCrashes(crashes: readonly Crash[]): number {
+export function countSequentialCrashes(
+  crashes: readonly Crash[],
+  { isRepeatKnown = false }: { isRepeatKnown?: boolean } = {},
+): number {
   const serviceSize = Math.max(0, ...crashes.map((one) => one.serviceSize));
   const mayRepeatServer = serviceSize < CRASH_LIMIT;
   const byEndTime = [...crashes].sort((a, b) => a.endedMs - b.endedMs);
@@ -104,10 +116,10 @@
   for (const crash of byEndTime) {
     const last = sequence.at(-1);
     if (last !== undefined && !beganAfter(crash, last)) continue;
-    const isRepeated = sequence.some(({ address }) =>
-      address === crash.address
-    );
-    if (isRepeated && !mayRepeatServer) continue;
+    const earlier = sequence.filter(({ address }) => address === crash.address);
+    const isKnown = isRepeatKnown &&
+      earlier.every(({ life }) => crash.after.includes(life));
+    if (earlier.length > 0 && !mayRepeatServer && !isKnown) continue;
     sequence.push(crash);
   }
   return sequence.length;
--- a/src/core/crashes/crash_attribution_test.ts
+++ b/src/core/crashes/crash_attribution_test.ts
@@ -84,6 +84,21 @@
     assert.deepEqual(culpritsOf(crashes), []);
   });
 
+  // Guards against BUDGET: a part that only ever reaches one server crashes it again and again.
+  it("should accuse a request after five crashes of the only server that its senders could use", () => {
+    const known = (count: number) =>
+      Array.from({ length: count }, (_, n) =>
+        crash("a", n + 1, {
+          address: "10.0.0.1:1",
+          after: Array.from(
+            { length: n },
+            (_, at) => `i-${at + 1}` as ServerIncarnation,
+          ),
+        }));
+    assert.deepEqual(culpritsOf(known(4)), []);
+    assert.deepEqual(culpritsOf(known(5)), ["a"]);
+  });
+
   it("should count one server several times if the service has no other", () => {
     const crashes = [1, 2, 3].map((n) =>
       crash("a", n, { address: "10.0.0.1:1", serviceSize: 1 })
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -176,13 +176,12 @@
     return [...this.#records.get(request)?.crashes.values() ?? []];
   }
 
-  /** Servers that are known to have ended under a request or its parts, the latest last. */
-  crashedServers({ request, parts }: RequestSuspects): ServerIncarnation[] {
-    const lives = [
+  /** Known crashes of servers under a request or its parts, the latest last. */
+  crashesUnder({ request, parts }: RequestSuspects): readonly Crash[] {
+    return [
       ...this.crashesOf(request),
       ...parts.flatMap((part) => this.#suspectedCrashes(part)),
-    ].sort((a, b) => a.endedMs - b.endedMs).map(({ life }) => life);
-    return [...new Set(lives)];
+    ].sort((a, b) => a.endedMs - b.endedMs);
   }
 
   /** Crashes of all requests that this VM has new information on since `sinceMs`. */
--- a/src/core/crashes/crash_history_parts_test.ts
+++ b/src/core/crashes/crash_history_parts_test.ts
@@ -95,7 +95,7 @@
     assert.equal(statusOf(BAD), "free");
     nowMs += 4_000;
     crash(BAD);
-    assert.deepEqual(history.crashedServers(suspects(BAD)), []);
+    assert.deepEqual(history.crashesUnder(suspects(BAD)), []);
   });
 
   it("should suspect a part again that crashes servers long after it completed", () => {
--- a/src/core/routing/affinity_choice.ts
+++ b/src/core/routing/affinity_choice.ts
@@ -43,6 +43,8 @@
   readonly dataCentre: DataCentreId;
   /** Servers that this request has already been sent to. */
   readonly tried: ReadonlySet<InstanceId>;
+  /** Addresses, `IP:port`, of servers that are chosen only if no other healthy one is left. */
+  readonly avoided: ReadonlySet<string>;
   /** Candidates that limit their request rate across all VMs. */
   readonly rateLimited: readonly ServerRecord[];
   readonly nowMs: number;
@@ -77,7 +79,11 @@
     const healthy = untried.filter((server) =>
       !this.#loads.isEjected(server.instance, input.nowMs)
     );
-    const servers = healthy.length > 0 ? healthy : untried;
+    const preferred = healthy.filter(({ address }) =>
+      !input.avoided.has(address)
+    );
+    const servers = [preferred, healthy, untried]
+      .find(({ length }) => length > 0) ?? [];
     return this.#cheapest(servers, input);
   }
 
--- a/src/core/routing/affinity_choice_test.ts
+++ b/src/core/routing/affinity_choice_test.ts
@@ -41,6 +41,7 @@
     sharedMs: 40,
     dataCentre: NORTH,
     tried: new Set(),
+    avoided: new Set(),
     rateLimited: [],
     nowMs: 0,
     ...patch,
@@ -55,6 +56,27 @@
     assert.equal(choose({ candidates: [...SERVERS].reverse() }), first);
   });
 
+  // Guards against BUDGET: affinity leads all requests with a part to the server that it crashed.
+  it("should avoid servers of the prompt that crashed under it, unless no healthy one is left", () => {
+    const candidates = SERVERS.map((server, at) => ({
+      ...server,
+      address: `10.0.0.${at}:80`,
+    }));
+    const addressOf = (name: string) =>
+      candidates.find(({ instance }) => instance === name)?.address ?? "";
+    const first = choose({ candidates });
+    const avoided = new Set([addressOf(first)]);
+    const second = choose({ candidates, avoided });
+    assert.notEqual(second, first);
+    const all = new Set(candidates.map(({ address }) => address));
+    assert.equal(choose({ candidates, avoided: all }), first);
+    const others = candidates.filter(({ instance }) => instance !== first);
+    for (const { instance } of others) {
+      for (let n = 0; n < 5; n++) loads.recordUnreachable(instance, 0);
+    }
+    assert.equal(choose({ candidates, avoided }), first);
+  });
+
   it("should choose random servers if those of the prompt are busy", () => {
     const first = choose();
     loads.begin(first as InstanceId, 5_000);
--- a/src/core/routing/herd_test.ts
+++ b/src/core/routing/herd_test.ts
@@ -91,6 +91,7 @@
         sharedMs: SHARED_MS,
         dataCentre: "north" as DataCentreId,
         tried: new Set(),
+        avoided: new Set(),
         rateLimited: [],
         nowMs: 0,
       });
--- a/src/fleet/crash_gossip_test.ts
+++ b/src/fleet/crash_gossip_test.ts
@@ -119,12 +119,11 @@
       nowMs += INTERVAL_MS;
       for (const { gossip } of vms) gossip.recordLocal(crash(n));
     }
-    const suspected = [first, second].map(({ history }) =>
-      history.crashedServers({
-        request: "new" as RequestKey,
-        parts: [SHARED],
-      }).length
-    );
+    const suspected = [first, second].map(({ history }) => {
+      const suspects = { request: "new" as RequestKey, parts: [SHARED] };
+      const crashes = history.crashesUnder(suspects);
+      return new Set(crashes.map(({ life }) => life)).size;
+    });
     assert.deepEqual(suspected, [3, 3]);
     assert.ok(first.culprits.includes(BAD));
   });
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -51,6 +51,7 @@
 /** Status of a server that has no room for a request. */
 const FULL_STATUS = 503;
 const NO_INSTANCES: ReadonlySet<InstanceId> = new Set();
+const NO_ADDRESSES: ReadonlySet<string> = new Set();
 
 /** Dependencies shared by all senders. */
 export interface AttemptSenderDeps {
@@ -91,8 +92,13 @@
   readonly allowTried: boolean;
   /** Whether to avoid servers that run other requests suspected of crashing servers. */
   readonly isolate: boolean;
+  /** Addresses of servers that crashed under the request or its prompt parts. */
+  readonly crashed: ReadonlySet<string>;
 }
 
+/** A part of the criteria by which one server is chosen. */
+type ServerCriteria = Pick<SelectionCriteria, "tried" | "model" | "avoided">;
+
 /** Options of a single attempt. */
 export interface AttemptOptions {
   readonly admitted: AdmittedRequest;
@@ -183,37 +189,50 @@
     const other = this.chooseOtherServer(admitted, options);
     if (other !== undefined || !options.allowTried) return other;
     const { model } = this.#request.models;
-    return this.#select(admitted, { tried: NO_INSTANCES, model });
+    const { crashed: avoided } = options;
+    return this.#select(admitted, { tried: NO_INSTANCES, model, avoided });
   }
 
   /** Like `chooseServer`, but never returns the server of the latest attempt. */
   chooseOtherServer(
     admitted: AdmittedRequest,
-    { allowTried, isolate }: ServerChoiceOptions,
+    { allowTried, isolate, crashed: avoided }: ServerChoiceOptions,
   ): ServerRecord | undefined {
     const { model } = this.#request.models;
-    if (isolate) {
-      const { occupiedServers: taken } = this.#deps.suspectPlacement;
-      const tried = new Set([...this.#tried, ...taken]);
-      const isolated = this.#select(admitted, { tried, model });
-      if (isolated !== undefined) return isolated;
+    const { occupiedServers } = this.#deps.suspectPlacement;
+    const isolated = isolate
+      ? this.#select(admitted, {
+        tried: new Set([...this.#tried, ...occupiedServers]),
+        model,
+        avoided,
+      })
+      : undefined;
+    if (isolated !== undefined && !avoided.has(isolated.address)) {
+      return isolated;
     }
-    const untried = this.#select(admitted, { tried: this.#tried, model });
+    const untried = this.#select(admitted, {
+      tried: this.#tried,
+      model,
+      avoided,
+    });
+    // A server that has not crashed shows more than one without other suspects.
+    if (untried !== undefined && !avoided.has(untried.address)) return untried;
+    if (isolated !== undefined) return isolated;
     if (untried !== undefined || !allowTried) return untried;
     const last = this.#attempts.at(-1)?.server;
     const tried = last === undefined ? NO_INSTANCES : new Set([last]);
-    return this.#select(admitted, { tried, model });
+    return this.#select(admitted, { tried, model, avoided });
   }
 
   /** Whether an untried server is available that is not ejected for failures. */
   hasHealthyServer(
     admitted: AdmittedRequest,
-    { isolate }: ServerChoiceOptions,
+    options: ServerChoiceOptions,
   ): boolean {
     const { serverLoads, clock } = this.#deps;
     const server = this.chooseOtherServer(admitted, {
+      ...options,
       allowTried: false,
-      isolate,
     });
     return server !== undefined &&
       !serverLoads.isEjected(server.instance, clock.monotonicMs());
@@ -222,7 +241,11 @@
   /** Predicted time to first byte of a model on the server that would be chosen for it. */
   predictStartMs(admitted: AdmittedRequest, model: ModelId): number {
     const work = this.#predictWork(admitted, model);
-    const server = this.#select(admitted, { tried: NO_INSTANCES, model });
+    const server = this.#select(admitted, {
+      tried: NO_INSTANCES,
+      model,
+      avoided: NO_ADDRESSES,
+    });
     if (server === undefined) return Infinity;
     const { serverLoads, serverSelector } = this.#deps;
     const { head } = this.#request.exchange;
@@ -239,7 +262,11 @@
     const { serverSelector, permitBorrower } = this.#deps;
     const { model } = this.#request.models;
     const tried = allowTried ? NO_INSTANCES : this.#tried;
-    const selection = this.#selection(admitted, { tried, model });
+    const selection = this.#selection(admitted, {
+      tried,
+      model,
+      avoided: NO_ADDRESSES,
+    });
     return permitBorrower.borrow(
       serverSelector.serversNeedingPermit(selection),
     );
@@ -252,7 +279,11 @@
   opensInMs(admitted: AdmittedRequest): number | undefined {
     const { model } = this.#request.models;
     return this.#deps.serverSelector.availableInMs(
-      this.#selection(admitted, { tried: NO_INSTANCES, model }),
+      this.#selection(admitted, {
+        tried: NO_INSTANCES,
+        model,
+        avoided: NO_ADDRESSES,
+      }),
     );
   }
 
@@ -454,24 +485,24 @@
 
   #select(
     admitted: AdmittedRequest,
-    { tried, model }: {
-      tried: ReadonlySet<InstanceId>;
-      model: ModelId | undefined;
-    },
+    criteria: ServerCriteria,
   ): ServerRecord | undefined {
     return this.#deps.serverSelector.choose(
-      this.#selection(admitted, { tried, model }),
+      this.#selection(admitted, criteria),
     );
   }
 
   #selection(
     admitted: AdmittedRequest,
-    { tried, model }: Pick<SelectionCriteria, "tried" | "model">,
+    criteria: ServerCriteria,
   ): SelectionCriteria {
     const { exchange, service } = this.#request;
-    const { sharedPrefillMs: sharedMs } = this.#predictWork(admitted, model);
+    const { sharedPrefillMs: sharedMs } = this.#predictWork(
+      admitted,
+      criteria.model,
+    );
     const { head } = exchange;
-    return { service, head, model, tried, isRetry: this.wasSent, sharedMs };
+    return { ...criteria, service, head, isRetry: this.wasSent, sharedMs };
   }
 
   #observe(server: ServerRecord, admitted: AdmittedRequest): ObservedAttempt {
--- a/src/gateway/crash_detector.ts
+++ b/src/gateway/crash_detector.ts
@@ -112,11 +112,11 @@
     return true;
   }
 
-  /** Servers known to have crashed during a request or others with its prompt parts. */
-  crashedServers({ identity }: MonitoredRequest): readonly ServerIncarnation[] {
+  /** Known crashes during a request or others with its prompt parts, the latest last. */
+  crashesUnder({ identity }: MonitoredRequest): readonly Crash[] {
     const { crashHistory } = this.#deps;
     if (crashHistory.isEmpty) return [];
-    return crashHistory.crashedServers(identity.suspects);
+    return crashHistory.crashesUnder(identity.suspects);
   }
 
   /** Whether servers are known to have crashed during a request itself. */
--- a/src/gateway/request_crash_tracker.ts
+++ b/src/gateway/request_crash_tracker.ts
@@ -22,6 +22,8 @@
 /** Quarantine that is left while another VM tries whether the request still crashes servers. */
 const TRIAL_WAIT_MS = 5_000;
 
+const NO_ADDRESSES: ReadonlySet<string> = new Set();
+
 /** A quarantine status on which a request can be decided. */
 export type FinalQuarantineStatus = Exclude<
   QuarantineStatus,
@@ -34,6 +36,8 @@
   readonly #request: MonitoredRequest;
   /** Servers known to have crashed during the request. */
   #crashedServers: readonly ServerIncarnation[] = [];
+  /** Their addresses. */
+  #crashedAddresses: ReadonlySet<string> = NO_ADDRESSES;
   /** Servers that this VM lost connections to during the request, whether or not they crashed. */
   readonly #disconnectedServers: ServerIncarnation[] = [];
   #isSuspected = false;
@@ -54,7 +58,11 @@
       await pause(STATUS_POLL_INTERVAL_MS);
       status = this.#status();
     }
-    this.#crashedServers = this.#detector.crashedServers(this.#request);
+    const crashes = this.#detector.crashesUnder(this.#request);
+    this.#crashedServers = [...new Set(crashes.map(({ life }) => life))];
+    this.#crashedAddresses = crashes.length === 0
+      ? NO_ADDRESSES
+      : new Set(crashes.map(({ address }) => address));
     this.#isSuspected = this.#detector.hasCrashedServers(this.#request);
     return status;
   }
@@ -79,6 +87,14 @@
     return this.#isSuspected;
   }
 
+  /**
+   * Addresses of servers that crashed during the request or others with its prompt parts. Another
+   * server tells whether the request is the cause, or the server that crashed.
+   */
+  get crashedAddresses(): ReadonlySet<string> {
+    return this.#crashedAddresses;
+  }
+
   /** Whether the first byte of the response shows that the request has started to run. */
   get isStream(): boolean {
     return this.#request.streaming;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -254,6 +254,7 @@
     return {
       allowTried: this.#tally.runs > 0,
       isolate: this.#crashes.isSuspected,
+      crashed: this.#crashes.crashedAddresses,
     };
   }
 
--- a/src/gateway/server_selector.ts
+++ b/src/gateway/server_selector.ts
@@ -48,6 +48,8 @@
   readonly head: CallerHead;
   readonly model: ModelId | undefined;
   readonly tried: ReadonlySet<InstanceId>;
+  /** Addresses of servers to use only if their release has no other healthy one. */
+  readonly avoided: ReadonlySet<string>;
   /** Whether an earlier attempt may have been read by a server. */
   readonly isRetry: boolean;
   /** Extra work for a server that does not have the shared prompt prefix cached. */
@@ -166,6 +168,7 @@
       affinity: promptKeyOf(selection.head, selection.model),
       dataCentre,
       tried: selection.tried,
+      avoided: selection.avoided,
       rateLimited: serverAdmission.filterRateLimited(candidates),
       sharedMs: selection.sharedMs,
       nowMs: clock.monotonicMs(),
--- a/src/gateway/server_selector_test.ts
+++ b/src/gateway/server_selector_test.ts
@@ -52,6 +52,7 @@
   head: decodeCallerHead({ "fieldrack-prefix-hash": "aa:900,01:10" }),
   model: undefined,
   tried: new Set(),
+  avoided: new Set(),
   isRetry: false,
   sharedMs: 0,
 };
--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -43,6 +43,25 @@
     runsOnce: true,
     badPerS: 60,
   },
+  // Affinity led all requests with the part to one server, whose crashes counted once.
+  "streams that run once, at servers that soon start again under their ids": {
+    ...STREAMS,
+    gateways: 2,
+    runsOnce: true,
+    resumable: false,
+    badPerS: 1.5,
+    servers: { keepsId: true, restartDelayMs: 300 },
+  },
+  // No other server tells whether the part is the cause, so that each crash of this one counts.
+  "streams that run once, while all other servers drain": {
+    ...STREAMS,
+    gateways: 2,
+    runsOnce: true,
+    resumable: false,
+    badPerS: 1.5,
+    serverCount: 1,
+    servers: { keepsId: true, restartDelayMs: 300, draining: 4 },
+  },
   "two parts": {
     ...STREAMS,
     badParts: (n) => ["shared", n % 2 === 0 ? "bad1" : "bad2"],
