Take a response without an end mark for cut if its server may have been replaced

Cause: a connection to the server's address was taken for proof that the process which sent the response runs. At a VM that reads the end seconds later, another incarnation listens there.

Change: a later incarnation in the list counts as the exit of the server. After a suspension (a gap of a second between heartbeats) only a model server that reports the start time of its entry counts as running; other responses without an end mark that end within the next second count as cut.

Ruled out: a route on which ends are not checked (VMs that are awake break the same streams off).

--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -380,6 +380,7 @@
     this.#isCheckingEnd = true;
     const { outcome, isComplete } = await responseEndCheck.check(ended, {
       server,
+      isModelServer: this.#isModelServer(options.admitted),
       hasPartialEvent: stream.hasPartialEvent,
     });
     this.#isCheckingEnd = false;
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -15,6 +15,7 @@
   TcpServerConnector,
 } from "../backends/server_connector.ts";
 import { ServerExitCheck } from "../backends/server_exit_check.ts";
+import { ServerIncarnationCheck } from "../backends/server_incarnation_check.ts";
 import { ServerProbe } from "../backends/server_probe.ts";
 import { CrashHistory } from "../core/crashes/crash_history.ts";
 import { ModelLatencyEstimator } from "../core/cascade/model_latency_estimator.ts";
@@ -62,6 +63,7 @@
 import { unitHash } from "../runtime/hashing.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { SuspendAwareClock } from "../runtime/suspend_aware_clock.ts";
+import { SuspensionDetector } from "../runtime/suspension_detector.ts";
 import { CrashRegistry } from "../store/crash_registry.ts";
 import { MissedChangeDetector } from "../store/missed_change_detector.ts";
 import { SeenRevisions } from "../store/seen_revisions.ts";
@@ -139,6 +141,7 @@
   readonly storeFeed: StoreFeed;
   readonly retryBudget: RetryBudget;
   readonly retryBudgetLog: RetryBudgetLog;
+  readonly suspensionDetector: SuspensionDetector;
   readonly reachabilityMonitor: ReachabilityMonitor;
   readonly serverNoticeHandler: ServerNoticeHandler;
   readonly brittleServers: BrittleServers;
@@ -322,6 +325,8 @@
     backendConnectionPool: singleton(BackendConnectionPool),
     serverProbe: singleton(ServerProbe),
     serverExitCheck: singleton(ServerExitCheck),
+    serverIncarnationCheck: singleton(ServerIncarnationCheck),
+    suspensionDetector: singleton(SuspensionDetector),
     crashDetector: singleton(CrashDetector),
     suspectPlacement: asFunction(() => new SuspectPlacement()).singleton(),
     stopState: singleton(StopState),
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -15,7 +15,7 @@
 const DRAIN_POLL_INTERVAL_MS = 50;
 /** Time for the last responses to leave the process before it exits. */
 const FLUSH_MS = 50;
-const RETRY_BUDGET_HEARTBEAT_MS = 150;
+const HEARTBEAT_INTERVAL_MS = 150;
 /** Share of the grace period in which callers may still arrive although none is in flight. */
 const MIN_DRAIN_SHARE = 0.8;
 
@@ -25,9 +25,11 @@
   readonly #options: GatewayOptions;
   readonly #logger: Logger;
   readonly #heartbeat = new RepeatedTask({
-    intervalMs: RETRY_BUDGET_HEARTBEAT_MS,
+    intervalMs: HEARTBEAT_INTERVAL_MS,
     run: () => {
-      const { retryBudget, retryBudgetLog, clock } = this.#components;
+      const { retryBudget, retryBudgetLog, suspensionDetector, clock } =
+        this.#components;
+      suspensionDetector.heartbeat();
       retryBudget.heartbeat(clock.monotonicMs());
       retryBudgetLog.logIfDue();
       return Promise.resolve();
--- a/src/gateway/response_end_check.ts
+++ b/src/gateway/response_end_check.ts
@@ -3,17 +3,28 @@
 import type { BackendAttemptOutcome } from "../backends/backend_attempt.ts";
 import type { BackendConnectionPool } from "../backends/backend_connection_pool.ts";
 import type { ServerExitCheck } from "../backends/server_exit_check.ts";
-import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { ServerIncarnationCheck } from "../backends/server_incarnation_check.ts";
+import type { ServerDirectory } from "../core/servers/server_directory.ts";
+import {
+  isLaterIncarnation,
+  type ServerRecord,
+} from "../core/servers/server_record.ts";
 import { pause } from "../runtime/pause.ts";
+import type { SuspensionDetector } from "../runtime/suspension_detector.ts";
 
 /** Time within which all connections to a crashed server are known to have closed. */
 const CLOSE_SPREAD_MS = 5;
 const SERVER_EXITED = "server process ended";
+const SERVER_UNCONFIRMED =
+  "server process may have been replaced while this VM was suspended";
 const PARTIAL_EVENT = "stream ended in the middle of an event";
 
 interface Deps {
   readonly backendConnectionPool: Pick<BackendConnectionPool, "hasIdle">;
   readonly serverExitCheck: ServerExitCheck;
+  readonly serverIncarnationCheck: Pick<ServerIncarnationCheck, "isSame">;
+  readonly serverDirectory: Pick<ServerDirectory, "get">;
+  readonly suspensionDetector: Pick<SuspensionDetector, "hasJustResumed">;
 }
 
 /** An outcome after its end was checked. */
@@ -37,8 +48,9 @@
   /** Returns the outcome of an attempt, as a failure if its response was cut. */
   async check(
     outcome: BackendAttemptOutcome,
-    { server, hasPartialEvent }: {
+    { server, isModelServer, hasPartialEvent }: {
       server: ServerRecord;
+      isModelServer: boolean;
       /** Whether the bytes of a stream end inside an event. */
       hasPartialEvent: boolean;
     },
@@ -50,16 +62,35 @@
     if (isStream && hasPartialEvent) return cut(outcome, PARTIAL_EVENT);
     const isFramed = isStream ? outcome.framed : outcome.head.decoded.framed;
     if (isFramed) return { outcome, isComplete: true };
-    const state = await this.#serverState(server);
+    const state = await this.#serverState(server, { isModelServer });
     if (state === "exited") return cut(outcome, SERVER_EXITED);
+    if (state === "unconfirmed") return cut(outcome, SERVER_UNCONFIRMED);
     return { outcome, isComplete: state === "running" };
   }
 
   async #serverState(
     server: ServerRecord,
-  ): Promise<"running" | "exited" | "unknown"> {
-    const { backendConnectionPool, serverExitCheck } = this.#deps;
+    { isModelServer }: { isModelServer: boolean },
+  ): Promise<"running" | "exited" | "unconfirmed" | "unknown"> {
+    const {
+      backendConnectionPool,
+      serverExitCheck,
+      serverIncarnationCheck,
+      serverDirectory,
+      suspensionDetector,
+    } = this.#deps;
     await pause(CLOSE_SPREAD_MS);
+    const listed = serverDirectory.get(server.instance);
+    if (listed !== undefined && isLaterIncarnation(listed, server)) {
+      return "exited";
+    }
+    // While this process was suspended, another one may have taken the address of the server, so
+    // that a connection proves nothing. Servers without a report cannot prove that they still run.
+    if (suspensionDetector.hasJustResumed) {
+      const isSame = isModelServer &&
+        await serverIncarnationCheck.isSame(server);
+      return isSame ? "running" : "unconfirmed";
+    }
     // An idle connection that is still open saves a new one.
     if (backendConnectionPool.hasIdle(server.instance)) return "running";
     return await serverExitCheck.stateOf(server);
