Limit the memory for the bodies of all requests

Cause: each body is kept as long as its request runs; MaxBodyBytes limits one, nothing their sum.

One that declares its length is refused with 503 before it is read, one in chunks as its bytes arrive.

Ruled out: responses (5 bytes in the case; they have a limit).

--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -11,6 +11,8 @@
   | { readonly tag: "unconfirmed_keys"; readonly ageMs: number }
   | { readonly tag: "too_large"; readonly limitBytes: number }
   | { readonly tag: "malformed"; readonly reason: string }
+  /** The bodies of other requests use up the memory that this VM has for them. */
+  | { readonly tag: "bodies_full" }
   | { readonly tag: "stopping" }
   /** No server of the service accepts new requests. */
   | {
@@ -57,6 +59,8 @@
 const SERVER_LIST_UPDATE_MS = 400;
 /** A slot of a full server becomes free after about this time. */
 const SLOT_WAIT_MS = 250;
+/** Bodies of finished requests free memory within about this time. */
+const BODY_WAIT_MS = 500;
 /** Short, since callers of a stopping VM can use another VM immediately. */
 const STOPPING_RETRY_MS = 50;
 
@@ -97,6 +101,11 @@
         "No backend server accepted the request before its deadline; retry later",
         SLOT_WAIT_MS,
       );
+    case "bodies_full":
+      return serviceUnavailable(
+        "This VM holds too many request bodies; use another address or retry later",
+        BODY_WAIT_MS,
+      );
     case "stopping":
       return serviceUnavailable(
         "This VM is shutting down; use another address",
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -19,6 +19,7 @@
 } from "../protocol/forward_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { nextTurn } from "../runtime/next_turn.ts";
+import type { BodyReservation, RequestMemory } from "./request_memory.ts";
 
 const DECLINED_STATUS = 503;
 
@@ -45,6 +46,7 @@
   #state: ResponseState = "none";
   #status: number | undefined;
   #corked = false;
+  #bodyMemory: BodyReservation | undefined;
   #onDisconnect: () => void = () => {};
 
   constructor(
@@ -110,15 +112,35 @@
     if (this.#state === "caller_gone") listener();
   }
 
-  /** Reads the whole body; undefined if it is empty. */
-  readBody(limitBytes: number): Promise<Result<Buffer | undefined, Refusal>> {
+  /**
+   * Reads the whole body; undefined if it is empty. A body for which there is not enough memory is
+   * refused before it is read. What still arrives of a refused one is dropped.
+   */
+  readBody(
+    limitBytes: number,
+    memory: RequestMemory,
+  ): Promise<Result<Buffer | undefined, Refusal>> {
+    const reservation = memory.open();
+    this.#bodyMemory = reservation;
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      let chunks: Buffer[] = [];
       let bytes = 0;
+      let isRefused = false;
+      const refuse = (refusal: Refusal) => {
+        isRefused = true;
+        chunks = [];
+        resolve(fail(refusal));
+      };
+      const declared = Number(this.#req.headers["content-length"] ?? 0);
+      if (!reservation.growTo(Math.min(declared, limitBytes))) {
+        refuse({ tag: "bodies_full" });
+      }
       this.#req.on("data", (chunk: Buffer) => {
+        if (isRefused) return;
         bytes += chunk.length;
-        if (bytes <= limitBytes) chunks.push(chunk);
-        else resolve(fail({ tag: "too_large", limitBytes }));
+        if (bytes > limitBytes) refuse({ tag: "too_large", limitBytes });
+        else if (reservation.growTo(bytes)) chunks.push(chunk);
+        else refuse({ tag: "bodies_full" });
       });
       this.#req.once("end", () => {
         resolve(ok(chunks.length === 0 ? undefined : Buffer.concat(chunks)));
@@ -130,6 +152,11 @@
     });
   }
 
+  /** Frees the memory of the body, which is not used any more. */
+  releaseBody(): void {
+    this.#bodyMemory?.release();
+  }
+
   /**
    * Detects that the caller has already disconnected. An overloaded VM reads a request one turn of
    * the event loop before it reads that the caller has closed the connection; on a VM that keeps
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -89,6 +89,7 @@
 import { RequestLog } from "./request_log.ts";
 import { RetryBudgetLog } from "./retry_budget_log.ts";
 import { ResponseEndCheck } from "./response_end_check.ts";
+import { RequestMemory } from "./request_memory.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
 import { ServerAdmission } from "./server_admission.ts";
@@ -344,6 +345,7 @@
     responseEndCheck: singleton(ResponseEndCheck),
     requestLog: singleton(RequestLog),
     retryBudgetLog: singleton(RetryBudgetLog),
+    requestMemory: singleton(RequestMemory),
     requestServer: singleton(RequestServer),
     gatewayMetrics: singleton(GatewayMetrics),
     controlServer: singleton(ControlServer),
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -12,6 +12,7 @@
 import { CallerExchange } from "./caller_exchange.ts";
 import type { RequestAdmission } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { RequestRun, type RequestRunDeps } from "./request_run.ts";
 import type { StopState } from "./stop_state.ts";
 
@@ -38,11 +39,13 @@
 const OWN_REFUSALS: ReadonlySet<Refusal["tag"]> = new Set([
   "no_configuration",
   "unconfirmed_keys",
+  "bodies_full",
 ]);
 
 interface Deps extends RequestRunDeps {
   readonly requestAdmission: RequestAdmission;
   readonly requestLog: RequestLog;
+  readonly requestMemory: RequestMemory;
   readonly routingFollower: RoutingFollower;
   readonly stopState: StopState;
   readonly clock: Clock;
@@ -159,6 +162,7 @@
       exchange.cut();
     } finally {
       this.#exchanges.delete(exchange);
+      exchange.releaseBody();
     }
   }
 
@@ -183,8 +187,11 @@
     exchange: CallerExchange,
     { isForwarded }: { isForwarded: boolean },
   ): Promise<void> {
-    const { requestAdmission, requestLog } = this.#deps;
-    const body = await exchange.readBody(this.#limits.maxBodyBytes);
+    const { requestAdmission, requestLog, requestMemory } = this.#deps;
+    const body = await exchange.readBody(
+      this.#limits.maxBodyBytes,
+      requestMemory,
+    );
     if (body.ok) await exchange.detectDisconnect();
     const admitted = requestAdmission.admit(exchange);
     const err = !body.ok
