Keep a model server that answers 421 for a model it does not run

Cause: 421 is also what another instance at the address answers. Each server that was asked was taken for one and got no more requests until its entry changed.

Change: after a 421 a model server is asked for its start time.

Test: unknown_model_test is red on the code before (the service is lost); it also checks that another instance at the address is still found.

Ruled out: servers that refuse more after such a request (they get none).

--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -27,6 +27,8 @@
     /** Milliseconds until a server accepts requests, if all requested backoff or are cold. */
     readonly opensInMs: number | undefined;
   }
+  /** Every server that was asked answered that it does not serve such a request, for example its model. */
+  | { readonly tag: "not_served"; readonly asked: number }
   /** Quarantined: servers crashed during each run of the request, or of others with its prompt parts. */
   | {
     readonly tag: "crashes_servers";
@@ -111,6 +113,11 @@
         "This VM is shutting down; use another address",
         STOPPING_RETRY_MS,
       );
+    case "not_served":
+      return finalResponse(
+        421,
+        `${refusal.asked} backend servers do not serve this request; is its model right?`,
+      );
     case "unknown_route":
       return finalResponse(404, "No route matches this host and path");
     case "unknown_key":
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -380,7 +380,7 @@
     this.#isCheckingEnd = true;
     const { outcome, isComplete } = await responseEndCheck.check(ended, {
       server,
-      isModelServer: this.#isModelServer(options.admitted),
+      isModelServer: this.isModelServer(options.admitted),
       hasPartialEvent: stream.hasPartialEvent,
     });
     this.#isCheckingEnd = false;
@@ -428,12 +428,13 @@
     { admitted, isRetry, permit }: AttemptOptions,
   ): void {
     if (!isRetry || !permit.budgetState().isAckScarce) return;
-    if (!this.#isModelServer(admitted)) return;
+    if (!this.isModelServer(admitted)) return;
     const { attemptStallDetector, clock } = this.#deps;
     attemptStallDetector.requestAck(server, clock.monotonicMs());
   }
 
-  #isModelServer({ table }: AdmittedRequest): boolean {
+  /** Whether the servers of the request run models. */
+  isModelServer({ table }: AdmittedRequest): boolean {
     return table.service(this.#request.service)?.engine !== undefined;
   }
 
@@ -479,7 +480,7 @@
     if (record === undefined || server === undefined) return undefined;
     if (!this.isCurrentSent || this.#current?.paused === true) return undefined;
     const { route } = admitted;
-    const isModelServer = this.#isModelServer(admitted);
+    const isModelServer = this.isModelServer(admitted);
     const pending = { server, record, route, isModelServer };
     return this.#deps.attemptStallDetector.check(pending, nowMs);
   }
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -83,6 +83,7 @@
 import { ControlServer } from "./control_server.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { MisdirectionCheck } from "./misdirection_check.ts";
 import { ReachabilityMonitor } from "./reachability_monitor.ts";
 import { Readiness } from "./readiness.ts";
 import { RequestAdmission } from "./request_admission.ts";
@@ -329,6 +330,7 @@
     serverIncarnationCheck: singleton(ServerIncarnationCheck),
     suspensionDetector: singleton(SuspensionDetector),
     crashDetector: singleton(CrashDetector),
+    misdirectionCheck: singleton(MisdirectionCheck),
     suspectPlacement: asFunction(() => new SuspectPlacement()).singleton(),
     stopState: singleton(StopState),
     reachabilityMonitor: singleton(ReachabilityMonitor),
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -155,6 +155,7 @@
         describeCulprit(refusal.parts)
       }; quarantined for ${Math.round(refusal.leftMs)} more ms`;
     case "servers_full":
+    case "not_served":
       return `${refusal.asked} servers tried`;
     default:
       return undefined;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -16,6 +16,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { CrashDetector } from "./crash_detector.ts";
 import { DispatchRecord } from "./dispatch_record.ts";
+import type { MisdirectionCheck } from "./misdirection_check.ts";
 import { ModelCascade } from "./model_cascade.ts";
 import type { AdmittedRequest } from "./request_admission.ts";
 import {
@@ -49,6 +50,7 @@
   readonly retryBudget: RetryBudget;
   readonly modelLatencyEstimator: ModelLatencyEstimator;
   readonly crashDetector: CrashDetector;
+  readonly misdirectionCheck: MisdirectionCheck;
   readonly stopState: Pick<StopState, "refusal">;
   readonly chance: () => number;
 }
@@ -367,8 +369,7 @@
       case "not_run":
         return this.#tally.recordRefusal() ? "again" : this.#waitOrRefuse();
       case "misdirected":
-        this.#deps.serverFollower.markMisdirected(server.instance);
-        return "again";
+        return this.#handleMisdirected(server);
       case "turned_down":
         return this.#escalate();
       case "answered":
@@ -382,6 +383,18 @@
     }
   }
 
+  async #handleMisdirected(server: ServerRecord): Promise<StepResult> {
+    const { misdirectionCheck, serverFollower } = this.#deps;
+    const isOwnResponse = await misdirectionCheck.isOwnResponse(server, {
+      isModelServer: this.#sender.isModelServer(this.#admitted),
+    });
+    if (!isOwnResponse) {
+      serverFollower.markMisdirected(server.instance);
+      return "again";
+    }
+    return this.#tally.recordUnserved() ? "again" : this.#waitOrRefuse();
+  }
+
   /** Whether to try another server after one that could not be reached. */
   #mayTryAnother(): boolean {
     const tookMs = this.#sender.lastAttemptAgeMs;
--- a/src/gateway/run_tally.ts
+++ b/src/gateway/run_tally.ts
@@ -26,6 +26,8 @@
   readonly #dispatches: DispatchRecord;
   #runs = 0;
   #refusals = 0;
+  /** Refusals by servers that do not serve such requests at all. */
+  #unserved = 0;
   #unsent = 0;
   #unsentTimeMs = 0;
   #waits = 0;
@@ -77,6 +79,12 @@
     return this.#refusals < this.#maxRefusals;
   }
 
+  /** Like `recordRefusal`, for a server that does not serve such requests at all. */
+  recordUnserved(): boolean {
+    this.#unserved += 1;
+    return this.recordRefusal();
+  }
+
   /**
    * Records an attempt that could not be sent, and its duration; returns whether to try another
    * server. After many servers crash, the server list still names them for a while, and the live
@@ -107,6 +115,9 @@
   ): Refusal {
     if (this.#dispatches.mayHaveRun) return { tag: "answer_lost", reason };
     const asked = this.#refusals + this.#unsent;
+    if (asked > 0 && asked === this.#unserved) {
+      return { tag: "not_served", asked };
+    }
     if (asked > 0) return { tag: "servers_full", asked, opensInMs };
     return { tag: "no_server", opensInMs };
   }
@@ -150,6 +161,7 @@
   /** Refusals are counted per run and wait, as a broken run says nothing about other servers. */
   #resetRefusals(): void {
     this.#refusals = 0;
+    this.#unserved = 0;
     this.#unsent = 0;
     this.#unsentTimeMs = 0;
   }
