Guard against one request that crashes a single server again and again

The review read in the code that a route with MaxAttempts 1, or a stream without resumption, hides the crashes of one request as it does those of a part.

--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -52,6 +52,18 @@
     badPerS: 1.5,
     servers: { keepsId: true, restartDelayMs: 300 },
   },
+  // The same for one request that its caller repeats: with a single attempt each, no retry left the server.
+  "one request that runs once, at servers that soon start again under their ids":
+    {
+      ...STREAMS,
+      gateways: 2,
+      runsOnce: true,
+      resumable: false,
+      badParts: () => ["rare", "bad"],
+      isOneRequest: true,
+      badPerS: 1.5,
+      servers: { keepsId: true, restartDelayMs: 300 },
+    },
   // No other server tells whether the part is the cause, so that each crash of this one counts.
   "streams that run once, while all other servers drain": {
     ...STREAMS,
