--- a/tests/forwarded_request_test.ts
+++ b/tests/forwarded_request_test.ts
@@ -111,6 +111,16 @@
     assert.ok(Number(headers["retry-after"]) > 0);
   });
 
+  // Guards against REFUSED: a promise that it has not run, while a server may be running it.
+  it("should be told that it may have run when its time is up", async () => {
+    answer = () => {};
+    const { status } = await fleet.call(CUT, "/stock/7", {
+      "fieldrack-deadline-ms": "400",
+    });
+    assert.equal(status, 504);
+    assert.equal(requests.length, 1);
+  });
+
   it("should end at the server when its caller disconnects", async () => {
     let closed = 0;
     answer = ({ socket }) => socket.on("close", () => closed += 1);
