Suspect streams without a first byte of crashing their server

Cause: a stream without a first byte was taken to wait for its turn.

Change: it is suspected, however long it waited. What ran beside the cause is told from it as elsewhere: by further crashes, and by what completes.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -58,8 +58,9 @@
     readonly endedMs: number;
   },
 ): boolean {
-  // A streaming request without a first byte was in prefill or queued: its run had not begun.
-  if (streaming && firstByteMs === undefined) return false;
+  // Its run may have begun just now, however long it was queued or in prefill: a server that
+  // crashes with the first token sends no byte of it.
+  if (streaming && firstByteMs === undefined) return true;
   return endedMs - (firstByteMs ?? 0) <= CRASH_WINDOW_MS;
 }
 
--- a/src/core/crashes/crash_attribution_test.ts
+++ b/src/core/crashes/crash_attribution_test.ts
@@ -131,9 +131,11 @@
     assert.ok(!mayHaveCausedCrash({ ...stream, endedMs: 2_500 }));
   });
 
-  it("should not be suspected while it waited for its first token", () => {
+  // Guards against BUDGET: a stream that crashes its server with its first token was never suspected.
+  it("should be suspected without a first token, however long it waited for it", () => {
     const waiting = { streaming: true, firstByteMs: undefined };
-    assert.ok(!mayHaveCausedCrash({ ...waiting, endedMs: 100 }));
+    assert.ok(mayHaveCausedCrash({ ...waiting, endedMs: 100 }));
+    assert.ok(mayHaveCausedCrash({ ...waiting, endedMs: 4_000 }));
   });
 
   it("should be suspected without a first byte if the response is not streamed", () => {
--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -64,6 +64,21 @@
       badPerS: 1.5,
       servers: { keepsId: true, restartDelayMs: 300 },
     },
+  // Streams without a first byte were taken to wait for their turn, and never suspected.
+  "streams whose servers crash before the first byte": {
+    ...STREAMS,
+    gateways: 2,
+    servers: { keepsId: true, restartDelayMs: 300, crashesSilently: true },
+  },
+  "streams that run once, whose servers crash before the first byte": {
+    ...STREAMS,
+    gateways: 2,
+    runsOnce: true,
+    resumable: false,
+    badPerS: 1.5,
+    badMs: 18_000,
+    servers: { keepsId: true, restartDelayMs: 300, crashesSilently: true },
+  },
   // No other server tells whether the part is the cause, so that each crash of this one counts.
   "streams that run once, while all other servers drain": {
     ...STREAMS,
