Keep suspected requests on the release of their session

By reading: isolation leaves out the servers that run other suspects. Where these were all servers of a canary, the request moved to the other release, and its session with it (PINNED). Since streams without a first byte are suspected, a crash has many suspects.

Change: a server without other suspects is used only if it is of the release that the request would go to anyway.

Test: attempt_sender_test, "should be of the release of its session": red before.

--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -199,31 +199,38 @@
     { allowTried, isolate, crashed: avoided }: ServerChoiceOptions,
   ): ServerRecord | undefined {
     const { model } = this.#request.models;
-    const { occupiedServers } = this.#deps.suspectPlacement;
-    const isolated = isolate
-      ? this.#select(admitted, {
-        tried: new Set([...this.#tried, ...occupiedServers]),
-        model,
-        avoided,
-      })
-      : undefined;
-    if (isolated !== undefined && !avoided.has(isolated.address)) {
-      return isolated;
-    }
     const untried = this.#select(admitted, {
       tried: this.#tried,
       model,
       avoided,
     });
-    // A server that has not crashed shows more than one without other suspects.
-    if (untried !== undefined && !avoided.has(untried.address)) return untried;
-    if (isolated !== undefined) return isolated;
-    if (untried !== undefined || !allowTried) return untried;
+    if (untried !== undefined) {
+      const isolated = isolate
+        ? this.#chooseIsolated(admitted, { model, avoided })
+        : undefined;
+      // A session stays on its release, however few servers that has.
+      if (isolated?.release !== untried.release) return untried;
+      // A server that has not crashed shows more than one without other suspects.
+      const isUseful = !avoided.has(isolated.address) ||
+        avoided.has(untried.address);
+      return isUseful ? isolated : untried;
+    }
+    if (!allowTried) return undefined;
     const last = this.#attempts.at(-1)?.server;
     const tried = last === undefined ? NO_INSTANCES : new Set([last]);
     return this.#select(admitted, { tried, model, avoided });
   }
 
+  /** Returns an untried server on which no request runs that is suspected of crashing servers. */
+  #chooseIsolated(
+    admitted: AdmittedRequest,
+    criteria: Omit<ServerCriteria, "tried">,
+  ): ServerRecord | undefined {
+    const { occupiedServers } = this.#deps.suspectPlacement;
+    const tried = new Set([...this.#tried, ...occupiedServers]);
+    return this.#select(admitted, { ...criteria, tried });
+  }
+
   /** Whether an untried server is available that is not ejected for failures. */
   hasHealthyServer(
     admitted: AdmittedRequest,
