Play few requests with a bad part for longer

Sound requests are counted from six seconds after the fifth crash on. Such plays now last 18 s; bounds are unchanged.

--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -20,6 +20,9 @@
 /** Smallest share of sound requests served, compared to the time before the crashes. */
 const MIN_SERVED_SHARE = 0.5;
 
+/** Time in which the fifth of a few requests has crashed its server, and all has recovered. */
+const FEW_BAD_MS = 18_000;
+
 const STREAMS: PartCrashOptions = {
   gateways: 7,
   form: "chunked_stream",
@@ -37,7 +40,7 @@
     companionParts: ["companion"],
   },
   "the part first": { ...STREAMS, badParts: () => ["bad", "second"] },
-  "few requests": { ...STREAMS, badPerS: 0.7 },
+  "few requests": { ...STREAMS, badPerS: 0.7, badMs: FEW_BAD_MS },
   "many requests that may run once": {
     ...STREAMS,
     runsOnce: true,
@@ -50,6 +53,7 @@
     runsOnce: true,
     resumable: false,
     badPerS: 1.5,
+    badMs: FEW_BAD_MS,
     servers: { keepsId: true, restartDelayMs: 300 },
   },
   // The same for one request that its caller repeats: with a single attempt each, no retry left the server.
@@ -62,6 +66,7 @@
       badParts: () => ["rare", "bad"],
       isOneRequest: true,
       badPerS: 1.5,
+      badMs: FEW_BAD_MS,
       servers: { keepsId: true, restartDelayMs: 300 },
     },
   // Streams without a first byte were taken to wait for their turn, and never suspected.
@@ -76,7 +81,7 @@
     runsOnce: true,
     resumable: false,
     badPerS: 1.5,
-    badMs: 18_000,
+    badMs: FEW_BAD_MS,
     servers: { keepsId: true, restartDelayMs: 300, crashesSilently: true },
   },
   // No other server tells whether the part is the cause, so that each crash of this one counts.
@@ -86,6 +91,7 @@
     runsOnce: true,
     resumable: false,
     badPerS: 1.5,
+    badMs: FEW_BAD_MS,
     serverCount: 1,
     servers: { keepsId: true, restartDelayMs: 300, draining: 4 },
   },
