--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -17,9 +17,24 @@
 /** Age of an unacknowledged attempt from which its server counts as unresponsive, in milliseconds. */
 export const UNRESPONSIVE_MS = 900;
 
+/** Why an attempt is taken for read by its server, or for one that no server can read any more. */
+export type AckEvidence =
+  /** A byte of its own response. */
+  | "response"
+  /** A byte that the server sent in response to something else. */
+  | "other_response"
+  | "connection_closed"
+  | "connection_refused"
+  /** A later incarnation of the server is known. */
+  | "server_restarted"
+  | "expired";
+
+/** Called once an attempt is acknowledged. */
+export type AckListener = (evidence: AckEvidence) => void;
+
 interface UnackedAttempt {
   readonly sentMs: number;
-  readonly onAcked: () => void;
+  readonly onAcked: AckListener;
 }
 
 interface ServerAttempts {
@@ -47,12 +62,16 @@
    */
   recordSent(
     server: ServerIncarnationKey,
-    { nowMs, onAcked }: { nowMs: number; onAcked: () => void },
+    { nowMs, onAcked }: { nowMs: number; onAcked: AckListener },
   ): void {
     this.#of(server).attempts.push({ sentMs: nowMs, onAcked });
     // At all servers: one that never recovers gets no new attempts, so its old ones would stay.
     for (const instance of [...this.#servers.keys()]) {
-      this.#ack(instance, (attempt) => nowMs - attempt.sentMs > ATTEMPT_TTL_MS);
+      this.#ack(
+        instance,
+        "expired",
+        ({ sentMs }) => nowMs - sentMs > ATTEMPT_TTL_MS,
+      );
     }
   }
 
@@ -63,7 +82,16 @@
   recordAnswer(server: ServerIncarnationKey, sentMs: number): void {
     const known = this.#servers.get(server.instance);
     if (known === undefined || isLaterIncarnation(known.key, server)) return;
-    this.#ack(server.instance, (attempt) => attempt.sentMs <= sentMs);
+    this.#ack(
+      server.instance,
+      "other_response",
+      (attempt) => attempt.sentMs <= sentMs,
+    );
+  }
+
+  /** Records a byte of the response to the attempt that was sent at `sentMs`. */
+  recordResponse({ instance }: ServerIncarnationKey, sentMs: number): void {
+    this.#ack(instance, "response", (attempt) => attempt.sentMs === sentMs);
   }
 
   /** Records a byte of any answer: the server runs and has read attempts older than `READ_DELAY_MS`. */
@@ -73,12 +101,16 @@
 
   /** Records that the server has closed the connection of an attempt. */
   recordClosed({ instance }: ServerIncarnationKey, sentMs: number): void {
-    this.#ack(instance, (attempt) => attempt.sentMs === sentMs);
+    this.#ack(
+      instance,
+      "connection_closed",
+      (attempt) => attempt.sentMs === sentMs,
+    );
   }
 
   /** Records that no process listens at a server's address, so its socket buffers are gone. */
   recordServerExit({ instance }: ServerIncarnationKey): void {
-    this.#ack(instance, () => true);
+    this.#ack(instance, "connection_refused", () => true);
   }
 
   /** Returns the unacknowledged attempts of a server. */
@@ -100,7 +132,7 @@
     const known = this.#servers.get(server.instance);
     // The socket buffers of an earlier incarnation are gone.
     if (known !== undefined && isLaterIncarnation(server, known.key)) {
-      this.recordServerExit(server);
+      this.#ack(server.instance, "server_restarted", () => true);
     }
     const kept = this.#servers.get(server.instance) ??
       { key: server, attempts: [] };
@@ -110,6 +142,7 @@
 
   #ack(
     instance: InstanceId,
+    evidence: AckEvidence,
     isAcked: (attempt: UnackedAttempt) => boolean,
   ): void {
     const known = this.#servers.get(instance);
@@ -118,6 +151,6 @@
     if (acked.length === 0) return;
     known.attempts = known.attempts.filter((attempt) => !isAcked(attempt));
     if (known.attempts.length === 0) this.#servers.delete(instance);
-    for (const { onAcked } of acked) onAcked();
+    for (const { onAcked } of acked) onAcked(evidence);
   }
 }
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -73,6 +73,26 @@
     assert.deepEqual(acked, [0]);
   });
 
+  it("should be acknowledged with what showed that they were read", () => {
+    const evidence: string[] = [];
+    for (const nowMs of [1, 2, 3, 4]) {
+      unacked.recordSent(INCARNATION, {
+        nowMs,
+        onAcked: (shownBy) => evidence.push(`${nowMs} ${shownBy}`),
+      });
+    }
+    unacked.recordResponse(INCARNATION, 2);
+    unacked.recordAnswer(INCARNATION, 2);
+    unacked.recordClosed(INCARNATION, 3);
+    unacked.recordServerExit(INCARNATION);
+    assert.deepEqual(evidence, [
+      "2 response",
+      "1 other_response",
+      "3 connection_closed",
+      "4 connection_refused",
+    ]);
+  });
+
   it("should be acknowledged only once, whatever the order of events", () => {
     const event = fc.record({
       kind: fc.constantFrom("send", "answer", "close", "end"),
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -3,7 +3,10 @@
  * logs those acknowledged late.
  */
 
-import type { UnackedAttempts } from "../core/servers/unacked_attempts.ts";
+import type {
+  AckEvidence,
+  UnackedAttempts,
+} from "../core/servers/unacked_attempts.ts";
 import {
   incarnationIdOf,
   type ServerRecord,
@@ -27,6 +30,7 @@
 interface LateAttempt {
   readonly server: ServerRecord;
   readonly ageMs: number;
+  readonly evidence: AckEvidence;
 }
 
 /** Updates the unacknowledged attempts of this VM as their connections make progress. */
@@ -55,11 +59,14 @@
     gatewayMetrics.unackedAttempts.inc({ service: server.service });
     this.#unacked.recordSent(server, {
       nowMs: sentMs,
-      onAcked: () => {
+      onAcked: (evidence) => {
+        const { service } = server;
         record.ackedMs = clock.monotonicMs();
-        gatewayMetrics.unackedAttempts.dec({ service: server.service });
+        record.ackEvidence = evidence;
+        gatewayMetrics.unackedAttempts.dec({ service });
+        gatewayMetrics.ackedAttempts.inc({ service, evidence });
         const ageMs = record.ackedMs - sentMs;
-        if (ageMs >= LATE_ACK_MS) this.#late.add([{ server, ageMs }]);
+        if (ageMs >= LATE_ACK_MS) this.#late.add([{ server, ageMs, evidence }]);
         onAcked();
       },
     });
@@ -71,6 +78,7 @@
     { sentMs, ackedMs }: AttemptRecord,
   ): void {
     if (sentMs !== undefined && ackedMs === undefined) {
+      this.#unacked.recordResponse(server, sentMs);
       this.#unacked.recordAnswer(server, sentMs);
     }
     this.#unacked.recordActivity(server, this.#deps.clock.monotonicMs());
@@ -105,17 +113,19 @@
 
 function createLateLog(logger: Logger): BurstLog<LateAttempt> {
   return new BurstLog({
-    logOne: ({ server, ageMs }) =>
+    logOne: ({ server, ageMs, evidence }) =>
       logger.warn("Backend server acknowledged an attempt late", {
         server: incarnationIdOf(server),
         service: server.service,
         age_ms: Math.round(ageMs),
+        evidence,
       }),
     logMany: (attempts) =>
       logger.warn("Backend servers acknowledged attempts late", {
         servers: new Set(attempts.map(({ server }) => server.instance)).size,
         count: attempts.length,
         oldest_ms: Math.round(Math.max(...attempts.map(({ ageMs }) => ageMs))),
+        evidence: [...new Set(attempts.map(({ evidence }) => evidence))].join(),
       }),
   });
 }
--- a/src/gateway/attempt_record.ts
+++ b/src/gateway/attempt_record.ts
@@ -3,6 +3,7 @@
 import type { BackendAttemptOutcome } from "../backends/backend_attempt.ts";
 import type { InstanceId, ModelId } from "../core/ids.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
+import type { AckEvidence } from "../core/servers/unacked_attempts.ts";
 
 /** State and outcome of one attempt. Points in time are in monotonic milliseconds. */
 export interface AttemptRecord {
@@ -25,6 +26,8 @@
   sentMs: number | undefined;
   /** When the server was first known to have read the request; undefined before. */
   ackedMs: number | undefined;
+  /** What showed that; undefined before. */
+  ackEvidence: AckEvidence | undefined;
   /** Whether the response marks its end by a length or chunks; undefined before its head. */
   framed: boolean | undefined;
   /** Confidence of the model in its answer, 0 to 100. */
@@ -55,6 +58,7 @@
     reason: undefined,
     sentMs: undefined,
     ackedMs: undefined,
+    ackEvidence: undefined,
     framed: undefined,
     confidence: undefined,
     limitPerS: undefined,
@@ -101,12 +105,12 @@
 
 /** Describes how long an attempt may have stayed unread; undefined if the first byte shows it. */
 function describeAck(
-  { sentMs, ackedMs, firstByteMs }: AttemptRecord,
+  { sentMs, ackedMs, ackEvidence, firstByteMs }: AttemptRecord,
 ): string | undefined {
   if (sentMs === undefined) return "nothing sent";
   if (ackedMs === undefined) return "not acknowledged";
   return firstByteMs === undefined
-    ? `acknowledged after ${Math.round(ackedMs - sentMs)} ms`
+    ? `acknowledged after ${Math.round(ackedMs - sentMs)} ms by ${ackEvidence}`
     : undefined;
 }
 
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -43,6 +43,14 @@
     registers: [this.registry],
   });
 
+  readonly ackedAttempts = new Counter({
+    name: "fieldrack_gateway_acked_attempts_total",
+    help: "Attempts acknowledged by their backend servers, by service and by " +
+      "what showed it",
+    labelNames: ["service", "evidence"] as const,
+    registers: [this.registry],
+  });
+
   readonly serverExits = new Counter({
     name: "fieldrack_gateway_server_ends_total",
     help:
