--- a/src/core/limits/retry_arrival_test.ts
+++ b/src/core/limits/retry_arrival_test.ts
@@ -41,6 +41,41 @@
     }
   });
 
+  // Guards against taking the end of a connection for proof that its request cannot arrive any more.
+  it("should stay within the bound where connections to stopped servers end", () => {
+    for (const stopMs of STOP_DURATIONS_MS) {
+      forEachFleet(({ vms, perS, label }) => {
+        const fleet = new RetryFleet(vms);
+        fleet.isClosing = true;
+        const step = stopServers(stopMs, SERVERS);
+        const seconds = 32 + stopMs / 1_000;
+        runRetryScenario(fleet, { vms, perS, seconds, step });
+        assertWithinBound(fleet, `${stopMs} ms, ${label}`);
+      });
+    }
+  });
+
+  // Guards against taking a response for proof that what was sent on other connections has arrived.
+  it("should stay within the bound where some connections are held and others are not", () => {
+    for (const share of [0.5, 0.9, 0.98]) {
+      for (const holdMs of [12_000, 30_000, 50_000]) {
+        forEachFleet(({ vms, perS, label }) => {
+          const fleet = new RetryFleet(vms);
+          const step = (_fleet: RetryFleet, nowMs: number) => {
+            if (nowMs === STOP_AT_MS) {
+              fleet.isFailing = true;
+              fleet.heldShare = share;
+            }
+            if (nowMs === STOP_AT_MS + holdMs) fleet.releaseHeld();
+          };
+          const seconds = 32 + holdMs / 1_000;
+          runRetryScenario(fleet, { vms, perS, seconds, step });
+          assertWithinBound(fleet, `${share} for ${holdMs} ms, ${label}`);
+        });
+      }
+    }
+  });
+
   it("should stay within the bound where servers read first attempts after retries of the same requests", () => {
     const stopMs = 30_000;
     forEachFleet(({ vms, perS, label }) => {
