--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -23,7 +23,6 @@
   | "response"
   /** A byte that the server sent in response to something else. */
   | "other_response"
-  | "connection_refused"
   /** A later incarnation of the server is known. */
   | "server_restarted"
   | "expired";
@@ -107,11 +106,6 @@
     this.#ack(instance, "server_restarted", () => true);
   }
 
-  /** Records that no process listens at a server's address, so its socket buffers are gone. */
-  recordServerExit({ instance }: ServerIncarnationKey): void {
-    this.#ack(instance, "connection_refused", () => true);
-  }
-
   /** Returns the unacknowledged attempts of a server. */
   state({ instance }: ServerIncarnationKey, nowMs: number): UnackedState {
     const attempts = this.#servers.get(instance)?.attempts ?? [];
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -94,11 +94,6 @@
     this.#unacked.recordRestart(server);
   }
 
-  /** Records that no process listens at the address of a server. */
-  connectionRefused(server: ServerRecord): void {
-    this.#unacked.recordServerExit(server);
-  }
-
   /**
    * Whether a server may be suspended, in which case it would read what it is sent at some later
    * time.
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -44,8 +44,6 @@
 const LOWEST_URGENCY = 9;
 /** Responses with this status or a higher one count as failures of the server. */
 const FIRST_FAILURE_STATUS = 500;
-/** Connect error where no process listens at the server's address. */
-const CONNECTION_REFUSED = "ECONNREFUSED";
 /** Round trips to backend servers take a few milliseconds. */
 const SLOW_CONNECT_MS = 100;
 /** Status of a server that has no room for a request. */
@@ -397,9 +395,6 @@
       serverNoticeHandler.handleRejection(server);
     }
     if (outcome.tag === "not_sent") reachabilityMonitor.suspect(server.service);
-    if (outcome.tag === "not_sent" && outcome.reason === CONNECTION_REFUSED) {
-      attemptAcks.connectionRefused(server);
-    }
     completeAttemptRecord(observed.record, outcome);
     attemptObserver.attemptEnded(observed, {
       outcome,
