--- a/src/core/limits/retry_budget.ts
+++ b/src/core/limits/retry_budget.ts
@@ -5,6 +5,11 @@
 
 import type { ServiceId } from "../ids.ts";
 import { BurstDetector } from "./burst_detector.ts";
+import {
+  type Charge,
+  PendingRetries,
+  type SentRetry,
+} from "./pending_retries.ts";
 import {
   type RetryWindowCounts,
   RetryWindowStats,
@@ -34,9 +39,11 @@
   readonly earned: number;
   /** Earned retries that can be sent now within the limit on unacknowledged ones. */
   readonly sendable: number;
-  /** Earned retries that were sent and may still arrive at a server. */
+  /** Earned retries that were sent and are not acknowledged. */
   readonly unacked: number;
-  /** Age of the oldest retry that may still arrive, in milliseconds; 0 if there is none. */
+  /** Earned retries that are acknowledged and may still arrive, if their connections are held back. */
+  readonly unsettled: number;
+  /** Age of the oldest retry that is not acknowledged, in milliseconds; 0 if there is none. */
   readonly oldestUnackedMs: number;
   /** What remains of this VM's share of the fleet's allowance. */
   readonly allowance: number;
@@ -92,32 +99,18 @@
 /** Time in which a resumed process reads the requests that arrived while it was suspended. */
 const BACKLOG_DRAIN_MS = 500;
 
-/** The part of a retry that was paid from the allowance. */
-interface Charge {
-  readonly amount: number;
-  /** Expiry: one window after the retry arrived; infinite while it may still arrive. */
-  untilMs: number;
-}
-
-/** A retry that was sent and is not known to have arrived. */
-export interface SentRetry {
-  readonly service: ServiceId;
-  readonly sentMs: number;
-  /** Fraction that requests had earned; the rest was charged to the allowance. */
-  readonly earned: number;
-  readonly charge: Charge | undefined;
-}
-
 interface ServiceBudget {
   /** Requests that earned a fraction of a retry. */
   readonly requests: SlidingWindowCounter;
   readonly burstDetector: BurstDetector;
   readonly stats: RetryWindowStats;
   earned: number;
-  /** Retries that may still arrive at a server. */
-  readonly unacked: Set<SentRetry>;
-  /** When the last retry arrived. */
-  lastArrivalMs: number;
+  /** Retries that are not acknowledged. */
+  readonly unacked: PendingRetries;
+  /** Retries that are acknowledged, by responses on other connections, and may still arrive. */
+  readonly unsettled: PendingRetries;
+  /** When the last retry was settled. */
+  lastSettledMs: number;
   /** Permits acquired and not used yet. */
   held: number;
   /** Charges to the allowance that count in the window. */
@@ -187,12 +180,19 @@
     return retry;
   }
 
-  /** Records that a retry has arrived at its server, or can no longer arrive. */
-  recordArrival(retry: SentRetry, nowMs: number): void {
+  /** Records that a retry is acknowledged; it may still arrive if its connection is held back. */
+  recordAck(retry: SentRetry): void {
+    const { unacked, unsettled } = this.#budgetOf(retry.service);
+    if (unacked.delete(retry)) unsettled.add(retry);
+  }
+
+  /** Records that a retry has arrived at its server, or cannot arrive any more. */
+  recordSettled(retry: SentRetry, nowMs: number): void {
     const budget = this.#budgetOf(retry.service);
     this.#capEarned(budget, nowMs);
     budget.unacked.delete(retry);
-    budget.lastArrivalMs = nowMs;
+    budget.unsettled.delete(retry);
+    budget.lastSettledMs = nowMs;
     budget.stats.recordArrival(nowMs - retry.sentMs);
     const { charge } = retry;
     if (charge !== undefined) charge.untilMs = nowMs + this.#bounds.windowMs;
@@ -227,8 +227,9 @@
       isAckScarce: earned >= 1 && sendable < 1,
       earned,
       sendable,
-      unacked: unackedEarned(budget),
-      oldestUnackedMs: oldestUnackedMs(budget, nowMs),
+      unacked: budget.unacked.earned,
+      unsettled: budget.unsettled.earned,
+      oldestUnackedMs: budget.unacked.oldestMs(nowMs),
       allowance,
       held: budget.held,
       requests: budget.requests.total(nowMs),
@@ -251,21 +252,22 @@
   }
 
   /**
-   * Retries count when they arrive, which may be long after they were sent. Saved and
-   * unacknowledged retries may arrive together, so both share one cap. When the request rate drops
-   * and unacknowledged retries exceed the cap, the balance goes negative and later requests repay it.
+   * Retries count when they arrive, which may be long after they were sent. Saved and unsettled
+   * retries may arrive together, so both share one cap. When the request rate drops and unsettled
+   * retries exceed the cap, the balance goes negative and later requests repay it.
    */
   #capEarned(budget: ServiceBudget, nowMs: number): void {
-    const { unacked, lastArrivalMs } = budget;
-    const isIdle = unacked.size === 0 &&
-      nowMs - lastArrivalMs > this.#bounds.windowMs;
+    const { unacked, unsettled, lastSettledMs } = budget;
+    const isIdle = unacked.size + unsettled.size === 0 &&
+      nowMs - lastSettledMs > this.#bounds.windowMs;
     if (isIdle) budget.earned = Math.max(0, budget.earned);
-    const cap = this.#maxSaved(budget, nowMs) - unackedEarned(budget);
+    const cap = this.#maxSaved(budget, nowMs) - unacked.earned -
+      unsettled.earned;
     budget.earned = Math.min(budget.earned, cap);
   }
 
   #sendable(budget: ServiceBudget, nowMs: number): number {
-    const room = this.#maxUnacked(nowMs) - unackedEarned(budget);
+    const room = this.#maxUnacked(nowMs) - budget.unacked.earned;
     return Math.max(0, Math.min(budget.earned, room));
   }
 
@@ -313,8 +315,9 @@
       }),
       stats: new RetryWindowStats(),
       earned: 0,
-      unacked: new Set<SentRetry>(),
-      lastArrivalMs: -Infinity,
+      unacked: new PendingRetries(),
+      unsettled: new PendingRetries(),
+      lastSettledMs: -Infinity,
       held: 0,
       charges: [],
     };
@@ -322,15 +325,3 @@
     return budget;
   }
 }
-
-function unackedEarned({ unacked }: ServiceBudget): number {
-  let sum = 0;
-  for (const { earned } of unacked) sum += earned;
-  return sum;
-}
-
-/** The set keeps the order in which retries were sent. */
-function oldestUnackedMs({ unacked }: ServiceBudget, nowMs: number): number {
-  const [oldest] = unacked;
-  return oldest === undefined ? 0 : nowMs - oldest.sentMs;
-}
--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -27,18 +27,29 @@
   | "server_restarted"
   | "expired";
 
-/** Called once an attempt is acknowledged. */
-export type AckListener = (evidence: AckEvidence) => void;
+/** Is told what becomes known of one attempt, in the order of its methods and once each. */
+export interface AckListener {
+  /**
+   * The attempt is acknowledged. Where other responses show it, it may still arrive, if its own
+   * connection is held back.
+   */
+  onAcked(evidence: AckEvidence): void;
+  /** The attempt cannot arrive any later. */
+  onSettled(): void;
+}
 
-interface UnackedAttempt {
+/** An attempt of which at least one byte was written. */
+export interface SentAttempt {
   readonly sentMs: number;
-  readonly onAcked: AckListener;
+  readonly listener: AckListener;
 }
 
 interface ServerAttempts {
   key: ServerIncarnationKey;
-  /** In the order in which the attempts were sent. */
-  attempts: UnackedAttempt[];
+  /** Attempts that are not acknowledged, in the order in which they were sent. */
+  readonly unacked: Set<SentAttempt>;
+  /** Attempts acknowledged by other responses only, in the order in which they were sent. */
+  readonly unsettled: Set<SentAttempt>;
 }
 
 /** The unacknowledged attempts of a server. */
@@ -54,42 +65,40 @@
 export class UnackedAttempts {
   readonly #servers = new Map<InstanceId, ServerAttempts>();
 
-  /**
-   * Records that the first byte of an attempt is written. `onAcked` is called once the server has
-   * read the attempt or can no longer read it.
-   */
+  /** Records that the first byte of an attempt is written. */
   recordSent(
     server: ServerIncarnationKey,
-    { nowMs, onAcked }: { nowMs: number; onAcked: AckListener },
-  ): void {
-    this.#of(server).attempts.push({ sentMs: nowMs, onAcked });
+    { nowMs, listener }: { nowMs: number; listener: AckListener },
+  ): SentAttempt {
+    const sent = { sentMs: nowMs, listener };
+    this.#of(server).unacked.add(sent);
     // At all servers: one that never recovers gets no new attempts, so its old ones would stay.
-    for (const instance of [...this.#servers.keys()]) {
-      this.#ack(
-        instance,
-        "expired",
-        ({ sentMs }) => nowMs - sentMs > ATTEMPT_TTL_MS,
-      );
+    for (const { key, unacked, unsettled } of [...this.#servers.values()]) {
+      const expired = [unacked, unsettled]
+        .flatMap((attempts) => sentUntil(attempts, nowMs - ATTEMPT_TTL_MS))
+        .filter(({ sentMs }) => nowMs - sentMs > ATTEMPT_TTL_MS);
+      this.#settle(key, "expired", expired);
     }
+    return sent;
   }
 
   /**
    * Records that a server has answered a request sent at `sentMs`. As it has run since, it has also
-   * read every attempt that was sent before.
+   * read what was sent before, unless something between holds a connection back.
    */
   recordAnswer(server: ServerIncarnationKey, sentMs: number): void {
     const known = this.#servers.get(server.instance);
     if (known === undefined || isLaterIncarnation(known.key, server)) return;
-    this.#ack(
-      server.instance,
-      "other_response",
-      (attempt) => attempt.sentMs <= sentMs,
-    );
+    for (const attempt of sentUntil(known.unacked, sentMs)) {
+      known.unacked.delete(attempt);
+      known.unsettled.add(attempt);
+      attempt.listener.onAcked("other_response");
+    }
   }
 
-  /** Records a byte of the response to the attempt that was sent at `sentMs`. */
-  recordResponse({ instance }: ServerIncarnationKey, sentMs: number): void {
-    this.#ack(instance, "response", (attempt) => attempt.sentMs === sentMs);
+  /** Records a byte of the response to an attempt. */
+  recordResponse(server: ServerIncarnationKey, sent: SentAttempt): void {
+    this.#settle(server, "response", [sent]);
   }
 
   /** Records a byte of any answer: the server runs and has read attempts older than `READ_DELAY_MS`. */
@@ -98,17 +107,18 @@
   }
 
   /** Records that a server has restarted: what its buffers held is gone. */
-  recordRestart({ instance, bornMs }: ServerIncarnationKey): void {
-    const known = this.#servers.get(instance);
-    if (known === undefined || isLaterIncarnation(known.key, { bornMs })) {
-      return;
-    }
-    this.#ack(instance, "server_restarted", () => true);
+  recordRestart(server: ServerIncarnationKey): void {
+    const known = this.#servers.get(server.instance);
+    if (known === undefined || isLaterIncarnation(known.key, server)) return;
+    this.#settle(server, "server_restarted", [
+      ...known.unsettled,
+      ...known.unacked,
+    ]);
   }
 
   /** Returns the unacknowledged attempts of a server. */
   state({ instance }: ServerIncarnationKey, nowMs: number): UnackedState {
-    const attempts = this.#servers.get(instance)?.attempts ?? [];
+    const attempts = [...this.#servers.get(instance)?.unacked ?? []];
     return {
       count: attempts.length,
       oldestMs: nowMs - (attempts[0]?.sentMs ?? nowMs),
@@ -125,25 +135,43 @@
     const known = this.#servers.get(server.instance);
     // The socket buffers of an earlier incarnation are gone.
     if (known !== undefined && isLaterIncarnation(server, known.key)) {
-      this.#ack(server.instance, "server_restarted", () => true);
+      this.recordRestart(known.key);
     }
     const kept = this.#servers.get(server.instance) ??
-      { key: server, attempts: [] };
+      { key: server, unacked: new Set(), unsettled: new Set() };
     this.#servers.set(server.instance, kept);
     return kept;
   }
 
-  #ack(
-    instance: InstanceId,
+  /** Settles attempts at a server, and acknowledges those of them that are not yet. */
+  #settle(
+    { instance }: ServerIncarnationKey,
     evidence: AckEvidence,
-    isAcked: (attempt: UnackedAttempt) => boolean,
+    attempts: readonly SentAttempt[],
   ): void {
     const known = this.#servers.get(instance);
     if (known === undefined) return;
-    const acked = known.attempts.filter(isAcked);
-    if (acked.length === 0) return;
-    known.attempts = known.attempts.filter((attempt) => !isAcked(attempt));
-    if (known.attempts.length === 0) this.#servers.delete(instance);
-    for (const { onAcked } of acked) onAcked(evidence);
+    for (const attempt of attempts) {
+      const isUnacked = known.unacked.delete(attempt);
+      if (!isUnacked && !known.unsettled.delete(attempt)) continue;
+      if (isUnacked) attempt.listener.onAcked(evidence);
+      attempt.listener.onSettled();
+    }
+    if (known.unacked.size + known.unsettled.size === 0) {
+      this.#servers.delete(instance);
+    }
+  }
+}
+
+/** Returns the first of these attempts, which are in the order in which they were sent, up to a time. */
+function sentUntil(
+  attempts: ReadonlySet<SentAttempt>,
+  untilMs: number,
+): SentAttempt[] {
+  const sent: SentAttempt[] = [];
+  for (const attempt of attempts) {
+    if (attempt.sentMs > untilMs) break;
+    sent.push(attempt);
   }
+  return sent;
 }
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -5,6 +5,7 @@
 
 import type {
   AckEvidence,
+  SentAttempt,
   UnackedAttempts,
 } from "../core/servers/unacked_attempts.ts";
 import {
@@ -38,6 +39,7 @@
   readonly #deps: Deps;
   readonly #unacked: UnackedAttempts;
   readonly #late: BurstLog<LateAttempt>;
+  readonly #sent = new WeakMap<AttemptRecord, SentAttempt>();
 
   constructor(deps: Deps) {
     this.#deps = deps;
@@ -45,41 +47,56 @@
     this.#late = createLateLog(deps.logger);
   }
 
-  /**
-   * Records that the first byte of an attempt is being written. `onAcked` is called once the
-   * attempt cannot arrive at its server any later.
-   */
+  /** Records that the first byte of an attempt is being written. */
   attemptSent(
     server: ServerRecord,
-    { record, onAcked }: { record: AttemptRecord; onAcked: () => void },
+    { record, listener }: {
+      record: AttemptRecord;
+      /** Is told once the attempt is acknowledged, and once it cannot arrive any later. */
+      listener: { onAcked(): void; onSettled(): void };
+    },
   ): void {
     const { gatewayMetrics, clock } = this.#deps;
-    const sentMs = clock.monotonicMs();
-    record.sentMs = sentMs;
+    const nowMs = clock.monotonicMs();
+    record.sentMs = nowMs;
     gatewayMetrics.unackedAttempts.inc({ service: server.service });
-    this.#unacked.recordSent(server, {
-      nowMs: sentMs,
-      onAcked: (evidence) => {
-        const { service } = server;
-        record.ackedMs = clock.monotonicMs();
-        record.ackEvidence = evidence;
-        gatewayMetrics.unackedAttempts.dec({ service });
-        gatewayMetrics.ackedAttempts.inc({ service, evidence });
-        const ageMs = record.ackedMs - sentMs;
-        if (ageMs >= LATE_ACK_MS) this.#late.add([{ server, ageMs, evidence }]);
-        onAcked();
+    const sent = this.#unacked.recordSent(server, {
+      nowMs,
+      listener: {
+        onAcked: (evidence) => {
+          this.#recordAck(server, { record, evidence });
+          listener.onAcked();
+        },
+        onSettled: () => {
+          record.isSettled = true;
+          listener.onSettled();
+        },
       },
     });
+    this.#sent.set(record, sent);
   }
 
-  /** Records that a byte of the response to an attempt was received. */
-  responseReceived(
+  #recordAck(
     server: ServerRecord,
-    { sentMs, ackedMs }: AttemptRecord,
+    { record, evidence }: { record: AttemptRecord; evidence: AckEvidence },
   ): void {
-    if (sentMs !== undefined && ackedMs === undefined) {
-      this.#unacked.recordResponse(server, sentMs);
-      this.#unacked.recordAnswer(server, sentMs);
+    const { gatewayMetrics, clock } = this.#deps;
+    const { service } = server;
+    const nowMs = clock.monotonicMs();
+    record.ackedMs = nowMs;
+    record.ackEvidence = evidence;
+    gatewayMetrics.unackedAttempts.dec({ service });
+    gatewayMetrics.ackedAttempts.inc({ service, evidence });
+    const ageMs = nowMs - (record.sentMs ?? nowMs);
+    if (ageMs >= LATE_ACK_MS) this.#late.add([{ server, ageMs, evidence }]);
+  }
+
+  /** Records that a byte of the response to an attempt was received. */
+  responseReceived(server: ServerRecord, record: AttemptRecord): void {
+    const sent = this.#sent.get(record);
+    if (sent !== undefined && !record.isSettled) {
+      this.#unacked.recordResponse(server, sent);
+      this.#unacked.recordAnswer(server, sent.sentMs);
     }
     this.#unacked.recordActivity(server, this.#deps.clock.monotonicMs());
   }
--- a/src/gateway/attempt_record.ts
+++ b/src/gateway/attempt_record.ts
@@ -28,6 +28,8 @@
   ackedMs: number | undefined;
   /** What showed that; undefined before. */
   ackEvidence: AckEvidence | undefined;
+  /** Whether the request cannot arrive at the server any later. */
+  isSettled: boolean;
   /** Whether the response marks its end by a length or chunks; undefined before its head. */
   framed: boolean | undefined;
   /** Confidence of the model in its answer, 0 to 100. */
@@ -59,6 +61,7 @@
     sentMs: undefined,
     ackedMs: undefined,
     ackEvidence: undefined,
+    isSettled: false,
     framed: undefined,
     confidence: undefined,
     limitPerS: undefined,
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -418,7 +418,10 @@
   ): void {
     this.#deps.attemptAcks.attemptSent(server, {
       record,
-      onAcked: () => permit.attemptArrived(),
+      listener: {
+        onAcked: () => permit.attemptAcked(),
+        onSettled: () => permit.attemptSettled(),
+      },
     });
   }
 
--- a/src/gateway/retry_budget_log.ts
+++ b/src/gateway/retry_budget_log.ts
@@ -32,7 +32,9 @@
     if (windowMs < bounds.retryWindowMs) return;
     this.#reportedMs = nowMs;
     for (const { service, counts, state } of retryBudget.takeReports(nowMs)) {
-      if (counts.sent + counts.arrived + state.unacked === 0) continue;
+      if (
+        counts.sent + counts.arrived + state.unacked + state.unsettled === 0
+      ) continue;
       logger.info("Retries of a window", {
         service,
         window_ms: Math.round(windowMs),
@@ -44,6 +46,7 @@
         arrived: counts.arrived,
         slowest_arrival_ms: Math.round(counts.slowestArrivalMs),
         unacknowledged: Number(state.unacked.toFixed(1)),
+        unsettled: Number(state.unsettled.toFixed(1)),
         oldest_unacknowledged_ms: Math.round(state.oldestUnackedMs),
         earned: Number(state.earned.toFixed(1)),
         allowance_left: Number(state.allowance.toFixed(1)),
--- a/src/gateway/retry_permit.ts
+++ b/src/gateway/retry_permit.ts
@@ -1,10 +1,10 @@
 /** Permits of one request for retries, out of the retry budget of its service. */
 
 import type { ServiceId } from "../core/ids.ts";
+import type { SentRetry } from "../core/limits/pending_retries.ts";
 import type {
   RetryBudget,
   RetryBudgetState,
-  SentRetry,
 } from "../core/limits/retry_budget.ts";
 import type { Clock } from "../runtime/clock.ts";
 
@@ -23,7 +23,8 @@
   readonly #deps: Deps;
   readonly #service: ServiceId;
   readonly #sent: SentRetry[] = [];
-  #arrived = 0;
+  #acked = 0;
+  #settled = 0;
   #isHeld = false;
   #isCounted: boolean;
   #ackWaitMs = 0;
@@ -100,15 +101,28 @@
     return retry !== undefined;
   }
 
-  /** Records that one more attempt of the request has arrived, or can no longer arrive. */
-  attemptArrived(): void {
-    this.#arrived += 1;
-    // Servers count each arrival after the first as a retry, in whatever order attempts were sent.
-    if (this.#arrived === 1) return;
-    const retry = this.#sent.shift();
+  /** Records that one more attempt of the request is acknowledged. */
+  attemptAcked(): void {
+    this.#acked += 1;
+    const retry = this.#retryOf(this.#acked);
+    if (retry !== undefined) this.#deps.retryBudget.recordAck(retry);
+  }
+
+  /** Records that one more attempt of the request cannot arrive any later. */
+  attemptSettled(): void {
+    this.#settled += 1;
+    const retry = this.#retryOf(this.#settled);
     if (retry === undefined) return;
     const { retryBudget, clock } = this.#deps;
-    retryBudget.recordArrival(retry, clock.monotonicMs());
+    retryBudget.recordSettled(retry, clock.monotonicMs());
+  }
+
+  /**
+   * Returns the retry that the n-th arrival counts as. Servers count each arrival after the first
+   * as a retry, in whatever order attempts were sent.
+   */
+  #retryOf(arrivals: number): SentRetry | undefined {
+    return this.#sent[arrivals - 2];
   }
 
   /** Returns the permit to the budget, if one is held. */
