--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -78,8 +78,11 @@
    * unusable otherwise; not called if a different server listens at the address.
    */
   onNotice(notice: ServerNotice): void;
-  /** Called for each received part of the response, for stall detection. */
-  onProgress(): void;
+  /**
+   * Called for each received part of the response, for stall detection. `isOwn` says whether its
+   * head names this attempt, so that it was not made by something between, such as a load balancer.
+   */
+  onProgress(isOwn: boolean): void;
 }
 
 /** Options of an attempt. */
@@ -107,6 +110,7 @@
   readonly #collector: ResponseCollector;
   #resolve: (outcome: BackendAttemptOutcome) => void = () => {};
   #head: ResponseHead | undefined;
+  #isOwn = false;
   #decision: HeadDecision = "collect";
   #sent = false;
   #paused = false;
@@ -170,8 +174,9 @@
 
   onHead(status: number, headers: ResponseHeaders): void {
     if (this.#done) return;
-    this.#options.sink.onProgress();
     const decoded = decodeBackendHead(headers);
+    this.#isOwn = decoded.attempt === this.#options.attempt;
+    this.#options.sink.onProgress(this.#isOwn);
     const notice = decodeServerNotice(status, headers);
     this.#head = { status, headers, decoded, notice };
     if (status !== MISDIRECTED) this.#options.sink.onNotice(notice);
@@ -189,7 +194,7 @@
 
   onData(chunk: Buffer): void {
     if (this.#done) return;
-    this.#options.sink.onProgress();
+    this.#options.sink.onProgress(this.#isOwn);
     if (this.#decision === "collect") {
       if (this.#collector.add(chunk)) return;
       this.abort({ tag: "broken", reason: BODY_TOO_LARGE });
--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -38,6 +38,7 @@
   const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
   const notices: ServerNotice[] = [];
+  const progress: boolean[] = [];
   const pool = connections;
   const send = (attempt = ATTEMPT_ID): Promise<BackendAttemptOutcome> =>
     new BackendAttempt(pool, {
@@ -55,10 +56,10 @@
         decideByHead: () => decision,
         write: (chunk) => streamed.push(chunk.toString()) > 0,
         onNotice: (notice) => notices.push(notice),
-        onProgress: () => {},
+        onProgress: (isOwn) => progress.push(isOwn),
       },
     }).run();
-  return { send, streamed, notices, server, record, connections };
+  return { send, streamed, notices, progress, server, record, connections };
 }
 
 function head(
@@ -116,6 +117,27 @@
     assert.deepEqual(notices, []);
   });
 
+  // Guards against retries beyond the budget where a load balancer answers for a server that has not
+  // read the request yet.
+  it("should tell responses of the server from those that something between has made", async () => {
+    const balancers = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 2\r\n\r\nno";
+    for (
+      const [response, isOwn] of [
+        [COMPLETE_RESPONSE, true],
+        [balancers, false],
+      ] as const
+    ) {
+      const { send, progress } = await fixture(({ socket }) =>
+        socket.write(response)
+      );
+      await send();
+      assert.ok(progress.length > 0);
+      assert.ok(progress.every((one) => one === isOwn));
+      connections?.close();
+      await server?.close();
+    }
+  });
+
   it("should return a complete response and reuse the connection", async () => {
     const { send, server } = await fixture(({ socket }) =>
       socket.write(COMPLETE_RESPONSE)
--- a/src/backends/server_probe.ts
+++ b/src/backends/server_probe.ts
@@ -15,8 +15,16 @@
 /** Minimum interval between probes of a server; allows two before it counts as stalled. */
 const PROBE_INTERVAL_MS = 200;
 
-/** Called with the status that a server sends along with its response to a probe. */
-export type NoticeListener = (notice: ServerNotice) => void;
+/**
+ * Called with the status that a server sends along with its response to a probe. `isReport` says
+ * whether the response is the server's report, so that it was not made by something between.
+ */
+export type NoticeListener = (
+  notice: ServerNotice,
+  { isReport }: { isReport: boolean },
+) => void;
+
+const REPORT_STATUS = 200;
 
 interface Deps {
   readonly serverStallDetector: ServerStallDetector;
@@ -64,7 +72,10 @@
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
         reset: true,
       });
-      onNotice(decodeServerNotice(res.statusCode, res.headers));
+      const { statusCode, headers } = res;
+      onNotice(decodeServerNotice(statusCode, headers), {
+        isReport: statusCode === REPORT_STATUS,
+      });
       await res.body.dump();
       serverStallDetector.recordActivity(instance, clock.monotonicMs());
     } catch (err) {
--- a/src/backends/server_probe_test.ts
+++ b/src/backends/server_probe_test.ts
@@ -35,6 +35,19 @@
   return new ServerProbe({ serverStallDetector, clock, logger });
 }
 
+/** Probes a server; resolves with what its response says. */
+function answerOf(
+  probe: ServerProbe,
+  address: string,
+): Promise<{ notice: ServerNotice; isReport: boolean }> {
+  return new Promise((resolve) =>
+    probe.ask(
+      { instance, address },
+      (notice, { isReport }) => resolve({ notice, isReport }),
+    )
+  );
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
@@ -82,15 +95,17 @@
       "server-limit": "0.5",
       "server-brittle": "3",
     };
-    const notice = await new Promise<ServerNotice>((resolve) =>
-      newProbe().ask({ instance, address }, resolve)
-    );
+    const { notice, isReport } = await answerOf(newProbe(), address);
     assert.deepEqual(notice, {
       restMs: 2_000,
       leaves: true,
       limitPerS: 0.5,
       bearsPerS: 3,
     });
+    // Something between may answer so for a server that reads nothing.
+    assert.equal(isReport, false);
+    headers = undefined;
+    assert.equal((await answerOf(newProbe(), address)).isReport, true);
   });
 
   it("should probe a server at most once per interval", async () => {
--- a/src/gateway/attempt_sender.ts
+++ b/src/gateway/attempt_sender.ts
@@ -370,10 +370,10 @@
           observed.record.limitPerS = notice.limitPerS;
           serverNoticeHandler.handleNotice(server, notice);
         },
-        onProgress: () => {
+        onProgress: (isOwn) => {
           reachabilityMonitor.recordContact(server.service);
           attemptObserver.bytesReceived(observed);
-          attemptAcks.responseReceived(server, observed.record);
+          if (isOwn) attemptAcks.responseReceived(server, observed.record);
         },
       },
     });
--- a/src/gateway/attempt_stall_detector.ts
+++ b/src/gateway/attempt_stall_detector.ts
@@ -1,6 +1,6 @@
 /** Distinguishes attempts whose server has stalled from those whose server is only slow. */
 
-import type { ServerProbe } from "../backends/server_probe.ts";
+import type { NoticeListener, ServerProbe } from "../backends/server_probe.ts";
 import type { Route } from "../core/routes/route.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
 import {
@@ -12,7 +12,6 @@
   type ServerStallDetector,
   type StallReason,
 } from "../core/servers/server_stall_detector.ts";
-import type { ServerNotice } from "../core/servers/server_notice.ts";
 import type { AttemptAcks } from "./attempt_acks.ts";
 import type { ServerAdmission } from "./server_admission.ts";
 import type { ServerNoticeHandler } from "./server_notice_handler.ts";
@@ -65,7 +64,7 @@
     if (isModelServer && serverStallDetector.needsProbe(waiting, nowMs)) {
       serverProbe.ask(
         server,
-        (notice) => this.#probeAnswered(server, { notice, sentMs: nowMs }),
+        this.#probeListener(server, nowMs),
       );
     }
     return serverStallDetector.detectStall(waiting, nowMs);
@@ -77,17 +76,17 @@
     if ((serverAdmission.earliestProbeMs(server) ?? 0) > nowMs) return;
     serverProbe.ask(
       server,
-      (notice) => this.#probeAnswered(server, { notice, sentMs: nowMs }),
+      this.#probeListener(server, nowMs),
     );
   }
 
-  #probeAnswered(
-    server: ServerRecord,
-    { notice, sentMs }: { notice: ServerNotice; sentMs: number },
-  ): void {
+  /** Returns a listener for the response to a probe sent at `sentMs`. */
+  #probeListener(server: ServerRecord, sentMs: number): NoticeListener {
     const { serverNoticeHandler, attemptAcks } = this.#deps;
-    serverNoticeHandler.handleNotice(server, notice);
-    attemptAcks.probeAnswered(server, sentMs);
+    return (notice, { isReport }) => {
+      serverNoticeHandler.handleNotice(server, notice);
+      if (isReport) attemptAcks.probeAnswered(server, sentMs);
+    };
   }
 
   #hasRestarted(server: ServerRecord): boolean {
