--- a/src/core/servers/unacked_attempts.ts
+++ b/src/core/servers/unacked_attempts.ts
@@ -25,6 +25,7 @@
   | "other_response"
   /** A later incarnation of the server is known. */
   | "server_restarted"
+  | "server_left"
   | "expired";
 
 /** Is told what becomes known of one attempt, in the order of its methods and once each. */
@@ -116,6 +117,16 @@
     ]);
   }
 
+  /**
+   * Records that a server has left the list: it has ended, or will soon. What it is not known to
+   * have read may still arrive, as a server that is only suspended leaves the list as well.
+   */
+  recordDeparture(server: ServerIncarnationKey): void {
+    const known = this.#servers.get(server.instance);
+    if (known === undefined || isLaterIncarnation(known.key, server)) return;
+    this.#settle(server, "server_left", [...known.unsettled]);
+  }
+
   /** Returns the unacknowledged attempts of a server. */
   state({ instance }: ServerIncarnationKey, nowMs: number): UnackedState {
     const attempts = [...this.#servers.get(instance)?.unacked ?? []];
--- a/src/core/servers/unacked_attempts_test.ts
+++ b/src/core/servers/unacked_attempts_test.ts
@@ -129,6 +129,19 @@
     assert.deepEqual(settled, [2, 3, 1, 4]);
   });
 
+  it("should be settled once their server leaves the list, if it was seen to run since", () => {
+    for (const atMs of [1, 2]) send(atMs);
+    unacked.recordAnswer(INCARNATION, 1);
+    unacked.recordDeparture(INCARNATION);
+    assert.deepEqual(settled, [1]);
+    assert.deepEqual(acked, [1]);
+    send(3, NEXT_INCARNATION);
+    unacked.recordAnswer(NEXT_INCARNATION, 3);
+    // Late news of the earlier incarnation.
+    unacked.recordDeparture(INCARNATION);
+    assert.deepEqual(settled, [1, 2]);
+  });
+
   it("should be acknowledged only once, whatever the order of events", () => {
     const event = fc.record({
       kind: fc.constantFrom("send", "answer", "response", "restart"),
--- a/src/gateway/attempt_acks.ts
+++ b/src/gateway/attempt_acks.ts
@@ -8,6 +8,7 @@
   SentAttempt,
   UnackedAttempts,
 } from "../core/servers/unacked_attempts.ts";
+import type { RemovalReason } from "../core/servers/server_directory.ts";
 import {
   incarnationIdOf,
   type ServerRecord,
@@ -106,9 +107,12 @@
     this.#unacked.recordAnswer(server, sentMs);
   }
 
-  /** Records that the list of servers shows a later incarnation of a server. */
-  serverRestarted(server: ServerRecord): void {
-    this.#unacked.recordRestart(server);
+  /** Records that a server gets no new work any more. */
+  serverRemoved(server: ServerRecord, reason: RemovalReason): void {
+    if (reason === "restarted") this.#unacked.recordRestart(server);
+    if (reason === "left" || reason === "not_listed_again") {
+      this.#unacked.recordDeparture(server);
+    }
   }
 
   /**
--- a/src/gateway/gateway_process.ts
+++ b/src/gateway/gateway_process.ts
@@ -61,9 +61,7 @@
     components.serverFollower.start();
     components.serverFollower.onRemoved((server, reason) => {
       const { instance } = server;
-      if (reason === "restarted") {
-        components.attemptAcks.serverRestarted(server);
-      }
+      components.attemptAcks.serverRemoved(server, reason);
       components.backendConnectionPool.closeIdle(instance);
       components.coldAdmission.remove(instance);
       components.limitAdmission.remove(instance);
