--- a/tests/commands_test.ts
+++ b/tests/commands_test.ts
@@ -110,7 +110,8 @@
       lose_write_answers: 1,
       lose_head_answers: true,
     });
-    const first = await apply("--timeout", "1", "--json");
+    // A starved process may take seconds to write; nothing would have been applied by then.
+    const first = await apply("--timeout", "10", "--json");
     assert.equal(first.code, 4);
     await fleet.setFaults("platform", {});
     const settled = await apply(
