Add failing tests of clients that keep no limits

What callers saw: such clients ended a process (out of memory), or used up its descriptors, and ordinary callers got no answer.

The tests run a gateway as a process of its own, with 220 MB, 75 MB of heap and 500 descriptors, and a crowd in another process: bodies without an end, requests sent ahead with answers unread, silent connections, at each listener. They check that the process lives, that memory (VmHWM) and open sockets stay within the settings, and that one ordinary request and the readiness check are answered beside the crowd and after it. They lie in tests/serial, whose files run one at a time after all others.

--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -8,6 +8,9 @@
 import { evaluateRun, readKnownRed } from "./known_red.ts";
 
 const ROOTS = ["src", "tests", "prove", "soak"];
+/** Tests in this folder bring their own load, and run one at a time after all others. */
+const SERIAL_FOLDER = "tests/serial/";
+const CONCURRENCY = 4;
 const pathFilters = process.argv.slice(2);
 
 const files = ROOTS
@@ -22,7 +25,7 @@
 
 const reportFolder = mkdtempSync(join(tmpdir(), "fieldrack-tests-"));
 const failedTestsFile = join(reportFolder, "failed");
-const args = [
+const BASE_ARGS = [
   "--import",
   "tsx",
   "--test",
@@ -30,25 +33,41 @@
   "--test-reporter-destination=stdout",
   "--test-reporter=./scripts/failed_tests_reporter.mjs",
   `--test-reporter-destination=${failedTestsFile}`,
-  "--test-concurrency=4",
   // Without a timeout, a test that hangs would block CI indefinitely.
   "--test-timeout=300000",
 ];
-const { status } = spawnSync(process.execPath, [...args, ...files], {
-  stdio: "inherit",
-});
-const failed = readFileSync(failedTestsFile, "utf8").split("\n")
-  .filter((line) => line !== "")
-  .map((line) => JSON.parse(line) as string);
+
+interface RunResult {
+  readonly exitCode: number | null;
+  readonly failed: readonly string[];
+}
+
+/** Runs test files, at most `concurrency` at a time. */
+function runFiles(run: readonly string[], concurrency: number): RunResult {
+  if (run.length === 0) return { exitCode: 0, failed: [] };
+  const { status } = spawnSync(process.execPath, [
+    ...BASE_ARGS,
+    `--test-concurrency=${concurrency}`,
+    ...run,
+  ], { stdio: "inherit" });
+  const failed = readFileSync(failedTestsFile, "utf8").split("\n")
+    .filter((line) => line !== "")
+    .map((line) => JSON.parse(line) as string);
+  return { exitCode: status, failed };
+}
+
+const isSerial = (file: string) => file.startsWith(SERIAL_FOLDER);
+const runs = [
+  runFiles(files.filter((file) => !isSerial(file)), CONCURRENCY),
+  runFiles(files.filter(isSerial), 1),
+];
 rmSync(reportFolder, { recursive: true });
 
 const knownRed = readKnownRed();
-const { ok, passedOver } = evaluateRun(knownRed, {
-  exitCode: status,
-  failed,
-});
+const evaluations = runs.map((run) => evaluateRun(knownRed, run));
+const passedOver = evaluations.flatMap((run) => run.passedOver);
 for (const line of knownRed) {
   const state = passedOver.includes(line) ? "passed over" : "not seen failing";
   console.log(`KNOWN RED, ${state}: ${line}`);
 }
-process.exit(ok ? 0 : 1);
+process.exit(evaluations.every(({ ok }) => ok) ? 0 : 1);
--- /dev/null
+++ b/tests/serial/crowd_bodies_test.ts
@@ -0,0 +1,93 @@
+/**
+ * Guards against bodies that never end. Each chunk of one byte took a hundred times its size, and
+ * nothing limited their sum, so that the process ran out of memory with all requests that it had.
+ */
+
+import { describe } from "node:test";
+import {
+  chunkedHead,
+  head,
+  HOST_ONLY,
+  itShouldServeBeside,
+  LARGE_CHUNK,
+  LARGE_CHUNK_BYTES,
+  MAX_BODY_BYTES,
+  ORDINARY,
+  SMALLEST_CHUNK,
+} from "../fixtures/crowd_case.ts";
+import { READY_PATH, SERVED_PATH } from "../fixtures/limited_gateway.ts";
+
+const KIB = 1_024;
+const SMALL_BODY_BYTES = 16 * KIB;
+const CHUNKED = `${HOST_ONLY}transfer-encoding: chunked\r\n`;
+
+describe("a gateway beside bodies without an end", () => {
+  itShouldServeBeside({
+    name: "small bodies in chunks of 1 byte",
+    at: "callers",
+    connections: 100,
+    prefix: chunkedHead(),
+    unit: SMALLEST_CHUNK,
+    repeat: SMALL_BODY_BYTES - 1,
+  });
+  itShouldServeBeside({
+    name: "large bodies in chunks of 1 byte",
+    at: "callers",
+    connections: 20,
+    prefix: chunkedHead(),
+    unit: SMALLEST_CHUNK,
+    repeat: MAX_BODY_BYTES / 4,
+  });
+  itShouldServeBeside({
+    name: "large bodies in large chunks",
+    at: "callers",
+    connections: 100,
+    prefix: chunkedHead(),
+    unit: LARGE_CHUNK,
+    repeat: MAX_BODY_BYTES / LARGE_CHUNK_BYTES - 1,
+  });
+  itShouldServeBeside({
+    name: "large bodies with a length, one byte short",
+    at: "callers",
+    connections: 100,
+    prefix: head(
+      "POST",
+      SERVED_PATH,
+      `${ORDINARY}content-length: ${MAX_BODY_BYTES}\r\n`,
+    ),
+    unit: "x",
+    repeat: MAX_BODY_BYTES - 1,
+  });
+  itShouldServeBeside({
+    name: "chunk extensions",
+    at: "callers",
+    connections: 20,
+    prefix: chunkedHead(),
+    unit: `1;${"e".repeat(KIB)}\r\nx\r\n`,
+    repeat: 4 * KIB,
+  });
+  itShouldServeBeside({
+    name: "trailers",
+    at: "callers",
+    connections: 100,
+    prefix: `${chunkedHead()}0\r\n`,
+    unit: `t: ${"v".repeat(KIB)}\r\n`,
+    repeat: KIB,
+  });
+  itShouldServeBeside({
+    name: "bodies in chunks of 1 byte",
+    at: "readiness",
+    connections: 20,
+    prefix: head("POST", READY_PATH, CHUNKED),
+    unit: SMALLEST_CHUNK,
+    repeat: MAX_BODY_BYTES / 4,
+  });
+  itShouldServeBeside({
+    name: "bodies of no peer in chunks of 1 byte",
+    at: "peers",
+    connections: 50,
+    prefix: head("POST", "/exchange", CHUNKED),
+    unit: SMALLEST_CHUNK,
+    repeat: 512 * KIB,
+  });
+});
