Have the requests of a connection parsed one at a time

Callers saw: a client that sends many requests ahead and reads no answers ended the process, with or without headers, at any path of the callers' listener.

Cause: the parser of Node's server goes through a whole read at once, up to 64 KB, and makes a request, a response, a run and log lines for each of thousands of requests in it before the first is answered. Pausing the socket does not reach what was read; requests that are served open a connection to a server each.

Change: a guarded connection takes the place of the server's data listener, passes on what ends with one request head, and keeps the rest, with the socket paused, until the response is finished. What all connections keep, incomplete heads included, is limited to a share of the memory; beyond it the oldest loses what it sent ahead, and its connection once its request is answered.

Ruled out: maxRequestsPerSocket (responses are still made), pausing the parser (an error within its callbacks), a duplex in between (another buffer for each connection).

--- /dev/null
+++ b/src/core/limits/vm_shares.ts
@@ -0,0 +1,29 @@
+/** Divides the memory of a VM between what clients can make it hold. */
+
+const BYTES_PER_MB = 1_000_000;
+
+/** What a VM has, from its settings. */
+export interface VmSize {
+  readonly memoryMb: number;
+}
+
+/** Shares; what they leave is for the program itself. */
+export const VM_SHARES = {
+  bytes_ahead: {
+    share: 0.04,
+    of: "memory",
+    meaning:
+      "Incomplete heads of callers, and bytes sent while an earlier request on the connection is under way; beyond it the oldest such connection is closed",
+  },
+} as const;
+
+/** Name of a share of the memory. */
+export type MemoryShare = keyof typeof VM_SHARES;
+
+/** Returns a share of the memory, in bytes. */
+export function memoryShare(
+  { memoryMb }: Pick<VmSize, "memoryMb">,
+  name: MemoryShare,
+): number {
+  return memoryMb * BYTES_PER_MB * VM_SHARES[name].share;
+}
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -90,6 +90,7 @@
 import { RequestLog } from "./request_log.ts";
 import { RetryBudgetLog } from "./retry_budget_log.ts";
 import { ResponseEndCheck } from "./response_end_check.ts";
+import { ClosedConnections } from "./closed_connections.ts";
 import { RequestMemory } from "./request_memory.ts";
 import { RequestServer } from "./request_server.ts";
 import { SeedList } from "./seed_list.ts";
@@ -349,6 +350,7 @@
     requestLog: singleton(RequestLog),
     retryBudgetLog: singleton(RetryBudgetLog),
     requestMemory: singleton(RequestMemory),
+    closedConnections: singleton(ClosedConnections),
     requestServer: singleton(RequestServer),
     gatewayMetrics: singleton(GatewayMetrics),
     controlServer: singleton(ControlServer),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -22,6 +22,13 @@
     registers: [this.registry],
   });
 
+  readonly closedConnections = new Counter({
+    name: "fieldrack_gateway_closed_connections_total",
+    help: "Connections of clients closed beyond a limit, by listener and limit",
+    labelNames: ["listener", "reason"] as const,
+    registers: [this.registry],
+  });
+
   readonly streamsCut = new Counter({
     name: "fieldrack_gateway_streams_cut_total",
     help: "Streams ended by this VM before they were complete, by reason",
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -4,12 +4,16 @@
 import fastify, { type FastifyInstance } from "fastify";
 import type { Refusal } from "../core/refusal.ts";
 import type { CallerLimits } from "../core/routes/route.ts";
+import { memoryShare } from "../core/limits/vm_shares.ts";
+import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import { CallerExchange } from "./caller_exchange.ts";
+import type { ClosedConnections } from "./closed_connections.ts";
 import type { RequestAdmission } from "./request_admission.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { RequestMemory } from "./request_memory.ts";
@@ -48,6 +52,8 @@
   readonly requestMemory: RequestMemory;
   readonly routingFollower: RoutingFollower;
   readonly stopState: StopState;
+  readonly vmSettings: VmSettings;
+  readonly closedConnections: ClosedConnections;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -76,6 +82,10 @@
         connectionsCheckingInterval: SLOW_CALLER_CHECK_INTERVAL_MS,
       },
     });
+    new ConnectionGuard(this.#http.server, {
+      maxBytesAhead: memoryShare(deps.vmSettings, "bytes_ahead"),
+      onClosed: deps.closedConnections.listener("callers"),
+    });
     this.#http.removeAllContentTypeParsers();
     this.#http.addContentTypeParser("*", (_req, _body, done) => done(null));
     this.#http.all("/", (req, reply) => {
