Copy the chunks of a body into a few blocks

Callers saw: one request inside the limits, 4.19 MB in chunks of 1 byte, ended the process with all requests that it had. So did a hundred bodies of 16 KB in such chunks.

Cause: each chunk was kept as a view of what was read, an object and a list entry, some hundred times its size, while the limit for bodies counts payload.

Change: a body is copied into blocks that double up to 256 KB, and is reserved by their capacity; one that declares its length gets a single block. What a body costs no longer depends on how it is cut.

--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -3,7 +3,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Refusal, refusalResponse } from "../core/refusal.ts";
-import { fail, ok, type Result } from "../core/result.ts";
 import type { ResponseHead } from "../backends/backend_attempt.ts";
 import {
   type CallerHead,
@@ -19,7 +18,11 @@
 } from "../protocol/forward_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { nextTurn } from "../runtime/next_turn.ts";
-import type { BodyReservation, RequestMemory } from "./request_memory.ts";
+import {
+  BodyReader,
+  type BodyReaderOptions,
+  type BodyResult,
+} from "./body_reader.ts";
 
 const DECLINED_STATUS = 503;
 
@@ -46,7 +49,7 @@
   #state: ResponseState = "none";
   #status: number | undefined;
   #corked = false;
-  #bodyMemory: BodyReservation | undefined;
+  #body: BodyReader | undefined;
   #onDisconnect: () => void = () => {};
 
   constructor(
@@ -112,49 +115,17 @@
     if (this.#state === "caller_gone") listener();
   }
 
-  /**
-   * Reads the whole body; undefined if it is empty. A body for which there is not enough memory is
-   * refused before it is read. What still arrives of a refused one is dropped.
-   */
+  /** Reads the whole body. */
   readBody(
-    limitBytes: number,
-    memory: RequestMemory,
-  ): Promise<Result<Buffer | undefined, Refusal>> {
-    const reservation = memory.open();
-    this.#bodyMemory = reservation;
-    return new Promise((resolve) => {
-      let chunks: Buffer[] = [];
-      let bytes = 0;
-      let isRefused = false;
-      const refuse = (refusal: Refusal) => {
-        isRefused = true;
-        chunks = [];
-        resolve(fail(refusal));
-      };
-      const declared = Number(this.#req.headers["content-length"] ?? 0);
-      if (!reservation.growTo(Math.min(declared, limitBytes))) {
-        refuse({ tag: "bodies_full" });
-      }
-      this.#req.on("data", (chunk: Buffer) => {
-        if (isRefused) return;
-        bytes += chunk.length;
-        if (bytes > limitBytes) refuse({ tag: "too_large", limitBytes });
-        else if (reservation.growTo(bytes)) chunks.push(chunk);
-        else refuse({ tag: "bodies_full" });
-      });
-      this.#req.once("end", () => {
-        resolve(ok(chunks.length === 0 ? undefined : Buffer.concat(chunks)));
-      });
-      this.#req.once("close", () => {
-        // Has no effect after "end", which has resolved the promise already.
-        resolve(fail({ tag: "malformed", reason: "Body was cut short" }));
-      });
-    });
+    options: BodyReaderOptions,
+  ): Promise<BodyResult> {
+    this.#body = new BodyReader(this.#req, options);
+    return this.#body.read();
   }
 
   /** Frees the memory of the body, which is not used any more. */
   releaseBody(): void {
-    this.#bodyMemory?.release();
+    this.#body?.release();
   }
 
   /**
@@ -270,7 +241,8 @@
   #begin(status: number, headers: Record<string, string | string[]>): void {
     this.#state = "begun";
     this.#status = status;
-    if (this.#closing()) headers.connection = "close";
+    // The rest of a body that was refused is not read.
+    if (this.#closing() || !this.#req.complete) headers.connection = "close";
     this.#res.writeHead(status, headers);
   }
 
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -198,10 +198,10 @@
     { isForwarded }: { isForwarded: boolean },
   ): Promise<void> {
     const { requestAdmission, requestLog, requestMemory } = this.#deps;
-    const body = await exchange.readBody(
-      this.#limits.maxBodyBytes,
-      requestMemory,
-    );
+    const body = await exchange.readBody({
+      limitBytes: this.#limits.maxBodyBytes,
+      memory: requestMemory,
+    });
     if (body.ok) await exchange.detectDisconnect();
     const admitted = requestAdmission.admit(exchange);
     const err = !body.ok
