Give the memory of bodies that have stalled to others, and limit small ones

Callers saw: bodies that stop short of their end kept their share of the memory for as long as their senders liked, and each further large body was refused with 503 until they left. Small bodies were always read, however many.

Cause: a reservation ended only with its request, nothing bounded the time between two bytes of a body, and bodies of up to 16 KB had no limit for all of them.

In calm a body has the idle time of the configuration between two bytes, then 408. Small bodies share a twentieth of the memory while the others are full.

--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -9,6 +9,16 @@
 
 /** Shares; what they leave is for the program itself. */
 export const VM_SHARES = {
+  request_bodies: {
+    share: 0.2,
+    of: "memory",
+    meaning: "Bodies of callers' requests; 503 beyond it",
+  },
+  small_request_bodies: {
+    share: 0.05,
+    of: "memory",
+    meaning: "Bodies of up to 16 KiB while the others use up their share",
+  },
   bytes_ahead: {
     share: 0.04,
     of: "memory",
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -13,6 +13,8 @@
   | { readonly tag: "malformed"; readonly reason: string }
   /** The bodies of other requests use up the memory that this VM has for them. */
   | { readonly tag: "bodies_full" }
+  /** Nothing of the body has arrived for the idle time that the configuration allows. */
+  | { readonly tag: "too_slow"; readonly idleMs: number }
   | { readonly tag: "stopping" }
   /** No server of the service accepts new requests. */
   | {
@@ -129,6 +131,11 @@
       );
     case "malformed":
       return finalResponse(400, refusal.reason);
+    case "too_slow":
+      return finalResponse(
+        408,
+        `No byte of the request body arrived for ${refusal.idleMs} ms`,
+      );
     case "expired":
       return finalResponse(
         504,
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -117,12 +117,17 @@
 
   /** Reads the whole body. */
   readBody(
-    options: BodyReaderOptions,
+    options: Pick<BodyReaderOptions, "limitBytes" | "memory">,
   ): Promise<BodyResult> {
-    this.#body = new BodyReader(this.#req, options);
+    this.#body = new BodyReader(this.#req, { ...options, clock: this.#clock });
     return this.#body.read();
   }
 
+  /** Refuses the request if its body has stopped arriving for `idleTimeoutMs`. */
+  checkBody(nowMs: number, idleTimeoutMs: number): void {
+    this.#body?.checkProgress(nowMs, idleTimeoutMs);
+  }
+
   /** Frees the memory of the body, which is not used any more. */
   releaseBody(): void {
     this.#body?.release();
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -70,6 +70,11 @@
     run: () => this.#checkRuns(),
   });
 
+  readonly #bodyChecks = new RepeatedTask({
+    intervalMs: SLOW_CALLER_CHECK_INTERVAL_MS,
+    run: () => this.#checkBodies(),
+  });
+
   constructor(deps: Deps) {
     this.#deps = deps;
     this.#http = fastify({
@@ -119,6 +124,7 @@
 
   /** Starts listening; returns the bound address. */
   listen(address: string): Promise<string> {
+    this.#bodyChecks.start();
     return listenHttp(this.#http, address);
   }
 
@@ -134,6 +140,7 @@
   /** Stops listening and closes idle connections. */
   async close(): Promise<void> {
     this.#stallChecks.stop();
+    this.#bodyChecks.stop();
     await this.#http.close();
   }
 
@@ -143,6 +150,15 @@
     return Promise.resolve();
   }
 
+  #checkBodies(): Promise<void> {
+    const nowMs = this.#deps.clock.monotonicMs();
+    const { idleTimeoutMs } = this.#limits;
+    for (const exchange of this.#exchanges) {
+      exchange.checkBody(nowMs, idleTimeoutMs);
+    }
+    return Promise.resolve();
+  }
+
   async #handle(
     req: IncomingMessage,
     { res, url, isForwarded = false }: {
--- a/tests/serial/crowd_bodies_test.ts
+++ b/tests/serial/crowd_bodies_test.ts
@@ -3,7 +3,8 @@
  * nothing limited their sum, so that the process ran out of memory with all requests that it had.
  */
 
-import { describe } from "node:test";
+import { describe, it } from "node:test";
+import { Crowd } from "../fixtures/crowd.ts";
 import {
   chunkedHead,
   head,
@@ -15,7 +16,12 @@
   ORDINARY,
   SMALLEST_CHUNK,
 } from "../fixtures/crowd_case.ts";
-import { READY_PATH, SERVED_PATH } from "../fixtures/limited_gateway.ts";
+import {
+  LimitedGateway,
+  READY_PATH,
+  SERVED_PATH,
+} from "../fixtures/limited_gateway.ts";
+import { until } from "../fixtures/test_fleet.ts";
 
 const KIB = 1_024;
 const SMALL_BODY_BYTES = 16 * KIB;
@@ -90,4 +96,27 @@
     unit: SMALLEST_CHUNK,
     repeat: 512 * KIB,
   });
+
+  // Guards against bodies that stop short of their end and keep out all others for as long as they like.
+  it("should serve a large body beside large ones that have stalled", async () => {
+    const gateway = new LimitedGateway();
+    let crowd: Crowd | undefined;
+    try {
+      await gateway.start();
+      crowd = new Crowd({
+        address: gateway.address("callers"),
+        connections: 100,
+        prefix: chunkedHead(),
+        unit: LARGE_CHUNK,
+        repeat: MAX_BODY_BYTES / LARGE_CHUNK_BYTES - 1,
+      });
+      await crowd.settled();
+      const body = "x".repeat(MAX_BODY_BYTES);
+      await until(async () => await gateway.call({ body }) === 200);
+      gateway.assertWithinLimits();
+    } finally {
+      await crowd?.disperse();
+      await gateway.stop();
+    }
+  });
 });
