Limit the responses that wait for callers to read them

Callers saw: clients that do not read what they asked for ended the process.

Cause: a response leaves the limit on responses of servers once it is complete, and its request is over; what its caller has not read stays in the buffer of the connection, counted by nobody.

Change: each response is recorded with the bytes that wait for its caller, streams included; beyond a share of the memory the one that has waited longest is dropped and its connection closed.

--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -15,6 +15,7 @@
 import { serverRecord } from "../../tests/fixtures/server_record.ts";
 
 const ATTEMPT_ID = "9c41d07be2a35f68";
+const RESPONSE_BYTES = 48 * 1_024 * 1_024;
 
 let server: RawServer | undefined;
 let connections: BackendConnectionPool | undefined;
@@ -33,7 +34,7 @@
   connections = new BackendConnectionPool({
     clock: new SystemClock(),
     serverConnector: new TcpServerConnector(),
-    responseMemory: new ResponseMemory(),
+    responseMemory: new ResponseMemory(RESPONSE_BYTES),
   });
   const record = serverRecord("i-1", { address });
   const streamed: string[] = [];
--- a/src/backends/response_limits.ts
+++ b/src/backends/response_limits.ts
@@ -11,8 +11,6 @@
 const OVERHEAD_PER_PAYLOAD_BYTE = 4;
 /** Largest event of a stream, and the most bytes of a stream without data. */
 export const MAX_EVENT_BYTES = 1_024 * 1_024;
-/** Memory for all response bodies that are being collected. */
-const MAX_COLLECTED_BYTES = 48 * 1_024 * 1_024;
 /** Memory that a chunk takes besides its bytes. */
 const CHUNK_BYTES = 128;
 /** Part of that memory that any response may use, however little is left. */
@@ -45,8 +43,13 @@
  * others leave, so that one alone may be large and many together stay within the limit.
  */
 export class ResponseMemory {
+  readonly #limitBytes: number;
   #used = 0;
 
+  constructor(limitBytes: number) {
+    this.#limitBytes = limitBytes;
+  }
+
   /** Begins to collect a response. */
   collect(): ResponseCollector {
     return new ResponseCollector(this);
@@ -59,7 +62,7 @@
 
   /** Reserves memory for a response that uses `own` bytes already; returns whether there is enough. */
   reserve(bytes: number, own: number): boolean {
-    const left = MAX_COLLECTED_BYTES - this.#used - bytes;
+    const left = this.#limitBytes - this.#used - bytes;
     if (own + bytes > Math.max(MIN_BODY_BYTES, left / 2)) return false;
     this.#used += bytes;
     return true;
--- a/src/backends/response_limits_test.ts
+++ b/src/backends/response_limits_test.ts
@@ -11,7 +11,7 @@
 
 describe("ResponseMemory", () => {
   it("should let one response be large, and keep many within the limit", () => {
-    const memory = new ResponseMemory();
+    const memory = new ResponseMemory(LIMIT_BYTES);
     const chunk = Buffer.alloc(64 * 1_024);
     const large = memory.collect();
     let bytes = 0;
@@ -33,7 +33,7 @@
     });
     fc.assert(
       fc.property(fc.array(action, { maxLength: 60 }), (actions) => {
-        const memory = new ResponseMemory();
+        const memory = new ResponseMemory(LIMIT_BYTES);
         const collectors = Array.from({ length: 6 }, () => memory.collect());
         for (const { at, bytes, tag } of actions) {
           const collector = collectors[at];
--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -19,6 +19,18 @@
     of: "memory",
     meaning: "Bodies of up to 16 KiB while the others use up their share",
   },
+  responses: {
+    share: 0.144,
+    of: "memory",
+    meaning:
+      "Responses of servers while they are collected; 512 KiB each in any case",
+  },
+  unread_responses: {
+    share: 0.08,
+    of: "memory",
+    meaning:
+      "Responses that callers have not read yet; beyond it the oldest is dropped and its connection closed",
+  },
   bytes_ahead: {
     share: 0.04,
     of: "memory",
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -2,6 +2,10 @@
 
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  UnreadResponse,
+  UnreadResponses,
+} from "../core/limits/unread_responses.ts";
 import { type Refusal, refusalResponse } from "../core/refusal.ts";
 import type { ResponseHead } from "../backends/backend_attempt.ts";
 import {
@@ -50,16 +54,18 @@
   #status: number | undefined;
   #corked = false;
   #body: BodyReader | undefined;
+  readonly #unread: UnreadResponse;
   #onDisconnect: () => void = () => {};
 
   constructor(
-    { req, res, url, clock, closing, isForwarded = false }: {
+    { req, res, url, clock, closing, unreadResponses, isForwarded = false }: {
       req: IncomingMessage;
       res: ServerResponse;
       url: string;
       clock: Clock;
       /** Whether to close the connection after this response. */
       closing: () => boolean;
+      unreadResponses: UnreadResponses;
       /** Whether the request came from another VM rather than a caller. */
       isForwarded?: boolean;
     },
@@ -77,7 +83,11 @@
       ? decodeForwardOrigin(req.headers[FORWARD_ORIGIN_HEADER])
       : undefined;
     this.head = decodeCallerHead(req.headers);
-    res.on("close", () => this.#handleClose());
+    this.#unread = unreadResponses.open(() => res.destroy());
+    res.on("close", () => {
+      this.#unread.setBytes(0);
+      this.#handleClose();
+    });
     // A connection error is always followed by "close", which handles it.
     res.on("error", () => {});
     req.on("error", () => {});
@@ -199,12 +209,17 @@
   write(chunk: Buffer): boolean {
     if (this.#state !== "begun") return true;
     this.#corkForTurn();
-    return this.#res.write(chunk);
+    if (this.#res.write(chunk)) return true;
+    this.#unread.setBytes(this.#res.writableLength);
+    return false;
   }
 
   /** Calls the listener once, when the caller accepts more bytes. */
   onDrain(listener: () => void): void {
-    this.#res.once("drain", listener);
+    this.#res.once("drain", () => {
+      this.#unread.setBytes(0);
+      listener();
+    });
   }
 
   /** Ends a streamed body as complete. */
@@ -254,6 +269,7 @@
   #end(body: Buffer | undefined): void {
     this.#state = "ended";
     this.#res.end(body);
+    this.#unread.setBytes(this.#res.writableLength);
   }
 
   #handleClose(): void {
--- a/src/gateway/closed_connections.ts
+++ b/src/gateway/closed_connections.ts
@@ -34,7 +34,7 @@
   /** Returns what counts the closed connections of one listener. */
   listener(
     name: ListenerName,
-  ): (reason: CloseReason) => void {
+  ): (reason: CloseReason | "unread_responses") => void {
     return (reason) => {
       this.#metrics.closedConnections.inc({ listener: name, reason });
       const key = `${name} ${reason}`;
--- a/src/gateway/gateway_container.ts
+++ b/src/gateway/gateway_container.ts
@@ -21,6 +21,8 @@
 import { ModelLatencyEstimator } from "../core/cascade/model_latency_estimator.ts";
 import { NO_REVISION } from "../core/ids.ts";
 import { RetryBudget } from "../core/limits/retry_budget.ts";
+import { UnreadResponses } from "../core/limits/unread_responses.ts";
+import { memoryShare } from "../core/limits/vm_shares.ts";
 import { FleetSize } from "../core/membership/fleet_size.ts";
 import { MemberTable } from "../core/membership/member_table.ts";
 import { EvidenceAggregator } from "../core/rollout/evidence.ts";
@@ -325,7 +327,9 @@
       { seedList, vmRegistry }: { seedList: SeedList; vmRegistry: VmRegistry },
     ) =>
     () => [...seedList.seeds, ...vmRegistry.addresses]).singleton(),
-    responseMemory: asFunction(() => new ResponseMemory()).singleton(),
+    responseMemory: asFunction(() =>
+      new ResponseMemory(memoryShare(vmSettings, "responses"))
+    ).singleton(),
     backendConnectionPool: singleton(BackendConnectionPool),
     serverProbe: singleton(ServerProbe),
     serverExitCheck: singleton(ServerExitCheck),
@@ -351,6 +355,15 @@
     retryBudgetLog: singleton(RetryBudgetLog),
     requestMemory: singleton(RequestMemory),
     closedConnections: singleton(ClosedConnections),
+    unreadResponses: asFunction((
+      { closedConnections }: { closedConnections: ClosedConnections },
+    ) => {
+      const onClosed = closedConnections.listener("callers");
+      return new UnreadResponses(
+        memoryShare(vmSettings, "unread_responses"),
+        () => onClosed("unread_responses"),
+      );
+    }).singleton(),
     requestServer: singleton(RequestServer),
     gatewayMetrics: singleton(GatewayMetrics),
     controlServer: singleton(ControlServer),
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -4,6 +4,7 @@
 import fastify, { type FastifyInstance } from "fastify";
 import type { Refusal } from "../core/refusal.ts";
 import type { CallerLimits } from "../core/routes/route.ts";
+import type { UnreadResponses } from "../core/limits/unread_responses.ts";
 import { memoryShare } from "../core/limits/vm_shares.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -53,6 +54,7 @@
   readonly routingFollower: RoutingFollower;
   readonly stopState: StopState;
   readonly vmSettings: VmSettings;
+  readonly unreadResponses: UnreadResponses;
   readonly closedConnections: ClosedConnections;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -167,7 +169,7 @@
       isForwarded?: boolean;
     },
   ): Promise<void> {
-    const { clock, stopState, logger } = this.#deps;
+    const { clock, stopState, unreadResponses, logger } = this.#deps;
     const closing = () => stopState.stopping;
     const exchange = new CallerExchange({
       req,
@@ -175,6 +177,7 @@
       url,
       clock,
       closing,
+      unreadResponses,
       isForwarded,
     });
     this.#exchanges.add(exchange);
