Limit the connections of callers, and close the one that has waited longest

Callers saw: no ordinary request was served while connections that say nothing, or half a request, used up the descriptors of the process; those for servers and the store were gone as well.

Cause: nothing limited connections; the time-outs for heads and idle connections close each of them, not their sum.

Change: the callers' listener has half of the descriptors for sockets (settings: FileDescriptors). Beyond it the connection is closed that has waited longest for its client: one without a request under way first, then one whose body or unread response waits. One whose request is being answered is never closed for a new one. A crowd that comes first keeps nobody out.

--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -1,13 +1,26 @@
-/** Divides the memory of a VM between what clients can make it hold. */
+/** Divides the memory and the descriptors of a VM between what clients can make it hold. */
 
 const BYTES_PER_MB = 1_000_000;
+/** Descriptors of a process that are not for sockets. */
+const FILE_DESCRIPTORS = 200;
+/** Sockets of a listener in any case, however few descriptors a VM has. */
+const MIN_CONNECTIONS = 8;
 
 /** What a VM has, from its settings. */
 export interface VmSize {
   readonly memoryMb: number;
+  readonly descriptors: number;
 }
 
-/** Shares; what they leave is for the program itself. */
+/** A limit of the gateway, as documented in the reference. */
+export interface VmShare {
+  /** Share of the memory, or of the descriptors for sockets. */
+  readonly share: number;
+  readonly of: "memory" | "sockets";
+  readonly meaning: string;
+}
+
+/** All shares; what they leave is for the program itself, and for connections to servers, store and VMs. */
 export const VM_SHARES = {
   request_bodies: {
     share: 0.2,
@@ -37,10 +50,22 @@
     meaning:
       "Incomplete heads of callers, and bytes sent while an earlier request on the connection is under way; beyond it the oldest such connection is closed",
   },
-} as const;
+  caller_connections: {
+    share: 0.5,
+    of: "sockets",
+    meaning:
+      "Connections of callers; beyond it the one that has waited longest for its client is closed",
+  },
+} as const satisfies Record<string, VmShare>;
 
 /** Name of a share of the memory. */
-export type MemoryShare = keyof typeof VM_SHARES;
+export type MemoryShare = {
+  [Name in keyof typeof VM_SHARES]: (typeof VM_SHARES)[Name]["of"] extends
+    "memory" ? Name : never;
+}[keyof typeof VM_SHARES];
+
+/** Name of a share of the sockets. */
+export type SocketShare = Exclude<keyof typeof VM_SHARES, MemoryShare>;
 
 /** Returns a share of the memory, in bytes. */
 export function memoryShare(
@@ -49,3 +74,12 @@
 ): number {
   return memoryMb * BYTES_PER_MB * VM_SHARES[name].share;
 }
+
+/** Returns a share of the sockets. */
+export function socketShare(
+  { descriptors }: Pick<VmSize, "descriptors">,
+  name: SocketShare,
+): number {
+  const sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
+  return Math.max(MIN_CONNECTIONS, Math.floor(sockets * VM_SHARES[name].share));
+}
--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -5,7 +5,7 @@
 import type { Refusal } from "../core/refusal.ts";
 import type { CallerLimits } from "../core/routes/route.ts";
 import type { UnreadResponses } from "../core/limits/unread_responses.ts";
-import { memoryShare } from "../core/limits/vm_shares.ts";
+import { memoryShare, socketShare } from "../core/limits/vm_shares.ts";
 import type { VmSettings } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { ConnectionGuard } from "../runtime/connection_guard.ts";
@@ -90,6 +90,7 @@
       },
     });
     new ConnectionGuard(this.#http.server, {
+      maxConnections: socketShare(deps.vmSettings, "caller_connections"),
       maxBytesAhead: memoryShare(deps.vmSettings, "bytes_ahead"),
       onClosed: deps.closedConnections.listener("callers"),
     });
--- a/src/platform/vm_settings_wire.ts
+++ b/src/platform/vm_settings_wire.ts
@@ -40,6 +40,8 @@
   /** Port on which metrics are served; undefined disables them. */
   readonly metricsPort: number | undefined;
   readonly memoryMb: number;
+  /** File descriptors that the process may have open. */
+  readonly descriptors: number;
   /** CPU quota of the VM, in cores of standard speed. */
   readonly cores: number;
   readonly store: {
@@ -125,6 +127,7 @@
   SeedNodes: z.array(z.string()).nullish().transform((seeds) => seeds ?? []),
   Limits: z.object({
     MemoryMb: z.number().min(1).default(256),
+    FileDescriptors: z.int().min(1).default(1_024),
     // Share of one core, and the speed of that core relative to the standard.
     CpuQuota: z.number().min(0).default(1),
     CpuCores: z.number().min(0).default(1),
@@ -178,6 +181,7 @@
     },
     metricsPort: METRICS_PORT,
     memoryMb: wire.Limits.MemoryMb,
+    descriptors: wire.Limits.FileDescriptors,
     cores: wire.Limits.CpuQuota * wire.Limits.CpuCores,
     store: {
       address: store.Address,
--- a/src/runtime/connection_guard.ts
+++ b/src/runtime/connection_guard.ts
@@ -11,11 +11,14 @@
 
 /** Why a connection was closed. */
 export type CloseReason =
+  /** There are as many connections as the limit allows. */
+  | "connections"
   /** The clients have sent too many bytes ahead, or of heads that are incomplete. */
-  "bytes_ahead";
+  | "bytes_ahead";
 
 /** Limits of one server. */
 export interface ConnectionLimits {
+  readonly maxConnections: number;
   /** Bytes of all connections that belong to no request under way. */
   readonly maxBytesAhead: number;
 }
@@ -39,7 +42,7 @@
 });
 
 /**
- * Limits unparsed bytes. Beyond the limit it closes what has waited longest for its
+ * Limits connections and unparsed bytes. Beyond a limit it closes what has waited longest for its
  * client instead of refusing the newest, so that those who came first do not keep out all others.
  */
 export class ConnectionGuard implements ConnectionListener {
@@ -55,6 +58,11 @@
     server.on("connection", (socket) => this.#admit(socket));
   }
 
+  /** Number of connections that are open. */
+  get connections(): number {
+    return this.#waiting.size + this.#busy.size;
+  }
+
   /** Bytes kept that belong to no request under way. */
   get bytesAhead(): number {
     return this.#bytesAhead;
@@ -84,7 +92,11 @@
     });
     connections.set(socket, connection);
     socket.on("close", () => this.#forget(connection));
-    this.#waiting.add(connection);
+    if (this.connections >= this.#options.maxConnections) {
+      this.#options.onClosed?.("connections");
+      this.#remove(this.#longestWaiting() ?? connection);
+    }
+    if (!socket.destroyed) this.#waiting.add(connection);
   }
 
   /** Returns the connection that has kept bytes for longest. */
@@ -97,6 +109,20 @@
     return undefined;
   }
 
+  /** Returns the connection that has waited longest for its client, if any does. */
+  #longestWaiting(): GuardedConnection | undefined {
+    for (const connection of this.#waiting) return connection;
+    for (const connection of this.#busy) {
+      if (connection.waitsForClient) return connection;
+    }
+    return undefined;
+  }
+
+  #remove(connection: GuardedConnection): void {
+    this.#forget(connection);
+    connection.socket.destroy();
+  }
+
   #forget(connection: GuardedConnection): void {
     this.#waiting.delete(connection);
     this.#busy.delete(connection);
--- a/src/runtime/connection_guard_test.ts
+++ b/src/runtime/connection_guard_test.ts
@@ -13,7 +13,7 @@
 } from "./connection_guard.ts";
 
 const HEAD = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
-const NO_LIMITS = { maxBytesAhead: Infinity };
+const NO_LIMITS = { maxConnections: Infinity, maxBytesAhead: Infinity };
 
 interface Guarded {
   readonly guard: ConnectionGuard;
@@ -91,6 +91,38 @@
     await until(() => isGone);
   });
 
+  it("should close the connection that has waited longest if there are too many", async () => {
+    const { guard, closed, open } = await start(
+      { maxConnections: 3 },
+      (_req, res) => res.end("ok"),
+    );
+    const served = await open();
+    await open();
+    await open();
+    served.write(HEAD);
+    await once(served, "data");
+    const [, second, third] = sockets;
+    const newest = await open();
+    await once(second as Socket, "close");
+    assert.deepEqual(closed, ["connections"]);
+    assert.equal(guard.connections, 3);
+    assert.ok(!served.closed && !third?.closed);
+    newest.write(HEAD);
+    await once(newest, "data");
+  });
+
+  it("should never close a connection whose request is being answered for a new one", async () => {
+    const { guard, open } = await start({ maxConnections: 2 }, () => {});
+    const busy = [await open(), await open()];
+    for (const socket of busy) socket.write(HEAD);
+    await pause(50);
+    const newest = await open();
+    newest.resume();
+    await once(newest, "close");
+    assert.equal(guard.connections, 2);
+    assert.ok(busy.every((socket) => !socket.closed));
+  });
+
   it("should answer the request under way, and no further one, if too much was sent ahead", async () => {
     let requests = 0;
     const { guard, closed, open } = await start(
--- a/src/runtime/guarded_connection.ts
+++ b/src/runtime/guarded_connection.ts
@@ -39,7 +39,7 @@
   /** Bytes parsed of a head that is incomplete. */
   #headBytes = 0;
   #keptBytes = 0;
-  #current: IncomingMessage | undefined;
+  #current: { req: IncomingMessage; res: ServerResponse } | undefined;
   #isDiscarding = false;
   #isLingering = false;
   #isPaused = false;
@@ -60,7 +60,7 @@
     const destroySoon = socket.destroySoon.bind(socket);
     // Closing a socket with unread bytes resets it, and the client may lose the response.
     socket.destroySoon = () => {
-      if (this.#current?.complete === false) this.#linger();
+      if (this.#current?.req.complete === false) this.#linger();
       else destroySoon();
     };
     socket.on("drain", this.#resume);
@@ -70,6 +70,12 @@
     });
   }
 
+  /** Whether a response is complete but the client has not read all of it, or a request is incomplete. */
+  get waitsForClient(): boolean {
+    const { req, res } = this.#current ?? {};
+    return req === undefined || !req.complete || res?.writableEnded === true;
+  }
+
   /** Bytes kept that belong to no request under way. */
   get keptBytes(): number {
     return this.#keptBytes;
@@ -77,7 +83,7 @@
 
   /** Called when the head of a request was parsed. */
   begin(req: IncomingMessage, res: ServerResponse): void {
-    this.#current = req;
+    this.#current = { req, res };
     this.#headBytes = 0;
     this.#listener.onBusy(this);
     res.once("close", () => this.#end(req));
@@ -85,7 +91,7 @@
 
   /** Drops what was sent ahead, and closes the connection once the request under way is answered. */
   refuseAhead(): void {
-    if (this.#current?.complete === true) {
+    if (this.#current?.req.complete === true) {
       this.#isDiscarding = true;
       this.#dropAhead();
     } else {
@@ -94,7 +100,7 @@
   }
 
   #end(req: IncomingMessage): void {
-    if (this.#current !== req) return;
+    if (this.#current?.req !== req) return;
     this.#current = undefined;
     if (this.socket.destroyed) return;
     this.#listener.onWaiting(this);
@@ -134,7 +140,7 @@
   #mayParse(): boolean {
     if (this.#isDiscarding || this.socket.destroyed) return false;
     if (this.#current === undefined) return !this.socket.writableNeedDrain;
-    return !this.#current.complete;
+    return !this.#current.req.complete;
   }
 
   /** Parses what may be parsed now, `freeLines` of it whatever else was parsed in this turn. */
