Guard the listeners for readiness, addresses and metrics

Callers saw: many requests sent ahead at the path that says ready ended the process, at a listener that callers have no business at; connections there used up the descriptors.

Cause: the same as at the callers' listener, once for each of the three: all requests of a read are answered at once, and an answer of metrics has tens of KB; nothing limited connections; bodies were parsed that no path reads.

Change: each gets a connection guard with a small share of sockets and bytes, and reads no bodies: the response ends a connection on which one is still arriving.

--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -50,12 +50,23 @@
     meaning:
       "Incomplete heads of callers, and bytes sent while an earlier request on the connection is under way; beyond it the oldest such connection is closed",
   },
+  other_bytes_ahead: {
+    share: 0.01,
+    of: "memory",
+    meaning: "The same at each of the other listeners",
+  },
   caller_connections: {
     share: 0.5,
     of: "sockets",
     meaning:
       "Connections of callers; beyond it the one that has waited longest for its client is closed",
   },
+  control_connections: {
+    share: 0.04,
+    of: "sockets",
+    meaning:
+      "Connections to each of the listeners for readiness, addresses and metrics",
+  },
 } as const satisfies Record<string, VmShare>;
 
 /** Name of a share of the memory. */
--- a/src/gateway/control_server.ts
+++ b/src/gateway/control_server.ts
@@ -9,7 +9,9 @@
 import type { ServerLimits } from "../core/servers/server_limits.ts";
 import type { ServerReachability } from "../core/servers/server_reachability.ts";
 import type { ServerBackoffs } from "../core/servers/server_backoffs.ts";
+import { memoryShare, socketShare } from "../core/limits/vm_shares.ts";
 import { formatAddress } from "../runtime/address.ts";
+import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -24,6 +26,7 @@
 import type { RoutingFollower } from "../store/routing_follower.ts";
 import type { ServerFollower } from "../store/server_follower.ts";
 import type { AddressList } from "./address_list.ts";
+import type { ClosedConnections, ListenerName } from "./closed_connections.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Readiness } from "./readiness.ts";
 
@@ -46,6 +49,7 @@
   readonly serverReachability: ServerReachability;
   readonly brittleServers: BrittleServers;
   readonly crashHistory: CrashHistory;
+  readonly closedConnections: ClosedConnections;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -85,7 +89,7 @@
   }
 
   async #serveReadiness(address: string): Promise<void> {
-    const server = this.#createServer();
+    const server = this.#createServer("readiness");
     const { readiness } = this.#deps;
     server.get(
       READINESS_PATH,
@@ -98,7 +102,7 @@
   }
 
   async #serveAddresses(address: string): Promise<void> {
-    const server = this.#createServer();
+    const server = this.#createServer("addresses");
     const { addressList } = this.#deps;
     server.get(ADDRESSES_PATH, (req, reply) => {
       const query = req.url.slice(req.url.indexOf("?") + 1);
@@ -111,7 +115,7 @@
   }
 
   async #serveMetrics(address: string): Promise<void> {
-    const server = this.#createServer();
+    const server = this.#createServer("metrics");
     const { registry } = this.#deps.gatewayMetrics;
     server.get(METRICS_PATH, async (_req, reply) => {
       this.#updateGauges();
@@ -164,8 +168,17 @@
     }
   }
 
-  #createServer(): FastifyInstance {
+  #createServer(name: ListenerName): FastifyInstance {
+    const { vmSettings, closedConnections } = this.#deps;
     const server = fastify({ forceCloseConnections: true });
+    new ConnectionGuard(server.server, {
+      maxConnections: socketShare(vmSettings, "control_connections"),
+      maxBytesAhead: memoryShare(vmSettings, "other_bytes_ahead"),
+      onClosed: closedConnections.listener(name),
+    });
+    // Bodies are not read: a response ends the connection if one is still arriving.
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser("*", (_req, _body, done) => done(null));
     this.#servers.push(server);
     return server;
   }
