Guard the listener for other VMs

Callers saw: what ends a process at its own listeners ends it as well at the one for other VMs, which asks for no key.

Change: a connection guard; messages are collected in blocks, out of a share of the memory, and refused beyond it.

--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -32,6 +32,11 @@
     of: "memory",
     meaning: "Bodies of up to 16 KiB while the others use up their share",
   },
+  peer_bodies: {
+    share: 0.04,
+    of: "memory",
+    meaning: "Bodies of messages from other VMs",
+  },
   responses: {
     share: 0.144,
     of: "memory",
@@ -61,6 +66,11 @@
     meaning:
       "Connections of callers; beyond it the one that has waited longest for its client is closed",
   },
+  peer_connections: {
+    share: 0.1,
+    of: "sockets",
+    meaning: "Connections of other VMs",
+  },
   control_connections: {
     share: 0.04,
     of: "sockets",
--- /dev/null
+++ b/src/core/limits/vm_shares_test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { memoryShare, socketShare, VM_SHARES } from "./vm_shares.ts";
+
+const VM = { memoryMb: 350, descriptors: 4_100 };
+/** Listeners for readiness, addresses and metrics. */
+const CONTROL_LISTENERS = 3;
+
+describe("shares of a VM", () => {
+  it("should leave memory to the program and sockets to servers and the store", () => {
+    const memory = Object.values(VM_SHARES)
+      .filter((share) => share.of === "memory")
+      .reduce((sum, { share }) => sum + share, 0);
+    const others = 1 + CONTROL_LISTENERS;
+    const all = memory + (others - 1) * VM_SHARES.other_bytes_ahead.share;
+    assert.ok(all <= 0.6);
+    const sockets = socketShare(VM, "caller_connections") +
+      socketShare(VM, "peer_connections") +
+      CONTROL_LISTENERS * socketShare(VM, "control_connections");
+    assert.ok(sockets <= 0.75 * (VM.descriptors - 200));
+  });
+
+  it("should follow the size of the VM", () => {
+    assert.equal(memoryShare(VM, "request_bodies"), 70_000_000);
+    assert.equal(socketShare(VM, "caller_connections"), 1_950);
+    assert.equal(socketShare({ descriptors: 1 }, "caller_connections"), 8);
+  });
+});
--- a/src/fleet/digest_server.ts
+++ b/src/fleet/digest_server.ts
@@ -9,12 +9,23 @@
 } from "node:http";
 import { TRPCError } from "@trpc/server";
 import { FORWARD_ORIGIN_HEADER } from "../protocol/forward_schema.ts";
+import { BodyMemory } from "../core/limits/body_memory.ts";
+import {
+  memoryShare,
+  socketShare,
+  type VmSize,
+} from "../core/limits/vm_shares.ts";
 import { parseAddress } from "../runtime/address.ts";
 import {
   COMPRESSED_ENCODING,
   decodeJson,
   encodeJson,
 } from "../runtime/compressed_json.ts";
+import {
+  type CloseReason,
+  ConnectionGuard,
+} from "../runtime/connection_guard.ts";
+import { BlockBuffer } from "../runtime/block_buffer.ts";
 import {
   createDigestCaller,
   type DigestCaller,
@@ -31,6 +42,15 @@
   handleForwarded(req: IncomingMessage, res: ServerResponse): Promise<void>;
 }
 
+/** What the server needs besides the handlers of its procedures. */
+export interface DigestServerDeps {
+  readonly requestServer: ForwardHandler;
+  readonly vmSettings: VmSize;
+  readonly closedConnections: {
+    listener(name: "peers"): (reason: CloseReason) => void;
+  };
+}
+
 /** Procedures by the request path of tRPC clients. */
 const PROCEDURES = {
   "/exchange": "exchange",
@@ -47,12 +67,18 @@
 export class DigestServer {
   readonly #server: Server;
   readonly #caller: DigestCaller;
+  readonly #bodies: BodyMemory;
   readonly #forwardHandler: ForwardHandler;
 
   constructor(
-    { digestService, storeFeed, permitGranter, requestServer }:
-      & FleetHandlers
-      & { readonly requestServer: ForwardHandler },
+    {
+      digestService,
+      storeFeed,
+      permitGranter,
+      requestServer,
+      vmSettings,
+      closedConnections,
+    }: FleetHandlers & DigestServerDeps,
   ) {
     this.#forwardHandler = requestServer;
     this.#caller = createDigestCaller({
@@ -65,6 +91,15 @@
       (req, res) => void this.#handle(req, res),
     );
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    this.#bodies = new BodyMemory({
+      limitBytes: memoryShare(vmSettings, "peer_bodies"),
+      smallBytes: 0,
+    });
+    new ConnectionGuard(this.#server, {
+      maxConnections: socketShare(vmSettings, "peer_connections"),
+      maxBytesAhead: memoryShare(vmSettings, "other_bytes_ahead"),
+      onClosed: closedConnections.listener("peers"),
+    });
   }
 
   /** Starts listening on `host:port`. */
@@ -106,26 +141,35 @@
         message: `No such endpoint; use POST ${paths}`,
       });
     }
+    const body = await this.#readBody(req);
     return await this.#caller[procedure](
-      parseBody(await readBody(req), req.headers["content-encoding"]),
+      parseBody(body, req.headers["content-encoding"]),
     );
   }
-}
 
-async function readBody(req: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) {
-      throw new TRPCError({
-        code: "PAYLOAD_TOO_LARGE",
-        message: `Request body exceeds ${MAX_BODY_BYTES} bytes`,
-      });
+  /** Reads a body, which takes memory of all bodies only until it is complete. */
+  async #readBody(req: IncomingMessage): Promise<Buffer> {
+    const reservation = this.#bodies.open(() => req.destroy());
+    const buffer = new BlockBuffer({
+      maxBytes: MAX_BODY_BYTES,
+      reserve: (bytes) => reservation.growTo(bytes),
+    });
+    try {
+      for await (const chunk of req as AsyncIterable<Buffer>) {
+        if (buffer.append(chunk)) continue;
+        const isTooLarge = buffer.length + chunk.length > MAX_BODY_BYTES;
+        throw new TRPCError({
+          code: isTooLarge ? "PAYLOAD_TOO_LARGE" : "TOO_MANY_REQUESTS",
+          message: isTooLarge
+            ? `Request body exceeds ${MAX_BODY_BYTES} bytes`
+            : "Bodies of other requests use up the memory for them",
+        });
+      }
+    } finally {
+      reservation.release();
     }
+    return buffer.bytes();
   }
-  return Buffer.concat(chunks);
 }
 
 /** Parses JSON only; the procedure validates the value. */
--- a/src/fleet/digest_server_test.ts
+++ b/src/fleet/digest_server_test.ts
@@ -29,6 +29,8 @@
     permitGranter: { grant: () => ({ granted: true, opensInMs: 0 }) },
     storeFeed: { next: () => Promise.resolve(NO_CHANGES) },
     requestServer: { handleForwarded: () => Promise.resolve() },
+    vmSettings: { memoryMb: 350, descriptors: 4_100 },
+    closedConnections: { listener: () => () => {} },
   });
   await server.listen(address);
 });
