Guard the listeners of an entry, and limit the bodies of its callers' requests

Callers saw: an entry has the same fault as a gateway. Bodies in chunks of 1 byte (callers), requests sent ahead for metrics (operators) and at any path (other entries, before the secret is looked at) ended the process.

Cause: the same: all requests of a read are parsed at once, a body is a list of chunks, and nothing limits what all connections hold. Beyond max_connections the newest was dropped, so that whoever came first kept out all others.

Change: a connection guard at each listener; bodies are copied into blocks and share a limit (limits.max_bodies_bytes, 503 "overloaded", ran: no); an error whose request is not read completely ends the connection, after its caller could read it. New settings, none of which an ordinary caller meets: max_bodies_bytes 256 MiB, max_bytes_ahead 64 MiB, max_peer_connections 1,024, max_operator_connections 64.

Evidence: crowd_entry_test, seven crowds at 75 MB of heap. Before: three ended the process, "connections that say nothing" at the peers' listener had 629 descriptors open of 300 (the settings of the limits were not in that test then; the case at the operators' listener was not looked at); now all seven hold.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -4,16 +4,19 @@
   type FastifyError,
   type FastifyInstance,
   type FastifyReply,
+  type FastifyRequest,
 } from "fastify";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
 import type { RequestError } from "../core/request_error.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { listenHttp } from "../runtime/listen.ts";
 import type { AddressBook } from "./address_book.ts";
 import type { AdmissionController } from "./admission_controller.ts";
 import type { ChatEndpoint } from "./chat_endpoint.ts";
+import { BodyParser, BodyRefusedError } from "./body_parser.ts";
 import { answerClientError } from "./client_error.ts";
 import { replyError } from "./error_reply.ts";
 import { type ServiceEndpoint, SERVICES_PREFIX } from "./service_endpoint.ts";
@@ -39,9 +42,11 @@
 export class CallerServer {
   readonly #deps: Deps;
   readonly #http: FastifyInstance;
+  readonly #bodies: BodyParser;
 
   constructor(deps: Deps) {
     this.#deps = deps;
+    this.#bodies = new BodyParser(deps.settings.limits, deps.clock);
     this.#http = this.#createHttp();
     this.#addRoutes();
     this.#addErrorAnswers();
@@ -82,15 +87,19 @@
       http: { connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS },
     });
     http.server.headersTimeout = limits.header_timeout_ms;
-    http.server.maxConnections = limits.max_connections;
+    new ConnectionGuard(http.server, {
+      maxConnections: limits.max_connections,
+      maxBytesAhead: limits.max_bytes_ahead,
+    });
+    http.addHook("onResponse", (req, _reply, done) => {
+      this.#bodies.release(req);
+      done();
+    });
     // The endpoints parse bodies, because their errors name the invalid field.
     http.removeAllContentTypeParsers();
     http.addContentTypeParser(
       "*",
-      { parseAs: "buffer" },
-      (_req, body, done) => {
-        done(null, body);
-      },
+      (req: FastifyRequest) => this.#bodies.read(req),
     );
     return http;
   }
@@ -116,10 +125,8 @@
       return this.#replyError(reply, { tag: "unknown_route", method, path });
     });
     this.#http.setErrorHandler((err: FastifyError, req, reply) => {
-      // Discards the rest of the body: closing the connection while the caller still sends
-      // would lose the reply.
-      req.raw.resume();
-      void reply.removeHeader("connection");
+      // The rest of the body is not read; the guard of the connection drops it.
+      if (!req.raw.complete) void reply.header("connection", "close");
       return this.#replyError(reply, this.#toRequestError(err));
     });
   }
@@ -131,11 +138,8 @@
     });
   }
 
-  #toRequestError(err: FastifyError): RequestError {
-    if (err.code === "FST_ERR_CTP_BODY_TOO_LARGE") {
-      const limitBytes = this.#deps.settings.limits.max_body_bytes;
-      return { tag: "too_large", limitBytes };
-    }
+  #toRequestError(err: FastifyError | BodyRefusedError): RequestError {
+    if (err instanceof BodyRefusedError) return err.requestError;
     return { tag: "malformed", where: "request", reason: err.message };
   }
 
--- a/src/entry/operator_server.ts
+++ b/src/entry/operator_server.ts
@@ -8,8 +8,11 @@
 import type { EntryStatus } from "../protocol/status_schema.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import type { SocketMeter } from "../runtime/socket_meter.ts";
+import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { listenHttp } from "../runtime/listen.ts";
 
+const MAX_BYTES_AHEAD = 1_024 * 1_024;
+
 interface Deps {
   readonly settings: Settings;
   readonly configurationStore: ConfigurationStore;
@@ -28,6 +31,13 @@
   constructor(deps: Deps) {
     this.#deps = deps;
     this.#http = fastify({ forceCloseConnections: true });
+    new ConnectionGuard(this.#http.server, {
+      maxConnections: deps.settings.limits.max_operator_connections,
+      maxBytesAhead: MAX_BYTES_AHEAD,
+    });
+    // Bodies are not read: a response ends the connection if one is still arriving.
+    this.#http.removeAllContentTypeParsers();
+    this.#http.addContentTypeParser("*", (_req, _body, done) => done(null));
     this.#http.get("/healthz", () => ({ ok: true }));
     this.#http.get("/status", () => this.#status());
     this.#http.get("/metrics", async (_req, reply) => {
--- a/src/peers/peer_server.ts
+++ b/src/peers/peer_server.ts
@@ -11,6 +11,7 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { parseAddress } from "../runtime/address.ts";
+import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { boundAddress } from "../runtime/listen.ts";
 import { sha256 } from "../runtime/hashing.ts";
 import type { SocketMeter } from "../runtime/socket_meter.ts";
@@ -18,6 +19,7 @@
 
 const MAX_BODY_BYTES = 2 * 1024 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const MAX_BYTES_AHEAD = 8 * 1_024 * 1_024;
 
 interface Deps extends PeerRouterDeps {
   readonly settings: Settings;
@@ -42,6 +44,10 @@
       if (this.#hasValidSecret(req)) handle(req, res);
       else sendUnauthorized(res);
     });
+    new ConnectionGuard(this.#server, {
+      maxConnections: deps.settings.limits.max_peer_connections,
+      maxBytesAhead: MAX_BYTES_AHEAD,
+    });
     this.#server.on("connection", (socket) => deps.peerMeter.track(socket));
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -50,7 +50,23 @@
     max_in_flight: z.int().min(1).default(4_000)
       .describe("Maximum number of requests in flight at this entry"),
     max_connections: z.int().min(1).default(10_000)
-      .describe("Maximum number of connections from callers"),
+      .describe(
+        "Maximum number of connections from callers; beyond it the one that has waited longest for its client is closed",
+      ),
+    max_peer_connections: z.int().min(1).default(1_024)
+      .describe("Maximum number of connections from other entry VMs"),
+    max_operator_connections: z.int().min(1).default(64)
+      .describe(
+        "Maximum number of connections from operators and their metrics system",
+      ),
+    max_bodies_bytes: z.int().min(1_024).default(256 * BYTES_PER_MIB)
+      .describe(
+        "Maximum size of the bodies of all requests in flight, and a quarter more for those of up to 16 KiB; 503 beyond it",
+      ),
+    max_bytes_ahead: z.int().min(1_024).default(64 * BYTES_PER_MIB)
+      .describe(
+        "Maximum size of incomplete heads, and of what callers send while an earlier request on their connection is under way",
+      ),
     deadline_ms: z.int().min(100).max(3_600_000).default(120_000)
       .describe("Deadline of a request if its caller sets none"),
     header_timeout_ms: z.int().min(100).default(10_000)
