--- a/scripts/write_reference.ts
+++ b/scripts/write_reference.ts
@@ -3,6 +3,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import process from "node:process";
 import * as z from "zod";
+import { FILE_DESCRIPTORS, VM_SHARES } from "../src/core/limits/vm_shares.ts";
 import { ENTRY_SCHEMAS } from "../src/protocol/configuration_schema.ts";
 import { settingsSchema } from "../src/protocol/settings_schema.ts";
 
@@ -29,6 +30,10 @@
     ),
     "## Settings of an entry",
     table(settingsSchema),
+    "## Limits of a gateway for its clients",
+    "Shares of `Limits.MemoryMb`, and of the descriptors for sockets (`Limits.FileDescriptors` less " +
+    `${FILE_DESCRIPTORS}), in the settings file of the VM.`,
+    shareTable(),
   ].join("\n\n") + "\n";
   if (!process.argv.includes("--check")) return writeFileSync(FILE, text);
   if (readFileSync(FILE, "utf8") === text) return;
@@ -38,6 +43,13 @@
   process.exit(1);
 }
 
+function shareTable(): string {
+  const rows = Object.entries(VM_SHARES).map(([name, { share, of, meaning }]) =>
+    `| \`${name}\` | ${share} of the ${of} | ${meaning} |`
+  );
+  return ["| limit | default | meaning |", "|---|---|---|", ...rows].join("\n");
+}
+
 function table(schema: z.ZodType): string {
   const node = z.toJSONSchema(schema, {
     io: "input",
--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -2,7 +2,7 @@
 
 const BYTES_PER_MB = 1_000_000;
 /** Descriptors of a process that are not for sockets. */
-const FILE_DESCRIPTORS = 200;
+export const FILE_DESCRIPTORS = 200;
 /** Sockets of a listener in any case, however few descriptors a VM has. */
 const MIN_CONNECTIONS = 8;
 
