Free at once what a connection kept that is closed

A connection that is closed for what it kept counted until its socket had ended, a turn later; whatever arrived in the same turn found it again, and closed no other. Found by reading; the new test of heads that stop short of their end held before as well, as the socket ends soon.

--- a/src/runtime/connection_guard_test.ts
+++ b/src/runtime/connection_guard_test.ts
@@ -141,6 +141,28 @@
     await until(() => guard.bytesAhead === 0);
   });
 
+  // Guards against heads that stop short of their end, whose sum had no limit.
+  it("should close the oldest connections with an incomplete head if heads take too much", async () => {
+    const { guard, closed, open } = await start(
+      { maxBytesAhead: 10_000 },
+      () => {},
+    );
+    const heads = await Promise.all([1, 2, 3, 4].map(() => open()));
+    for (const socket of heads) {
+      socket.write(`GET / HTTP/1.1\r\nx: ${"y".repeat(4_000)}`);
+      await pause(20);
+    }
+    await until(() => heads.filter(({ closed }) => closed).length === 2);
+    assert.deepEqual(closed, ["bytes_ahead", "bytes_ahead"]);
+    assert.ok(guard.bytesAhead > 8_000 && guard.bytesAhead <= 10_000);
+    assert.deepEqual(heads.map(({ closed }) => closed), [
+      true,
+      true,
+      false,
+      false,
+    ]);
+  });
+
   // Guards against a reset that takes away a refusal, which the client has not read yet.
   it("should let a client read a response to a body that is not read", async () => {
     const { open } = await start({}, (_req, res) => {
--- a/src/runtime/guarded_connection.ts
+++ b/src/runtime/guarded_connection.ts
@@ -91,12 +91,9 @@
 
   /** Drops what was sent ahead, and closes the connection once the request under way is answered. */
   refuseAhead(): void {
-    if (this.#current?.req.complete === true) {
-      this.#isDiscarding = true;
-      this.#dropAhead();
-    } else {
-      this.socket.destroy();
-    }
+    this.#isDiscarding = true;
+    this.#dropAhead();
+    if (this.#current?.req.complete !== true) this.socket.destroy();
   }
 
   #end(req: IncomingMessage): void {
