Answer a request of an entry whose body gives way to others

Found by reading: a body that had stalled and lost its memory to others had its connection reset, so that its caller could not read that the request has not run. It is refused with 503 now, and what still arrives is dropped. The new test of a large body without a length held before as well; nothing plays a body that gives way at an entry.

--- a/src/entry/body_parser.ts
+++ b/src/entry/body_parser.ts
@@ -47,31 +47,44 @@
     });
   }
 
-  /** Reads the body of a request; its memory is kept until `release`. */
-  async read(req: FastifyRequest): Promise<Buffer> {
+  /**
+   * Reads the body of a request; its memory is kept until `release`. What still arrives of a refused
+   * body is dropped, so that its caller can read the response.
+   */
+  read(req: FastifyRequest): Promise<Buffer> {
     const { max_body_bytes: limitBytes } = this.#limits;
-    const declared = Number(req.headers["content-length"] ?? 0);
-    if (declared > limitBytes) throw tooLarge(limitBytes);
-    const reservation = this.#memory.open(() => {
-      reservation.release();
-      // Ends the loop below.
-      req.raw.destroy(overloaded());
-    });
-    this.#reservations.set(req, reservation);
-    const buffer = new BlockBuffer({
-      maxBytes: limitBytes,
-      reserve: (bytes) => reservation.growTo(bytes),
-    });
-    reservation.progressMs = this.#clock.monotonicMs();
-    if (!buffer.prepare(declared)) throw overloaded();
-    for await (const chunk of req.raw as AsyncIterable<Buffer>) {
+    return new Promise((resolve, reject) => {
+      let isRefused = false;
+      const refuse = (err: Error) => {
+        isRefused = true;
+        buffer.clear();
+        reservation.release();
+        reject(err);
+      };
+      const reservation = this.#memory.open(() => refuse(overloaded()));
+      const buffer = new BlockBuffer({
+        maxBytes: limitBytes,
+        reserve: (bytes) => reservation.growTo(bytes),
+      });
+      this.#reservations.set(req, reservation);
       reservation.progressMs = this.#clock.monotonicMs();
-      if (buffer.append(chunk)) continue;
-      const isTooLarge = buffer.length + chunk.length > limitBytes;
-      throw isTooLarge ? tooLarge(limitBytes) : overloaded();
-    }
-    reservation.complete();
-    return buffer.bytes();
+      const declared = Number(req.headers["content-length"] ?? 0);
+      if (declared > limitBytes) refuse(tooLarge(limitBytes));
+      else if (!buffer.prepare(declared)) refuse(overloaded());
+      req.raw.on("data", (chunk: Buffer) => {
+        if (isRefused) return;
+        reservation.progressMs = this.#clock.monotonicMs();
+        if (buffer.append(chunk)) return;
+        const isTooLarge = buffer.length + chunk.length > limitBytes;
+        refuse(isTooLarge ? tooLarge(limitBytes) : overloaded());
+      });
+      req.raw.once("end", () => {
+        reservation.complete();
+        if (!isRefused) resolve(buffer.bytes());
+      });
+      // Has no effect after "end", which has resolved the promise already.
+      req.raw.once("close", () => reject(new Error("Body was cut short")));
+    });
   }
 
   /** Frees the memory of a request that has ended. */
--- a/tests/bad_callers_test.ts
+++ b/tests/bad_callers_test.ts
@@ -7,6 +7,8 @@
 
 const KEY = "key-of-the-nursery";
 const TOKEN_MS = 2;
+/** Chunks of 64 KiB that the largest body has by default. */
+const MAX_BODY_CHUNKS = 128;
 
 describe("an entry with misbehaving clients", () => {
   let fleet: TestFleet;
@@ -82,6 +84,19 @@
     });
   }
 
+  // Guards against a connection that is reset before its caller could read why its body was refused.
+  test("should answer a body without a length that is too large, while it still arrives", async () => {
+    const head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n" +
+      "transfer-encoding: chunked\r\n\r\n";
+    const chunk = `10000\r\n${"x".repeat(65_536)}\r\n`;
+    const [status, err] = statusAndError(
+      await sendRaw(head + chunk.repeat(MAX_BODY_CHUNKS + 4)),
+    );
+    assert.equal(status, "413");
+    assert.equal(err.code, "too_large");
+    assert.equal(err.ran, "no");
+  });
+
   test("should immediately refuse requests beyond the account's in-flight limit", async () => {
     const caller = new Caller(address, KEY);
     const long = {
