--- a/src/runtime/guarded_connection.ts
+++ b/src/runtime/guarded_connection.ts
@@ -8,7 +8,7 @@
 
 /** Time for a client to read a response before its connection ends with request bytes unread. */
 const LINGER_MS = 1_000;
-/** Lines of each read that are parsed at once, enough for an ordinary request. */
+/** Lines of each read that are parsed immediately, enough for an ordinary request. */
 const LINES_PER_READ = 64;
 const NO_BYTES = Buffer.alloc(0);
 
@@ -26,7 +26,7 @@
 
 /**
  * Stands between a socket and the HTTP parser of Node's server, which would parse all requests of a
- * read at once and make a response for each before the first one is sent.
+ * read in one go and make a response for each before the first one is sent.
  */
 export class GuardedConnection {
   readonly socket: Socket;
@@ -110,7 +110,7 @@
     const { socket } = this;
     const [parse] = socket.listeners("data") as DataListener[];
     if (parse === undefined) throw new Error("socket has no HTTP parser");
-    // Listening for data makes the server remove those of its listeners that stop reading at once.
+    // Listening for data makes the server remove those of its listeners that stop reading immediately.
     const pausing = socket.listeners("pause") as (() => void)[];
     const resuming = socket.listeners("resume") as (() => void)[];
     socket.removeAllListeners("data");
--- a/src/runtime/line_slices_test.ts
+++ b/src/runtime/line_slices_test.ts
@@ -34,7 +34,7 @@
     for (const part of parts) assert.ok(part.split("\n").length - 1 <= 257);
   });
 
-  // Guards against two requests that are parsed at once, wherever the reads are cut.
+  // Guards against two requests that are parsed together, wherever the reads are cut.
   it("should hold the end of at most one head, and lose no byte", () => {
     const piece = fc.constantFrom("\r\n", "\n", "a: b", "GET / HTTP/1.1", "\r");
     fc.assert(
--- a/tests/serial/crowd_requests_ahead_test.ts
+++ b/tests/serial/crowd_requests_ahead_test.ts
@@ -21,7 +21,7 @@
 
 const AHEAD = { connections: 10, repeat: 50_000, prefix: "" };
 const BARE = "GET / HTTP/1.1\r\n\r\n";
-/** Requests that are answered at once take less for each connection. */
+/** Requests that are answered immediately take less for each connection. */
 const MANY = { connections: 100 };
 const FORMS:
   readonly (Pick<CrowdCase, "name" | "at" | "unit"> & Partial<CrowdCase>)[] = [
--- a/tests/serial/single_request_test.ts
+++ b/tests/serial/single_request_test.ts
@@ -22,10 +22,19 @@
   DEADLINE,
 );
 
+/** Near the limit of 16 KB for all headers. */
+const LONG_HEADER_BYTES = 15_000;
+const SLOW_PAUSE_MS = 20;
+
 /** Sends pieces on one connection until `count` responses with status 200, or none, can follow. */
 function countServed(
   address: string,
-  { pieces, count }: { pieces: readonly string[]; count: number },
+  { pieces, count, pauseMs }: {
+    pieces: readonly string[];
+    count: number;
+    /** Delay between two pieces; 0 sends all of them together. */
+    pauseMs: number;
+  },
 ): Promise<number> {
   return new Promise((resolve) => {
     const socket = connect(parseAddress(address));
@@ -37,7 +46,11 @@
       text += String(more);
       if (served() >= count || /HTTP\/1.1 [345]/.test(text)) socket.destroy();
     });
-    for (const piece of pieces) socket.write(piece, "latin1");
+    if (pauseMs > 0) socket.setNoDelay();
+    for (const [at, piece] of pieces.entries()) {
+      if (pauseMs === 0) socket.write(piece, "latin1");
+      else setTimeout(() => socket.write(piece, "latin1"), at * pauseMs);
+    }
   });
 }
 
@@ -58,6 +71,24 @@
       ],
       count: 1,
     },
+    {
+      name: "a request with long headers",
+      pieces: [
+        head(
+          "GET",
+          SERVED_PATH,
+          `${ORDINARY}x-long: ${"h".repeat(LONG_HEADER_BYTES)}\r\n`,
+        ),
+      ],
+      count: 1,
+    },
+    {
+      name: "a request that arrives slowly, in many small parts",
+      pieces: `${chunkedHead()}${SMALLEST_CHUNK.repeat(20)}0\r\n\r\n`
+        .match(/[^]{1,9}/g) ?? [],
+      pauseMs: SLOW_PAUSE_MS,
+      count: 1,
+    },
     {
       name: "two requests that are sent ahead",
       pieces: [head("GET", SERVED_PATH, ORDINARY).repeat(2)],
@@ -71,7 +102,7 @@
       count: 5,
     },
   ];
-  for (const { name, pieces, count } of cases) {
+  for (const { name, pieces, count, pauseMs = 0 } of cases) {
     it(`should serve ${name}`, async (t) => {
       const gateway = new LimitedGateway();
       try {
@@ -79,6 +110,7 @@
         const served = await countServed(gateway.address("callers"), {
           pieces,
           count,
+          pauseMs,
         });
         gateway.assertWithinLimits();
         assert.equal(served, count);
