Reuse the memory of large responses once they are sent

Callers saw: nothing yet; a gateway beside clients that do not read large responses took more than its VM has.

Cause: each large response was read into buffers and copied into another one. All of them survived until the garbage collector began to mark, which it does only after some 64 MB of them: 65 to 75 MB of buffers while 0 to 31 MB were counted (responses and unread responses, sampled each 3 ms). The slower the machine, the more responses interleave and the longer their buffers survive.

Change: the body of a large response is copied into blocks as it arrives, and sent from them; the blocks are used again once the response is sent or dropped. What was read dies young.

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -16,6 +16,7 @@
   ResponseHeaders,
 } from "./backend_connection.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
+import type { ResponseBody } from "./response_body.ts";
 import type { ResponseCollector } from "./response_limits.ts";
 
 /** Status and headers of a response. */
@@ -46,7 +47,7 @@
   | {
     readonly tag: "answered";
     readonly head: ResponseHead;
-    readonly body: Buffer;
+    readonly body: ResponseBody;
   }
   /**
    * The complete response was written to the sink. Unless the body is `framed`, its end is marked
--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -145,7 +145,10 @@
       socket.write(COMPLETE_RESPONSE)
     );
     const outcome = await send();
-    assert.equal(outcome.tag === "answered" && outcome.body.toString(), "ok");
+    assert.equal(
+      outcome.tag === "answered" && outcome.body.bytes().toString(),
+      "ok",
+    );
     await send();
     assert.deepEqual(server.requests.map(({ connection }) => connection), [
       1,
@@ -210,7 +213,10 @@
       socket.end(`${head()}\r\nok`);
     });
     const outcome = await send();
-    assert.equal(outcome.tag === "answered" && outcome.body.toString(), "ok");
+    assert.equal(
+      outcome.tag === "answered" && outcome.body.bytes().toString(),
+      "ok",
+    );
   });
 
   it("should not accept a response without a length after a reset", async () => {
--- a/src/backends/response_limits.ts
+++ b/src/backends/response_limits.ts
@@ -1,6 +1,8 @@
 /** Limits on what a backend server may send, so that a response without end harms nothing else. */
 
 import { Buffer } from "node:buffer";
+import { BLOCK_BYTES, BlockPool } from "../runtime/block_pool.ts";
+import { BlockWriter, ResponseBody } from "./response_body.ts";
 
 /**
  * Bytes that a response may consist of beyond its payload: heads, chunk sizes and extensions, trailers.
@@ -11,7 +13,10 @@
 const OVERHEAD_PER_PAYLOAD_BYTE = 4;
 /** Largest event of a stream, and the most bytes of a stream without data. */
 export const MAX_EVENT_BYTES = 1_024 * 1_024;
-/** Memory that a chunk takes besides its bytes. */
+/**
+ * Counted for each chunk besides its bytes: what tracks it, and the time to parse it, which lets a body in
+ * tiny chunks without end reach its limit early.
+ */
 const CHUNK_BYTES = 128;
 /** Part of that memory that any response may use, however little is left. */
 const MIN_BODY_BYTES = 512 * 1_024;
@@ -43,11 +48,14 @@
  * others leave, so that one alone may be large and many together stay within the limit.
  */
 export class ResponseMemory {
+  /** Blocks for large bodies. */
+  readonly blocks: BlockPool;
   readonly #limitBytes: number;
   #used = 0;
 
   constructor(limitBytes: number) {
     this.#limitBytes = limitBytes;
+    this.blocks = new BlockPool(limitBytes);
   }
 
   /** Begins to collect a response. */
@@ -74,11 +82,19 @@
   }
 }
 
-/** Collects the body of one response. */
+/**
+ * Collects the body of one response. A large one is copied into reused blocks: what is read of many
+ * large responses would stay in memory until the garbage collector finds it.
+ */
 export class ResponseCollector {
   readonly #memory: ResponseMemory;
+  /** Chunks of a small body, as they were read. */
   #chunks: Buffer[] = [];
-  #bytes = 0;
+  #chunkBytes = 0;
+  /** Set once the body is large. */
+  #writer: BlockWriter | undefined;
+  /** Memory reserved. */
+  #reserved = 0;
 
   constructor(memory: ResponseMemory) {
     this.#memory = memory;
@@ -86,24 +102,57 @@
 
   /** Adds a chunk; returns false if the response is too large. */
   add(chunk: Buffer): boolean {
-    const bytes = CHUNK_BYTES + chunk.length;
-    if (!this.#memory.reserve(bytes, this.#bytes)) return false;
-    this.#bytes += bytes;
+    if (this.#writer !== undefined) {
+      const bytes = this.#writer.growthFor(chunk.length);
+      if (!this.#reserve(CHUNK_BYTES + bytes)) return false;
+      this.#writer.write(chunk);
+      return true;
+    }
+    if (this.#chunkBytes + chunk.length > BLOCK_BYTES) {
+      return this.#startBlocks() && this.add(chunk);
+    }
+    if (!this.#reserve(CHUNK_BYTES + chunk.length)) return false;
+    this.#chunkBytes += chunk.length;
     this.#chunks.push(chunk);
     return true;
   }
 
-  /** Returns the collected body and frees the memory. */
-  take(): Buffer {
-    const body = Buffer.concat(this.#chunks);
+  /** Returns the collected body and frees the memory reserved. */
+  take(): ResponseBody {
+    const body = this.#writer?.finish() ?? new ResponseBody(this.#chunks);
+    this.#chunks = [];
     this.discard();
     return body;
   }
 
   /** Frees the memory of a response that is not used. */
   discard(): void {
-    this.#memory.release(this.#bytes);
+    this.#writer?.finish().release();
+    this.#writer = undefined;
+    this.#chunks = [];
+    this.#chunkBytes = 0;
+    this.#free();
+  }
+
+  /** Moves the chunks into blocks; returns false if there is not enough memory. */
+  #startBlocks(): boolean {
+    const writer = new BlockWriter(this.#memory.blocks);
+    const bytes = writer.growthFor(this.#chunkBytes) - this.#chunkBytes;
+    if (!this.#reserve(bytes)) return false;
+    for (const chunk of this.#chunks) writer.write(chunk);
     this.#chunks = [];
-    this.#bytes = 0;
+    this.#writer = writer;
+    return true;
+  }
+
+  #reserve(bytes: number): boolean {
+    if (!this.#memory.reserve(bytes, this.#reserved)) return false;
+    this.#reserved += bytes;
+    return true;
+  }
+
+  #free(): void {
+    this.#memory.release(this.#reserved);
+    this.#reserved = 0;
   }
 }
--- a/src/backends/response_limits_test.ts
+++ b/src/backends/response_limits_test.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import type { ResponseBody } from "./response_body.ts";
 import { OverheadMeter, ResponseMemory } from "./response_limits.ts";
 
 const MIB = 1_024 * 1_024;
@@ -50,6 +51,52 @@
   });
 });
 
+describe("ResponseCollector", () => {
+  it("should return the chunks of any body in order", () => {
+    const memory = new ResponseMemory(LIMIT_BYTES);
+    const chunk = fc.oneof(
+      fc.uint8Array({ maxLength: 3 }),
+      fc.uint8Array({ maxLength: 150_000, size: "max" }),
+    );
+    fc.assert(
+      fc.property(fc.array(chunk, { maxLength: 8 }), (chunks) => {
+        const collector = memory.collect();
+        for (const bytes of chunks) collector.add(Buffer.from(bytes));
+        const body = collector.take();
+        const expected = Buffer.concat(chunks);
+        assert.equal(body.length, expected.length);
+        assert.deepEqual(body.bytes(), expected);
+        body.release();
+      }),
+      { seed: 2, numRuns: 40 },
+    );
+  });
+
+  // Guards against memory beyond the limit: the garbage collector frees what was read of large bodies late.
+  it("should use the memory of a large body again once it is released, and not before", () => {
+    const memory = new ResponseMemory(LIMIT_BYTES);
+    const collect = () => {
+      const collector = memory.collect();
+      for (let n = 0; n < 4; n++) {
+        assert.ok(collector.add(Buffer.alloc(MIB / 16)));
+      }
+      return collector;
+    };
+    const memoryOf = ({ parts }: ResponseBody) =>
+      parts.map(({ buffer }) => buffer);
+    const first = collect().take();
+    const second = collect().take();
+    const used = new Set(memoryOf(first));
+    assert.ok(memoryOf(second).every((block) => !used.has(block)));
+    first.release();
+    first.release();
+    collect().discard();
+    const third = collect().take();
+    assert.deepEqual(new Set(memoryOf(third)), used);
+    assert.equal(memoryOf(third).length, used.size);
+  });
+});
+
 describe("OverheadMeter", () => {
   it("should allow any payload in small chunks, and no overhead without end", () => {
     const meter = new OverheadMeter();
--- a/src/gateway/caller_exchange.ts
+++ b/src/gateway/caller_exchange.ts
@@ -8,6 +8,7 @@
 } from "../core/limits/unread_responses.ts";
 import { type Refusal, refusalResponse } from "../core/refusal.ts";
 import type { ResponseHead } from "../backends/backend_attempt.ts";
+import type { ResponseBody } from "../backends/response_body.ts";
 import {
   type CallerHead,
   decodeCallerHead,
@@ -54,6 +55,7 @@
   #status: number | undefined;
   #corked = false;
   #body: BodyReader | undefined;
+  #responseBody: ResponseBody | undefined;
   readonly #unread: UnreadResponse;
   #onDisconnect: () => void = () => {};
 
@@ -86,6 +88,8 @@
     this.#unread = unreadResponses.open(() => res.destroy());
     res.on("close", () => {
       this.#unread.setBytes(0);
+      // The socket has passed all bytes on, or is closed and passes on none any more.
+      this.#responseBody?.release();
       this.#handleClose();
     });
     // A connection error is always followed by "close", which handles it.
@@ -182,9 +186,10 @@
   /** Sends a complete response of a backend server. */
   respond(
     { status, headers }: Pick<ResponseHead, "status" | "headers">,
-    body: Buffer,
+    body: ResponseBody,
   ): void {
-    if (this.#state !== "none") return;
+    if (this.#state !== "none") return body.release();
+    this.#responseBody = body;
     const length = this.method === "HEAD"
       ? headers["content-length"]
       : String(body.length);
@@ -192,7 +197,8 @@
     const kept = this.#serverHeaders(headers);
     if (!bodiless && length !== undefined) kept["content-length"] = length;
     this.#begin(status, kept);
-    this.#end(body);
+    for (const part of body.parts.slice(0, -1)) this.#res.write(part);
+    this.#end(body.parts.at(-1));
   }
 
   /** Sends the head of a response whose body is streamed. */
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -6,6 +6,7 @@
   HeadDecision,
   ResponseHead,
 } from "../backends/backend_attempt.ts";
+import type { ResponseBody } from "../backends/response_body.ts";
 import type { ModelLatencyEstimator } from "../core/cascade/model_latency_estimator.ts";
 import type { ServiceId } from "../core/ids.ts";
 import type { RetryBudget } from "../core/limits/retry_budget.ts";
@@ -413,13 +414,14 @@
   }
 
   #handleAnswered(
-    { head, body }: { head: ResponseHead; body: Buffer },
+    { head, body }: { head: ResponseHead; body: ResponseBody },
   ): StepResult {
     if (this.#exchange.state === "begun") {
       return this.#resumeStream(`status ${head.status}`);
     }
     this.#tally.recordRun();
     if (head.status >= 500 && this.#mayRetry() && this.#canRetryElsewhere()) {
+      body.release();
       return "again";
     }
     if (head.status < FIRST_ERROR_STATUS) this.#recordSuccess();
