Leave a connection to a server for each connection of a caller

Callers saw: nothing yet; 150 clients whose responses the servers do not complete made a gateway hold 311 sockets of 300. Beyond them servers, store and VMs can't be reached any more.

Cause: connections of callers had half of the sockets, and a request under way holds a connection to a server besides. With the share of peers and control listeners that is 1.22 of what there is.

Change: callers have 0.35 of the sockets, 1,365 at 4,100 descriptors; twice that and the other shares make 0.92.

Ruled out: a limit on connections to servers: a request that gets none would be refused after it was read, in place of a connection closed before.

--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -60,8 +60,9 @@
     of: "memory",
     meaning: "The same at each of the other listeners",
   },
+  // A request under way may hold a connection to a server as well.
   caller_connections: {
-    share: 0.5,
+    share: 0.35,
     of: "sockets",
     meaning:
       "Connections of callers; beyond it the one that has waited longest for its client is closed",
--- a/src/core/limits/vm_shares_test.ts
+++ b/src/core/limits/vm_shares_test.ts
@@ -20,9 +20,17 @@
     assert.ok(sockets <= 0.75 * (VM.descriptors - 200));
   });
 
+  // Guards against running out of descriptors while each caller waits for a server.
+  it("should leave a connection to a server for each caller", () => {
+    const sockets = 2 * socketShare(VM, "caller_connections") +
+      socketShare(VM, "peer_connections") +
+      CONTROL_LISTENERS * socketShare(VM, "control_connections");
+    assert.ok(sockets <= 0.95 * (VM.descriptors - 200));
+  });
+
   it("should follow the size of the VM", () => {
     assert.equal(memoryShare(VM, "request_bodies"), 70_000_000);
-    assert.equal(socketShare(VM, "caller_connections"), 1_950);
+    assert.equal(socketShare(VM, "caller_connections"), 1_365);
     assert.equal(socketShare({ descriptors: 1 }, "caller_connections"), 8);
   });
 });
--- a/tests/serial/crowd_requests_ahead_test.ts
+++ b/tests/serial/crowd_requests_ahead_test.ts
@@ -17,6 +17,7 @@
   LARGE_PATH,
   READY_PATH,
   SERVED_PATH,
+  STALLED_PATH,
 } from "../fixtures/limited_gateway.ts";
 
 const AHEAD = { connections: 10, repeat: 50_000, prefix: "" };
@@ -112,6 +113,14 @@
     unit: "",
     repeat: 0,
   });
+  itShouldServeBeside({
+    name: "large responses that servers do not complete",
+    at: "callers",
+    connections: 150,
+    prefix: head("GET", STALLED_PATH, ORDINARY),
+    unit: "",
+    repeat: 0,
+  });
   itShouldServeBeside({
     name: "requests ahead for large responses",
     at: "callers",
