Bound the memory of all responses that are collected together

Callers saw: nothing yet; 350 clients whose large responses the servers do not complete made a gateway take 316 and 319 MB of 220 MB.

Cause: each response was sure of 512 KiB, whatever the others used, so the sum had no bound but the number of connections. On a slow machine the same happens with proper servers, as more responses interleave.

Change: while all use up their share, the largest response is dropped for a smaller one, and fails as one that is too large does. Small responses of ordinary callers go on.

Ruled out: to pause reading until others are done: responses that are all incomplete would wait for each other until their deadlines.

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -102,6 +102,7 @@
 }
 
 const BODY_TOO_LARGE = "response body is too large";
+const MEMORY_USED_UP = "memory for responses is used up";
 const MISDIRECTED = 421;
 const NOT_PROCESSED_STATUSES: ReadonlySet<number> = new Set([400, 429, 503]);
 
@@ -125,7 +126,9 @@
   ) {
     this.#pool = pool;
     this.#options = options;
-    this.#collector = pool.responseMemory.collect();
+    this.#collector = pool.responseMemory.collect(() =>
+      this.abort({ tag: "broken", reason: MEMORY_USED_UP })
+    );
     this.#connection = pool.acquire(options.server, {
       fresh: options.fresh,
     });
--- a/src/backends/response_limits.ts
+++ b/src/backends/response_limits.ts
@@ -18,7 +18,7 @@
  * tiny chunks without end reach its limit early.
  */
 const CHUNK_BYTES = 128;
-/** Part of that memory that any response may use, however little is left. */
+/** Size up to which a response is collected unless others need the memory that are smaller. */
 const MIN_BODY_BYTES = 512 * 1_024;
 
 /** Counts the bytes of a response that are not payload. */
@@ -45,12 +45,13 @@
 
 /**
  * Memory that responses share while they are collected. Each may use at most half of what the
- * others leave, so that one alone may be large and many together stay within the limit.
+ * others leave, so that one alone may be large. Once nothing is left, the largest gives way to smaller ones.
  */
 export class ResponseMemory {
   /** Blocks for large bodies. */
   readonly blocks: BlockPool;
   readonly #limitBytes: number;
+  readonly #collecting = new Set<ResponseCollector>();
   #used = 0;
 
   constructor(limitBytes: number) {
@@ -58,9 +59,9 @@
     this.blocks = new BlockPool(limitBytes);
   }
 
-  /** Begins to collect a response. */
-  collect(): ResponseCollector {
-    return new ResponseCollector(this);
+  /** Begins to collect a response; `evict` must discard it. */
+  collect(evict: () => void): ResponseCollector {
+    return new ResponseCollector(this, evict);
   }
 
   /** Bytes used by all responses together. */
@@ -68,17 +69,37 @@
     return this.#used;
   }
 
-  /** Reserves memory for a response that uses `own` bytes already; returns whether there is enough. */
-  reserve(bytes: number, own: number): boolean {
-    const left = this.#limitBytes - this.#used - bytes;
-    if (own + bytes > Math.max(MIN_BODY_BYTES, left / 2)) return false;
-    this.#used += bytes;
+  /** Reserves more memory for a response; returns whether there is enough. */
+  reserve(response: ResponseCollector, more: number): boolean {
+    const bytes = response.reserved + more;
+    const left = this.#limitBytes - this.#used - more;
+    if (bytes > Math.max(MIN_BODY_BYTES, left / 2)) return false;
+    while (this.#used + more > this.#limitBytes) {
+      const largest = this.#largest();
+      if (largest === undefined || largest.reserved < bytes) return false;
+      if (largest === response) return false;
+      largest.evict();
+    }
+    this.#used += more;
+    this.#collecting.add(response);
     return true;
   }
 
-  /** Returns memory that is not used any more. */
-  release(bytes: number): void {
-    this.#used -= bytes;
+  /** Returns the memory of a response that does not use it any more. */
+  release(response: ResponseCollector): void {
+    this.#used -= response.reserved;
+    this.#collecting.delete(response);
+  }
+
+  /** Returns the response that uses most; the oldest of several. */
+  #largest(): ResponseCollector | undefined {
+    let largest: ResponseCollector | undefined;
+    for (const response of this.#collecting) {
+      if (largest === undefined || response.reserved > largest.reserved) {
+        largest = response;
+      }
+    }
+    return largest;
   }
 }
 
@@ -87,17 +108,24 @@
  * large responses would stay in memory until the garbage collector finds it.
  */
 export class ResponseCollector {
+  /** Ends the exchange, as others need the memory. */
+  readonly evict: () => void;
   readonly #memory: ResponseMemory;
   /** Chunks of a small body, as they were read. */
   #chunks: Buffer[] = [];
   #chunkBytes = 0;
   /** Set once the body is large. */
   #writer: BlockWriter | undefined;
-  /** Memory reserved. */
   #reserved = 0;
 
-  constructor(memory: ResponseMemory) {
+  constructor(memory: ResponseMemory, evict: () => void) {
     this.#memory = memory;
+    this.evict = evict;
+  }
+
+  /** Bytes reserved. */
+  get reserved(): number {
+    return this.#reserved;
   }
 
   /** Adds a chunk; returns false if the response is too large. */
@@ -146,13 +174,13 @@
   }
 
   #reserve(bytes: number): boolean {
-    if (!this.#memory.reserve(bytes, this.#reserved)) return false;
+    if (!this.#memory.reserve(this, bytes)) return false;
     this.#reserved += bytes;
     return true;
   }
 
   #free(): void {
-    this.#memory.release(this.#reserved);
+    this.#memory.release(this);
     this.#reserved = 0;
   }
 }
--- a/src/backends/response_limits_test.ts
+++ b/src/backends/response_limits_test.ts
@@ -3,27 +3,60 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import type { ResponseBody } from "./response_body.ts";
-import { OverheadMeter, ResponseMemory } from "./response_limits.ts";
+import {
+  OverheadMeter,
+  type ResponseCollector,
+  ResponseMemory,
+} from "./response_limits.ts";
 
 const MIB = 1_024 * 1_024;
 /** Memory for all responses together, and what each may use in any case. */
 const LIMIT_BYTES = 48 * MIB;
 const MIN_BODY_BYTES = MIB / 2;
 
+/** Begins to collect a response that is discarded if others need the memory. */
+function collect(memory: ResponseMemory): ResponseCollector {
+  const response = memory.collect(() => response.discard());
+  return response;
+}
+
 describe("ResponseMemory", () => {
   it("should let one response be large, and keep many within the limit", () => {
     const memory = new ResponseMemory(LIMIT_BYTES);
     const chunk = Buffer.alloc(64 * 1_024);
-    const large = memory.collect();
+    const large = collect(memory);
     let bytes = 0;
     while (large.add(chunk)) bytes += chunk.length;
     assert.ok(bytes > 15 * MIB);
     for (let n = 0; n < 40; n++) {
-      const other = memory.collect();
+      const other = collect(memory);
       while (other.add(chunk));
     }
-    assert.ok(memory.used <= LIMIT_BYTES + 40 * MIN_BODY_BYTES);
-    assert.ok(memory.collect().add(chunk));
+    assert.ok(memory.used <= LIMIT_BYTES);
+    assert.ok(collect(memory).add(chunk));
+  });
+
+  // Guards against a sum without bound: each response was sure of half a MiB, however many there were.
+  it("should stay within the limit, and drop the largest for smaller ones", () => {
+    const memory = new ResponseMemory(LIMIT_BYTES);
+    const chunk = Buffer.alloc(64 * 1_024);
+    const evicted: number[] = [];
+    const responses = Array.from({ length: 400 }, () => {
+      const response = memory.collect(() => {
+        evicted.push(response.reserved);
+        response.discard();
+      });
+      return response;
+    });
+    for (let round = 0; round < MIN_BODY_BYTES / chunk.length; round++) {
+      for (const response of responses) response.add(chunk);
+      assert.ok(memory.used <= LIMIT_BYTES);
+    }
+    assert.ok(evicted.length > 0);
+    const largest = Math.max(...responses.map(({ reserved }) => reserved));
+    evicted.length = 0;
+    while (evicted.length === 0) assert.ok(collect(memory).add(chunk));
+    assert.deepEqual(evicted, [largest]);
   });
 
   it("should have no memory in use once all responses are taken or discarded", () => {
@@ -35,7 +68,7 @@
     fc.assert(
       fc.property(fc.array(action, { maxLength: 60 }), (actions) => {
         const memory = new ResponseMemory(LIMIT_BYTES);
-        const collectors = Array.from({ length: 6 }, () => memory.collect());
+        const collectors = Array.from({ length: 6 }, () => collect(memory));
         for (const { at, bytes, tag } of actions) {
           const collector = collectors[at];
           if (tag === "add") collector?.add(Buffer.alloc(bytes));
@@ -60,7 +93,7 @@
     );
     fc.assert(
       fc.property(fc.array(chunk, { maxLength: 8 }), (chunks) => {
-        const collector = memory.collect();
+        const collector = collect(memory);
         for (const bytes of chunks) collector.add(Buffer.from(bytes));
         const body = collector.take();
         const expected = Buffer.concat(chunks);
@@ -75,8 +108,8 @@
   // Guards against memory beyond the limit: the garbage collector frees what was read of large bodies late.
   it("should use the memory of a large body again once it is released, and not before", () => {
     const memory = new ResponseMemory(LIMIT_BYTES);
-    const collect = () => {
-      const collector = memory.collect();
+    const collectLarge = () => {
+      const collector = collect(memory);
       for (let n = 0; n < 4; n++) {
         assert.ok(collector.add(Buffer.alloc(MIB / 16)));
       }
@@ -84,14 +117,14 @@
     };
     const memoryOf = ({ parts }: ResponseBody) =>
       parts.map(({ buffer }) => buffer);
-    const first = collect().take();
-    const second = collect().take();
+    const first = collectLarge().take();
+    const second = collectLarge().take();
     const used = new Set(memoryOf(first));
     assert.ok(memoryOf(second).every((block) => !used.has(block)));
     first.release();
     first.release();
-    collect().discard();
-    const third = collect().take();
+    collectLarge().discard();
+    const third = collectLarge().take();
     assert.deepEqual(new Set(memoryOf(third)), used);
     assert.equal(memoryOf(third).length, used.size);
   });
--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -41,7 +41,7 @@
     share: 0.144,
     of: "memory",
     meaning:
-      "Responses of servers while they are collected; 512 KiB each in any case",
+      "Responses of servers while they are collected; beyond it the largest is dropped",
   },
   unread_responses: {
     share: 0.08,
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -134,7 +134,7 @@
     });
     this.#current = new ForwardAttempt(this.#exchange, {
       connection,
-      collector: responseMemory.collect(),
+      responseMemory,
       dispatch: this.#dispatches.prepare(),
     });
     return await this.#current.run({
@@ -159,15 +159,20 @@
 
   constructor(
     exchange: CallerExchange,
-    { connection, collector, dispatch }: {
+    { connection, responseMemory, dispatch }: {
       connection: BackendConnection;
-      collector: ResponseCollector;
+      responseMemory: ResponseMemory;
       dispatch: Dispatch;
     },
   ) {
     this.#exchange = exchange;
     this.#connection = connection;
-    this.#collector = collector;
+    this.#collector = responseMemory.collect(() =>
+      this.#finish({
+        tag: "broken",
+        reason: "memory for responses is used up",
+      })
+    );
     this.#dispatch = dispatch;
   }
 
--- a/tests/serial/crowd_requests_ahead_test.ts
+++ b/tests/serial/crowd_requests_ahead_test.ts
@@ -121,6 +121,15 @@
     unit: "",
     repeat: 0,
   });
+  itShouldServeBeside({
+    name: "many large responses that servers do not complete",
+    at: "callers",
+    descriptors: 1_200,
+    connections: 350,
+    prefix: head("GET", STALLED_PATH, ORDINARY),
+    unit: "",
+    repeat: 0,
+  });
   itShouldServeBeside({
     name: "requests ahead for large responses",
     at: "callers",
