--- a/tests/serial/crowd_connections_test.ts
+++ b/tests/serial/crowd_connections_test.ts
@@ -33,14 +33,16 @@
       at,
     });
   }
-  itShouldServeBeside({
-    ...SILENT,
-    name: "connections with half a head",
-    at: "callers",
-    prefix: `GET ${SERVED_PATH} HTTP/1.1\r\nhost: a\r\nx: `,
-    unit: "y",
-    repeat: 8 * KIB,
-  });
+  for (const at of LISTENERS) {
+    itShouldServeBeside({
+      ...SILENT,
+      name: "connections with half a head",
+      at,
+      prefix: `GET ${SERVED_PATH} HTTP/1.1\r\nhost: a\r\nx: `,
+      unit: "y",
+      repeat: 8 * KIB,
+    });
+  }
   itShouldServeBeside({
     ...SILENT,
     name: "connections that rest after a request",
--- a/tests/serial/crowd_requests_ahead_test.ts
+++ b/tests/serial/crowd_requests_ahead_test.ts
@@ -15,6 +15,7 @@
 } from "../fixtures/crowd_case.ts";
 import {
   LARGE_PATH,
+  type Listener,
   READY_PATH,
   SERVED_PATH,
   STALLED_PATH,
@@ -24,6 +25,18 @@
 const BARE = "GET / HTTP/1.1\r\n\r\n";
 /** Requests that are answered immediately take less for each connection. */
 const MANY = { connections: 100 };
+const INTERIM = head(
+  "POST",
+  "/",
+  `${HOST_ONLY}expect: 100-continue\r\ncontent-length: 0\r\n`,
+);
+const UPGRADE = head(
+  "GET",
+  "/",
+  `${HOST_ONLY}connection: upgrade\r\nupgrade: websocket\r\n`,
+);
+/** Control listeners are alike. */
+const LISTENERS: readonly Listener[] = ["callers", "readiness", "peers"];
 const FORMS:
   readonly (Pick<CrowdCase, "name" | "at" | "unit"> & Partial<CrowdCase>)[] = [
     { ...MANY, name: "without headers", at: "callers", unit: BARE },
@@ -37,26 +50,10 @@
       at: "callers",
       unit: "GET / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n",
     },
-    {
-      ...MANY,
-      name: "that expect an interim response",
-      at: "callers",
-      unit: head(
-        "POST",
-        "/",
-        `${HOST_ONLY}expect: 100-continue\r\ncontent-length: 0\r\n`,
-      ),
-    },
-    {
-      ...MANY,
-      name: "that ask for an upgrade",
-      at: "callers",
-      unit: head(
-        "GET",
-        "/",
-        `${HOST_ONLY}connection: upgrade\r\nupgrade: websocket\r\n`,
-      ),
-    },
+    ...LISTENERS.flatMap((at) => [
+      { ...MANY, name: "that expect an interim response", at, unit: INTERIM },
+      { ...MANY, name: "that ask for an upgrade", at, unit: UPGRADE },
+    ]),
     {
       name: "with chunked bodies",
       at: "callers",
