Name the reasons of responses that take too much memory in one place

Each was spelled out for servers and for other VMs. A response that gives way also leaves the set before it is told, as with request bodies.

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -17,7 +17,11 @@
 } from "./backend_connection.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { ResponseBody } from "./response_body.ts";
-import type { ResponseCollector } from "./response_limits.ts";
+import {
+  BODY_TOO_LARGE,
+  MEMORY_USED_UP,
+  type ResponseCollector,
+} from "./response_limits.ts";
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -101,8 +105,6 @@
   readonly sink: ResponseSink;
 }
 
-const BODY_TOO_LARGE = "response body is too large";
-const MEMORY_USED_UP = "memory for responses is used up";
 const MISDIRECTED = 421;
 const NOT_PROCESSED_STATUSES: ReadonlySet<number> = new Set([400, 429, 503]);
 
--- a/src/backends/response_limits.ts
+++ b/src/backends/response_limits.ts
@@ -18,9 +18,14 @@
  * tiny chunks without end reach its limit early.
  */
 const CHUNK_BYTES = 128;
-/** Size up to which a response is collected unless others need the memory that are smaller. */
+/** A response up to this size fails for want of memory only if smaller ones need it. */
 const MIN_BODY_BYTES = 512 * 1_024;
 
+/** Why a response fails that is too large for the memory left. */
+export const BODY_TOO_LARGE = "response body is too large";
+/** Why a response fails whose memory smaller ones need. */
+export const MEMORY_USED_UP = "memory for responses is used up";
+
 /** Counts the bytes of a response that are not payload. */
 export class OverheadMeter {
   #overhead = 0;
@@ -78,6 +83,7 @@
       const largest = this.#largest();
       if (largest === undefined || largest.reserved < bytes) return false;
       if (largest === response) return false;
+      this.#collecting.delete(largest);
       largest.evict();
     }
     this.#used += more;
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -7,9 +7,11 @@
   type ExchangeListener,
   type ResponseHeaders,
 } from "../backends/backend_connection.ts";
-import type {
-  ResponseCollector,
-  ResponseMemory,
+import {
+  BODY_TOO_LARGE,
+  MEMORY_USED_UP,
+  type ResponseCollector,
+  type ResponseMemory,
 } from "../backends/response_limits.ts";
 import type { ServerConnector } from "../backends/server_connector.ts";
 import type { EntryId, ServiceId } from "../core/ids.ts";
@@ -168,10 +170,7 @@
     this.#exchange = exchange;
     this.#connection = connection;
     this.#collector = responseMemory.collect(() =>
-      this.#finish({
-        tag: "broken",
-        reason: "memory for responses is used up",
-      })
+      this.#finish({ tag: "broken", reason: MEMORY_USED_UP })
     );
     this.#dispatch = dispatch;
   }
@@ -212,7 +211,7 @@
     if (this.#done) return;
     if (!this.#isStreamed) {
       if (this.#collector.add(chunk)) return;
-      this.#finish({ tag: "broken", reason: "response body is too large" });
+      this.#finish({ tag: "broken", reason: BODY_TOO_LARGE });
       return;
     }
     if (this.#exchange.write(chunk)) return;
