--- a/src/core/servers/server_backoffs.ts
+++ b/src/core/servers/server_backoffs.ts
@@ -66,7 +66,7 @@
     return Math.max(0, (this.#get(server)?.untilMs ?? 0) - nowMs);
   }
 
-  /** Milliseconds until a server may be chosen, respecting `RESUME_INTERVAL_MS` after a backoff. */
+  /** Milliseconds until the next request may be sent to a server, also between the first ones after a backoff. */
   opensInMs(server: ServerIncarnationKey, nowMs: number): number {
     return Math.max(0, (this.#get(server)?.nextMs ?? 0) - nowMs);
   }
