Run the test of endless responses apart from other load

It brings its own load: a server that writes as fast as it can, and a gateway that reads up to 20 MB of each response. Requests whose deadline passed and attempts beyond the bound were seen only where the test had less than a third of a core (28 processes on 8 cores).

--- a/tests/endless_response_test.ts
+++ b/tests/serial/endless_response_test.ts
@@ -13,8 +13,8 @@
 import assert from "node:assert/strict";
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, describe, it } from "node:test";
-import { ENDLESS_FORMS, type EndlessForm } from "./fixtures/endless_forms.ts";
-import { EndlessServer } from "./fixtures/endless_server.ts";
+import { ENDLESS_FORMS, type EndlessForm } from "../fixtures/endless_forms.ts";
+import { EndlessServer } from "../fixtures/endless_server.ts";
 import {
   answerBytes,
   ATTEMPT,
@@ -23,8 +23,8 @@
   STREAM_ROUTE,
   streamAnswerBytes,
   TestGateway,
-} from "./fixtures/test_gateway.ts";
-import { until } from "./fixtures/test_fleet.ts";
+} from "../fixtures/test_gateway.ts";
+import { until } from "../fixtures/test_fleet.ts";
 
 const REQUESTS = 30;
 const REQUEST_INTERVAL_MS = 20;
