Bound the responses that an entry collects and that its callers do not read

With the default of 10,000 connections and 64 MB for a response, a process ends. Cause: each response was collected whole, whatever the others took, and waited for its caller however long; only connections were bounded. Same class as in the gateway, on the path that it does not share. Change: responses of services are collected by ResponseMemory, as in the gateway (the largest fails, as "no_memory": no retry, no word against the server, "ran": maybe), and are sent from its blocks; UnreadResponses closes the connection whose response has waited longest. max_responses_bytes and max_unread_bytes, 256 MiB each: one response may take a third of the first, so the 64 MB that a response may have still fit.

--- a/src/backends/backend_error.ts
+++ b/src/backends/backend_error.ts
@@ -16,6 +16,8 @@
   }
   /** The response belongs to another request or is malformed. */
   | { readonly tag: "wrong_answer"; readonly reason: string }
+  /** The response is too large for the memory that this entry has left. */
+  | { readonly tag: "no_memory"; readonly reason: string }
   /** The deadline expired or the caller disconnected; `sent`: whether bytes may have been sent. */
   | { readonly tag: "aborted"; readonly sent: boolean };
 
@@ -26,10 +28,16 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Thrown when a response is too large for the memory left. */
+export class ResponseMemoryError extends Error {}
+
 /** Converts an error thrown by the HTTP client. */
 export function toBackendError(err: unknown): BackendError {
   const { name, code, message } = err as NodeJS.ErrnoException;
   if (name === "AbortError") return { tag: "aborted", sent: true };
+  if (err instanceof ResponseMemoryError) {
+    return { tag: "no_memory", reason: message };
+  }
   const reason = code ?? message;
   if (CONNECT_ERRORS.has(reason)) return { tag: "refused", reason };
   return { tag: "failed", reason };
@@ -47,6 +55,7 @@
         err.reason === "" ? "" : `, ${err.reason}`
       }`;
     case "wrong_answer":
+    case "no_memory":
       return err.reason;
     case "aborted":
       return "aborted";
--- a/src/backends/http_plain_services.ts
+++ b/src/backends/http_plain_services.ts
@@ -3,12 +3,22 @@
 import { type Dispatcher, request } from "undici";
 import { fail, ok, type Result } from "../core/result.ts";
 import { decodeServerNotice } from "../platform/server_notice_wire.ts";
-import { type BackendError, toBackendError } from "./backend_error.ts";
+import {
+  type BackendError,
+  ResponseMemoryError,
+  toBackendError,
+} from "./backend_error.ts";
 import type {
   PlainServices,
   ServiceCall,
   ServiceResponse,
 } from "./plain_services.ts";
+import type { ResponseBody } from "./response_body.ts";
+import {
+  BODY_TOO_LARGE,
+  MEMORY_USED_UP,
+  type ResponseMemory,
+} from "./response_limits.ts";
 
 /** Headers that apply to a single connection and are not forwarded. */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -26,9 +36,11 @@
 /** Forwards responses without their hop-by-hop headers. */
 export class HttpPlainServices implements PlainServices {
   readonly #dispatcher: Dispatcher;
+  readonly #responses: ResponseMemory;
 
-  constructor(dispatcher: Dispatcher) {
+  constructor(dispatcher: Dispatcher, responses: ResponseMemory) {
     this.#dispatcher = dispatcher;
+    this.#responses = responses;
   }
 
   async call(
@@ -44,7 +56,7 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       });
-      const body = new Uint8Array(await res.body.arrayBuffer());
+      const body = await this.#collect(res.body);
       return ok({
         status: res.statusCode,
         headers: endToEndHeaders(res.headers),
@@ -55,6 +67,27 @@
       return fail(toBackendError(err));
     }
   }
+
+  /** Reads a whole body; throws `ResponseMemoryError` if it does not fit. */
+  async #collect(
+    body: Dispatcher.ResponseData["body"],
+  ): Promise<ResponseBody> {
+    const collector = this.#responses.collect(() => {
+      collector.discard();
+      body.destroy(new ResponseMemoryError(MEMORY_USED_UP));
+    });
+    try {
+      for await (const chunk of body) {
+        if (!collector.add(chunk)) {
+          throw new ResponseMemoryError(BODY_TOO_LARGE);
+        }
+      }
+      return collector.take();
+    } catch (err) {
+      collector.discard();
+      throw err;
+    }
+  }
 }
 
 function endToEndHeaders(
--- a/src/backends/plain_services.ts
+++ b/src/backends/plain_services.ts
@@ -5,6 +5,7 @@
 import type { Result } from "../core/result.ts";
 import type { Deadline } from "../runtime/deadline.ts";
 import type { BackendError } from "./backend_error.ts";
+import type { ResponseBody } from "./response_body.ts";
 
 /** A request to a plain service. */
 export interface ServiceCall {
@@ -22,7 +23,8 @@
 export interface ServiceResponse {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
+  /** To be released once the caller has been sent all of it. */
+  readonly body: ResponseBody;
   /** Backoff that the server requests from this entry, in milliseconds; 0 if none. */
   readonly restMs: number;
 }
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers. */
 
+import { Buffer } from "node:buffer";
 import fastify, {
   type FastifyError,
   type FastifyInstance,
@@ -8,6 +9,7 @@
 } from "fastify";
 import type { ConfigurationStore } from "../core/config/configuration_store.ts";
 import type { Freshness } from "../core/config/freshness.ts";
+import { UnreadResponses } from "../core/limits/unread_responses.ts";
 import type { RequestError } from "../core/request_error.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -43,10 +45,12 @@
   readonly #deps: Deps;
   readonly #http: FastifyInstance;
   readonly #bodies: BodyParser;
+  readonly #unread: UnreadResponses;
 
   constructor(deps: Deps) {
     this.#deps = deps;
     this.#bodies = new BodyParser(deps.settings.limits, deps.clock);
+    this.#unread = new UnreadResponses(deps.settings.limits.max_unread_bytes);
     this.#http = this.#createHttp();
     this.#addRoutes();
     this.#addErrorAnswers();
@@ -91,6 +95,10 @@
       maxConnections: limits.max_connections,
       maxBytesAhead: limits.max_bytes_ahead,
     });
+    http.addHook("onSend", (_req, reply, payload, done) => {
+      this.#recordUnread(reply, payload);
+      done(null, payload);
+    });
     http.addHook("onResponse", (req, _reply, done) => {
       this.#bodies.release(req);
       done();
@@ -104,6 +112,20 @@
     return http;
   }
 
+  /** Counts a response until its caller has read it or has disconnected. */
+  #recordUnread(reply: FastifyReply, payload: unknown): void {
+    const { raw } = reply;
+    if (raw.closed) return;
+    const unread = this.#unread.open(() => raw.destroy());
+    raw.once("close", () => unread.setBytes(0));
+    const isWhole = typeof payload === "string" || Buffer.isBuffer(payload);
+    unread.setBytes(
+      isWhole
+        ? Buffer.byteLength(payload)
+        : Number(reply.getHeader("content-length") ?? 0),
+    );
+  }
+
   #addRoutes(): void {
     const { chatEndpoint, serviceEndpoint, addressBook } = this.#deps;
     this.#http.post(
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -13,6 +13,7 @@
 import { HolderReporter } from "../configuration/holder_reporter.ts";
 import { HttpModelServers } from "../backends/http_model_servers.ts";
 import { HttpPlainServices } from "../backends/http_plain_services.ts";
+import { ResponseMemory } from "../backends/response_limits.ts";
 import { ConfigurationStore } from "../core/config/configuration_store.ts";
 import { Freshness } from "../core/config/freshness.ts";
 import { PlatformContact } from "../core/config/platform_contact.ts";
@@ -133,7 +134,7 @@
 const MAX_RESPONSE_BYTES = 64 * 1_024 * 1_024;
 
 function registerEdges(container: AwilixContainer, settings: Settings): void {
-  const { platform, backends } = settings;
+  const { platform, backends, limits } = settings;
   container.register({
     clock: asClass(SystemClock).singleton(),
     entryMetrics: asClass(EntryMetrics).singleton(),
@@ -163,7 +164,10 @@
       new HttpModelServers(backendDispatcher)
     ).singleton(),
     plainServices: asFunction(({ backendDispatcher }) =>
-      new HttpPlainServices(backendDispatcher)
+      new HttpPlainServices(
+        backendDispatcher,
+        new ResponseMemory(limits.max_responses_bytes),
+      )
     ).singleton(),
     configurationLoader: asComponent(ConfigurationLoader),
     headFollower: asComponent(HeadFollower),
--- a/src/entry/retry_policy.ts
+++ b/src/entry/retry_policy.ts
@@ -20,6 +20,7 @@
     case "refused":
       return true;
     case "aborted":
+    case "no_memory":
       return false;
     case "rejected":
       return repeatable && isServerFailure(err.status) && budget.tryWithdraw();
@@ -32,7 +33,7 @@
 /** Returns the outcome of a failed attempt, as it affects the health of its server. */
 export function attemptOutcomeOf(err: BackendError): AttemptOutcome {
   if (err.tag === "refused") return "refused";
-  if (err.tag === "aborted") return "answered";
+  if (err.tag === "aborted" || err.tag === "no_memory") return "answered";
   if (err.tag === "rejected" && !isServerFailure(err.status)) return "answered";
   return "failed";
 }
--- a/src/entry/service_endpoint.ts
+++ b/src/entry/service_endpoint.ts
@@ -1,6 +1,7 @@
 /** HTTP endpoint `/services/NAME/...`, which forwards calls to plain services. */
 
 import type { Buffer } from "node:buffer";
+import { Readable } from "node:stream";
 import type { FastifyReply, FastifyRequest } from "fastify";
 import type { RequestRunner } from "./request_runner.ts";
 import type { ServiceDispatcher } from "./service_dispatcher.ts";
@@ -47,10 +48,15 @@
           body: req.body as Buffer | undefined,
         });
         if (!answer.ok) return answer.error;
-        void reply.code(answer.value.status)
-          .headers(answer.value.headers)
-          .header("fieldrack-request-id", ctx.requestId)
-          .send(answer.value.body);
+        const { status, headers, body } = answer.value;
+        reply.raw.once("close", () => body.release());
+        void reply.code(status)
+          .headers(headers)
+          .header("fieldrack-request-id", ctx.requestId);
+        if (body.parts.length > 1) {
+          void reply.header("content-length", body.length)
+            .send(Readable.from(body.parts));
+        } else void reply.send(body.bytes());
         return undefined;
       },
     );
--- a/src/protocol/settings_schema.ts
+++ b/src/protocol/settings_schema.ts
@@ -67,6 +67,14 @@
       .describe(
         "Maximum size of incomplete heads, and of what callers send while an earlier request on their connection is under way",
       ),
+    max_responses_bytes: z.int().min(1_024).default(256 * BYTES_PER_MIB)
+      .describe(
+        "Maximum size of the responses of plain services that have not arrived in full; the largest fails beyond it",
+      ),
+    max_unread_bytes: z.int().min(1_024).default(256 * BYTES_PER_MIB)
+      .describe(
+        "Maximum size of the responses that callers have not read; beyond it the connection that has waited longest is closed",
+      ),
     deadline_ms: z.int().min(100).max(3_600_000).default(120_000)
       .describe("Deadline of a request if its caller sets none"),
     header_timeout_ms: z.int().min(100).default(10_000)
--- a/tests/entry_rest_test.ts
+++ b/tests/entry_rest_test.ts
@@ -13,6 +13,7 @@
 import { Agent } from "undici";
 import { HttpModelServers } from "../src/backends/http_model_servers.ts";
 import { HttpPlainServices } from "../src/backends/http_plain_services.ts";
+import { ResponseMemory } from "../src/backends/response_limits.ts";
 import type { BackendError } from "../src/backends/backend_error.ts";
 import type { BackendServer } from "../src/core/config/configuration.ts";
 import type { BackendId, RequestId } from "../src/core/ids.ts";
@@ -21,6 +22,7 @@
 import { TestChat, token } from "./fixtures/test_chat.ts";
 
 const BACKOFF_MS = 3_000;
+const RESPONSE_BYTES = 1_024 * 1_024;
 const SERVER_FULL: BackendError = {
   tag: "rejected",
   status: 503,
@@ -73,7 +75,10 @@
     const call = { server, requestId: "r" as RequestId, deadline };
     const model = { ...call, body: "{}", priority: "standard" };
     const models = new HttpModelServers(dispatcher);
-    const plain = new HttpPlainServices(dispatcher);
+    const plain = new HttpPlainServices(
+      dispatcher,
+      new ResponseMemory(RESPONSE_BYTES),
+    );
     const backoffs = [
       await models.chat(model),
       await models.stream(model),
