Count a response without a length as complete only after a proper end of its connection

Callers saw: a server responded to a long upload at once, without a length, sent part of its body and reset the connection while the upload was still being written; the part reached the caller as a complete response (MIXED), with status 200 and with 500.

Cause: a response that only the end of its connection completes counted as complete unless a reset was seen. While the upload waits to be written, no reset is seen: Node.js reports a regular end if the reset arrives together with the last bytes, and the write that shows the difference is queued behind the upload, which undici drops with the connection; its error is then undici's own and was taken for no reset.

Change: such a response is complete only if an end was received, neither direction has failed, nothing of the request waits to be written and a write after it succeeds. The rule stands in one place, a client of undici for one connection, which BackendConnection uses for servers and other VMs.

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -2,8 +2,9 @@
 
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { Client, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { parseAddress } from "../runtime/address.ts";
+import { HttpClient } from "../runtime/http_client.ts";
 import { MeteredSocket } from "../runtime/metered_socket.ts";
 import { OverheadMeter } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
@@ -50,20 +51,15 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
-/** Written to detect a reset connection; HTTP servers ignore empty lines before a request. */
-const EMPTY_LINE = "\r\n";
 const OVERLONG = "server sends bytes that are no response";
-const RESET_CODES: readonly unknown[] = ["EPIPE", "ECONNRESET"];
 
 /** Sends one request at a time over an undici client with a single connection. */
 export class BackendConnection {
-  readonly #client: Client;
+  readonly #client: HttpClient;
   #controller: Dispatcher.DispatchController | undefined;
   #reusable = true;
   #busy = false;
   #socket: Socket | undefined;
-  #socketFailed = false;
-  #endReceived = false;
   #idleSinceMs = 0;
   readonly #overhead = new OverheadMeter();
 
@@ -76,12 +72,11 @@
     },
   ) {
     const target = parseAddress(address);
-    this.#client = new Client(`http://${address}`, {
-      pipelining: 1,
+    this.#client = new HttpClient(`http://${address}`, {
       connect: (_options, done) =>
         connector.connect(target, (result) => {
           if ("error" in result) return done(result.error, null);
-          this.#watch(result.socket);
+          this.#meter(result.socket);
           done(null, result.socket);
         }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
@@ -123,7 +118,6 @@
         new ExchangeHandler(listener, {
           onController: (controller) => this.#controller = controller,
           onFinished: (complete) => this.#finish(complete),
-          detectReset: (report) => this.#detectReset(report),
           onHead: () => this.#overhead.reset(),
           onPayload: (bytes) => this.#overhead.recordPayload(bytes),
         }),
@@ -160,11 +154,8 @@
     void this.#client.destroy();
   }
 
-  /** Listens before undici does: it treats a reset as the regular end of some responses. */
-  #watch(socket: Socket): void {
+  #meter(socket: Socket): void {
     this.#socket = socket;
-    socket.once("error", () => this.#socketFailed = true);
-    socket.once("end", () => this.#endReceived = true);
     if (socket instanceof MeteredSocket) {
       socket.meterReads((bytes) => this.#mayProcess(bytes));
     }
@@ -179,23 +170,6 @@
     return false;
   }
 
-  /**
-   * Detects whether the connection was reset. A reset that arrives together with the last bytes
-   * is reported as a regular end; only a write, which fails after a reset, tells them apart.
-   */
-  #detectReset(report: (reset: boolean) => void): void {
-    if (
-      this.#socketFailed || !this.#endReceived || this.#socket === undefined
-    ) {
-      report(this.#socketFailed);
-      return;
-    }
-    this.#socket.write(EMPTY_LINE, (err) => {
-      const { code } = (err ?? {}) as NodeJS.ErrnoException;
-      report(RESET_CODES.includes(code));
-    });
-  }
-
   #finish(complete: boolean): void {
     this.#busy = false;
     if (!complete) this.#reusable = false;
@@ -209,8 +183,6 @@
 interface HandlerHooks {
   readonly onController: (controller: Dispatcher.DispatchController) => void;
   readonly onFinished: (complete: boolean) => void;
-  /** Reports whether the connection was reset. */
-  readonly detectReset: (report: (reset: boolean) => void) => void;
   /** A final head was received. */
   readonly onHead: () => void;
   /** Bytes of the body were received. */
@@ -267,11 +239,8 @@
   onResponseEnd(): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#hooks.detectReset((reset) => {
-      this.#hooks.onFinished(!reset);
-      if (reset) this.#listener.onFailure({ tag: "broken", reason: "reset" });
-      else this.#listener.onEnd();
-    });
+    this.#hooks.onFinished(true);
+    this.#listener.onEnd();
   }
 
   onResponseError(
--- a/src/platform/header_wire.ts
+++ b/src/platform/header_wire.ts
@@ -9,6 +9,7 @@
   ModelId,
   PromptPartId,
 } from "../core/ids.ts";
+import { isFramed } from "../runtime/response_framing.ts";
 
 const ATTEMPT = "fieldrack-attempt-id";
 const DEADLINE = "fieldrack-deadline-ms";
@@ -189,9 +190,6 @@
 export function decodeBackendHead(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): BackendHead {
-  const chunked = /\bchunked\b/i.test(
-    firstValue(headers["transfer-encoding"]) ?? "",
-  );
   return {
     attempt: firstValue(headers[ATTEMPT]),
     notProcessed: headers[NOT_RUN] !== undefined,
@@ -200,7 +198,7 @@
     encoded: headers["content-encoding"] !== undefined,
     closesConnection: /\bclose\b/i.test(firstValue(headers.connection) ?? ""),
     keepAliveMs: parseKeepAliveMs(firstValue(headers["keep-alive"])),
-    framed: chunked || headers["content-length"] !== undefined,
+    framed: isFramed(headers),
     isEventStream: (firstValue(headers["content-type"]) ?? "").includes(
       "text/event-stream",
     ),
