Read all responses through clients that tell a cut response from a complete one

Callers of an entry saw: a part of a plain service's response without a length, whose connection was reset, with status 200. The same happened to everything else that is read through undici's own functions: chat responses, load reports, answers of the store, of the platform and of other VMs, reports and probes of servers, the status of an entry.

Cause: as for the gateway, undici reports a reset as the regular end of a response without a length; here nothing checked it, so every reset passed, not just an early one.

Change: HttpAgent has all its connections opened by HttpClient, and all readers use it. The probe of a server reads the response instead of dumping it, as a dump does not fail.

--- a/scripts/undici_parts.cjs
+++ b/scripts/undici_parts.cjs
@@ -5,6 +5,10 @@
 );
 const Agent = require("../node_modules/undici/lib/dispatcher/agent.js");
 const Client = require("../node_modules/undici/lib/dispatcher/client.js");
+const Pool = require("../node_modules/undici/lib/dispatcher/pool.js");
+const DecoratorHandler = require(
+  "../node_modules/undici/lib/handler/decorator-handler.js",
+);
 const buildConnector = require("../node_modules/undici/lib/core/connect.js");
 const apiRequest = require("../node_modules/undici/lib/api/api-request.js");
 
@@ -21,4 +25,12 @@
   return dispatcher.request({ ...options, origin, path, method });
 }
 
-module.exports = { Agent, Client, Dispatcher, buildConnector, request };
+module.exports = {
+  Agent,
+  Client,
+  DecoratorHandler,
+  Dispatcher,
+  Pool,
+  buildConnector,
+  request,
+};
--- a/src/backends/http_model_servers.ts
+++ b/src/backends/http_model_servers.ts
@@ -9,6 +9,7 @@
   chatResponseSchema,
   loadReportSchema,
 } from "../protocol/chat_schema.ts";
+import type { HttpAgent } from "../runtime/http_agent.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
 import { type BackendError, toBackendError } from "./backend_error.ts";
 import { readChatStream } from "./chat_stream_reader.ts";
@@ -26,9 +27,9 @@
 
 /** Uses one connection pool per model server. */
 export class HttpModelServers implements ModelServers {
-  readonly #dispatcher: Dispatcher;
+  readonly #dispatcher: HttpAgent;
 
-  constructor(dispatcher: Dispatcher) {
+  constructor(dispatcher: HttpAgent) {
     this.#dispatcher = dispatcher;
   }
 
--- a/src/backends/http_plain_services.ts
+++ b/src/backends/http_plain_services.ts
@@ -3,6 +3,7 @@
 import { type Dispatcher, request } from "undici";
 import { fail, ok, type Result } from "../core/result.ts";
 import { decodeServerNotice } from "../platform/server_notice_wire.ts";
+import type { HttpAgent } from "../runtime/http_agent.ts";
 import {
   type BackendError,
   ResponseMemoryError,
@@ -35,10 +36,10 @@
 
 /** Forwards responses without their hop-by-hop headers. */
 export class HttpPlainServices implements PlainServices {
-  readonly #dispatcher: Dispatcher;
+  readonly #dispatcher: HttpAgent;
   readonly #responses: ResponseMemory;
 
-  constructor(dispatcher: Dispatcher, responses: ResponseMemory) {
+  constructor(dispatcher: HttpAgent, responses: ResponseMemory) {
     this.#dispatcher = dispatcher;
     this.#responses = responses;
   }
--- a/src/backends/http_plain_services_test.ts
+++ b/src/backends/http_plain_services_test.ts
@@ -5,11 +5,11 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Agent } from "undici";
 import type { BackendServer } from "../core/config/configuration.ts";
 import type { RequestId } from "../core/ids.ts";
 import type { Result } from "../core/result.ts";
 import { Deadline } from "../runtime/deadline.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 import type { BackendError } from "./backend_error.ts";
 import { HttpPlainServices } from "./http_plain_services.ts";
 import type { ServiceResponse } from "./plain_services.ts";
@@ -20,7 +20,7 @@
 const DEADLINE_MS = 60_000;
 
 describe("HttpPlainServices", () => {
-  const dispatcher = new Agent();
+  const dispatcher = new HttpAgent();
   let http: Server;
 
   async function callWith(
--- a/src/backends/server_incarnation_check.ts
+++ b/src/backends/server_incarnation_check.ts
@@ -1,12 +1,13 @@
 /** Asks model servers which incarnation of them is running. */
 
-import { Agent, request } from "undici";
+import { request } from "undici";
 import type { InstanceId } from "../core/ids.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import {
   decodeReportedStart,
   SERVER_REPORT_PATH,
 } from "../platform/server_report_wire.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 import type { Logger } from "../runtime/logger.ts";
 
 /** Round trips to backend servers take a few milliseconds. */
@@ -16,7 +17,7 @@
 /** Compares the start time that a server reports; concurrent checks of one server share a request. */
 export class ServerIncarnationCheck {
   readonly #logger: Logger;
-  readonly #agent = new Agent({
+  readonly #agent = new HttpAgent({
     maxResponseSize: MAX_REPORT_BYTES,
     pipelining: 0,
   });
--- a/src/backends/server_probe.ts
+++ b/src/backends/server_probe.ts
@@ -8,12 +8,14 @@
 import { decodeServerNotice } from "../platform/server_notice_wire.ts";
 import { SERVER_REPORT_PATH } from "../platform/server_report_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 import type { Logger } from "../runtime/logger.ts";
 
 /** Round trips to backend servers take a few milliseconds. */
 const PROBE_TIMEOUT_MS = 400;
 /** Minimum interval between probes of a server; allows two before it counts as stalled. */
 const PROBE_INTERVAL_MS = 200;
+const MAX_REPORT_BYTES = 256 * 1_024;
 
 /**
  * Called with the status that a server sends along with its response to a probe. `isReport` says
@@ -38,6 +40,7 @@
  */
 export class ServerProbe {
   readonly #deps: Deps;
+  readonly #agent = new HttpAgent({ maxResponseSize: MAX_REPORT_BYTES });
   readonly #probedMs = new Map<InstanceId, number>();
 
   constructor(deps: Deps) {
@@ -70,13 +73,15 @@
     try {
       const res = await request(`http://${address}${SERVER_REPORT_PATH}`, {
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+        dispatcher: this.#agent,
         reset: true,
       });
       const { statusCode, headers } = res;
       onNotice(decodeServerNotice(statusCode, headers), {
         isReport: statusCode === REPORT_STATUS,
       });
-      await res.body.dump();
+      // Unlike `dump`, this fails if the response is cut.
+      await res.body.arrayBuffer();
       serverStallDetector.recordActivity(instance, clock.monotonicMs());
     } catch (err) {
       logger.info("Server did not respond to a probe", {
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -6,8 +6,10 @@
   type EntryStatus,
   entryStatusSchema,
 } from "../protocol/status_schema.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 
 const STATUS_TIMEOUT_MS = 2_000;
+const AGENT = new HttpAgent();
 
 /** Fetches the status of the entry at `address`; the error is a text for the operator. */
 export async function fetchStatus(
@@ -15,6 +17,7 @@
 ): Promise<Result<EntryStatus, string>> {
   try {
     const res = await request(`http://${address}/status`, {
+      dispatcher: AGENT,
       signal: AbortSignal.timeout(STATUS_TIMEOUT_MS),
     });
     const parsed = entryStatusSchema.safeParse(await res.body.json());
--- a/src/entry/entry_container.ts
+++ b/src/entry/entry_container.ts
@@ -8,7 +8,6 @@
   createContainer,
   InjectionMode,
 } from "awilix";
-import { Agent } from "undici";
 import { FreshnessMonitor } from "../configuration/freshness_monitor.ts";
 import { HolderReporter } from "../configuration/holder_reporter.ts";
 import { HttpModelServers } from "../backends/http_model_servers.ts";
@@ -34,6 +33,7 @@
 import { HttpPlatform } from "../platform/http_platform.ts";
 import type { Settings } from "../protocol/settings_schema.ts";
 import { type Clock, SystemClock } from "../runtime/clock.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 import { SocketMeter } from "../runtime/socket_meter.ts";
 import type { Logger } from "../runtime/logger.ts";
 import { AddressBook } from "./address_book.ts";
@@ -67,7 +67,7 @@
   readonly memberTable: MemberTable;
   readonly configurationStore: ConfigurationStore;
   readonly inFlightLimits: InFlightLimits;
-  readonly backendDispatcher: Agent;
+  readonly backendDispatcher: HttpAgent;
   readonly platform: HttpPlatform;
   readonly peers: TrpcPeers;
   readonly prober: Prober;
@@ -139,7 +139,7 @@
     clock: asClass(SystemClock).singleton(),
     entryMetrics: asClass(EntryMetrics).singleton(),
     backendDispatcher: asValue(
-      new Agent({
+      new HttpAgent({
         connections: backends.connections,
         pipelining: 1,
         connect: { timeout: backends.connect_timeout_ms },
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -4,12 +4,13 @@
 import { TRPCClientError, type TRPCLink } from "@trpc/client";
 import type { AnyTRPCRouter } from "@trpc/server";
 import { observable } from "@trpc/server/observable";
-import { type Dispatcher, request } from "undici";
+import { request } from "undici";
 import {
   COMPRESSED_ENCODING,
   decodeJson,
   encodeJson,
 } from "../runtime/compressed_json.ts";
+import type { HttpAgent } from "../runtime/http_agent.ts";
 
 /** Connection options of a link. */
 export interface PeerLinkOptions {
@@ -17,7 +18,7 @@
   readonly url: string;
   /** Headers sent with every call. */
   readonly headers: Readonly<Record<string, string>>;
-  readonly dispatcher: Dispatcher;
+  readonly dispatcher: HttpAgent;
   /** Whether the server accepts compressed requests and may send compressed answers. */
   readonly packed: boolean;
 }
--- a/src/peers/trpc_clients.ts
+++ b/src/peers/trpc_clients.ts
@@ -6,9 +6,9 @@
   TRPCClientError,
 } from "@trpc/client";
 import type { AnyTRPCRouter } from "@trpc/server";
-import type { Agent } from "undici";
 import { fail, ok, type Result } from "../core/result.ts";
-import { meteredAgent, type SocketMeter } from "../runtime/socket_meter.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
+import type { SocketMeter } from "../runtime/socket_meter.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
 import { MAX_ANSWER_BYTES, peerLink } from "./peer_link.ts";
 import type { PeerError } from "./peers.ts";
@@ -36,14 +36,15 @@
 /** Caches the clients for one type of router. */
 export class TrpcClients<Router extends AnyTRPCRouter> {
   readonly #headers: Readonly<Record<string, string>>;
-  readonly #agent: Agent;
+  readonly #agent: HttpAgent;
   readonly #packed: boolean;
   readonly #clients = new Map<string, TRPCClient<Router>>();
 
   constructor({ meter, headers, localAddress, packed }: TrpcClientsOptions) {
     this.#headers = headers;
     this.#packed = packed;
-    this.#agent = meteredAgent(meter, {
+    this.#agent = new HttpAgent({
+      meter,
       localAddress,
       connections: MAX_CONNECTIONS_PER_VM,
       keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -1,9 +1,10 @@
 /** HTTP client of the platform's object store. */
 
-import { Agent, type Dispatcher, request } from "undici";
+import { type Dispatcher, request } from "undici";
 import * as z from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import type { Deadline } from "../runtime/deadline.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
 import {
   type ObjectAnswer,
@@ -97,7 +98,7 @@
 /** Client of the platform's object API. */
 export class HttpObjectStore implements ObjectStore {
   readonly #url: string;
-  readonly #agent = new Agent({
+  readonly #agent = new HttpAgent({
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MS },
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -1,6 +1,6 @@
 /** HTTP client of the platform's object API. */
 
-import { type Agent, type Dispatcher, request } from "undici";
+import { type Dispatcher, request } from "undici";
 import type * as z from "zod";
 import { fail, ok, type Result } from "../core/result.ts";
 import {
@@ -13,7 +13,8 @@
 } from "../protocol/platform_schema.ts";
 import type { Deadline } from "../runtime/deadline.ts";
 import { withDeadline } from "../runtime/with_deadline.ts";
-import { meteredAgent, SocketMeter } from "../runtime/socket_meter.ts";
+import { HttpAgent } from "../runtime/http_agent.ts";
+import type { SocketMeter } from "../runtime/socket_meter.ts";
 import type {
   CallLimits,
   ListVmsInput,
@@ -53,7 +54,7 @@
 export class HttpPlatform implements Platform {
   readonly #url: string;
   readonly #timeoutMs: number;
-  readonly #agent: Agent;
+  readonly #agent: HttpAgent;
   #calls = 0;
 
   constructor(
@@ -63,7 +64,8 @@
       meter?: SocketMeter;
     },
   ) {
-    this.#agent = meteredAgent(meter ?? new SocketMeter(), {
+    this.#agent = new HttpAgent({
+      meter,
       connections: MAX_CONNECTIONS,
       maxResponseSize: MAX_RESPONSE_BYTES,
     });
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -2,7 +2,12 @@
 
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher } from "undici";
+import {
+  type buildConnector,
+  Client,
+  DecoratorHandler,
+  type Dispatcher,
+} from "undici";
 import { endsWithConnection } from "./response_framing.ts";
 
 /** Written to detect a reset connection; HTTP servers ignore empty lines before a request. */
@@ -14,6 +19,14 @@
 /** Opens a connection that stays writable once the server has ended it (`allowHalfOpen`). */
 export type HalfOpenConnector = buildConnector.connector;
 
+/** Options of a client. */
+export interface HttpClientOptions
+  extends Omit<Client.Options, "connect" | "pipelining"> {
+  readonly connect: HalfOpenConnector;
+  /** 0 to open a connection for each request. */
+  readonly pipelining?: 0 | 1;
+}
+
 /**
  * undici treats a reset as the regular end of a response without a length. Here such a response is
  * complete only if the server is known to have ended the connection properly, after the whole request
@@ -24,14 +37,12 @@
 
   constructor(
     origin: string | URL,
-    { connect, ...options }: Omit<Client.Options, "connect"> & {
-      connect: HalfOpenConnector;
-    },
+    { connect, ...options }: HttpClientOptions,
   ) {
     const connectionEnd = new ConnectionEnd();
     super(origin, {
-      ...options,
       pipelining: 1,
+      ...options,
       connect: (target, done) =>
         connect(target, (...result) => {
           const [err, socket] = result;
@@ -104,7 +115,10 @@
       connectionEnd: ConnectionEnd;
     },
   ) {
-    this.#inner = inner;
+    // The functions of undici itself use handlers of an earlier form, which it translates.
+    this.#inner = inner.onRequestStart === undefined
+      ? new DecoratorHandler(inner)
+      : inner;
     this.#method = method;
     this.#connectionEnd = connectionEnd;
   }
--- a/src/runtime/socket_meter.ts
+++ b/src/runtime/socket_meter.ts
@@ -1,7 +1,6 @@
 /** Counts the bytes that are transferred over a group of connections. */
 
 import type { Socket } from "node:net";
-import { Agent, buildConnector } from "undici";
 
 /** Numbers of bytes since the start. */
 export interface Traffic {
@@ -37,22 +36,3 @@
     return { received, sent };
   }
 }
-
-/** Returns an HTTP agent whose connections are counted by `meter`. */
-export function meteredAgent(
-  meter: SocketMeter,
-  options: Agent.Options,
-): Agent {
-  const connect = buildConnector(
-    typeof options.connect === "object" ? options.connect : {},
-  );
-  return new Agent({
-    ...options,
-    connect: (target, done) =>
-      connect(target, (...result) => {
-        const [err, socket] = result;
-        if (err === null) meter.track(socket);
-        done(...result);
-      }),
-  });
-}
