Refuse responses with a transfer coding other than one "chunked"

Callers saw: status 200 with a body that was not the server's. For the codings gzip, xchunked, identity, chunked with another one after it, or an empty one, they got the encoded bytes, chunk sizes included; for gzip or chunked before a last chunked, the bytes without the chunks but still encoded. The header that says so is dropped, as it applies to one connection.

Cause: undici decodes a last coding "chunked" and ignores all others.

Change: HttpClient refuses such a response by its head, as an invalid response of the server, and so does everything that reads through it. The failure "overlong" of an exchange is now "invalid", for both kinds of bytes that are no response.

Ruled out: other framings that are ambiguous (a length beside chunks in either order, two or signed or empty lengths and others); the parser refuses them, and they keep their tests.

Evidence: tests/malformed_response_test.ts, 19 framings whole and byte by byte.

--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -230,7 +230,7 @@
       this.#resolve({ tag: "stream_broken", reason: failure.reason });
     } else if (this.#head !== undefined && isNotProcessed(this.#head)) {
       this.#resolve(this.#completedOutcome());
-    } else if (failure.tag === "overlong") {
+    } else if (failure.tag === "invalid") {
       this.#resolve({ tag: "broken", reason: failure.reason });
     } else {
       this.#resolve(failure);
--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -4,7 +4,7 @@
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
 import { parseAddress } from "../runtime/address.ts";
-import { HttpClient } from "../runtime/http_client.ts";
+import { HttpClient, InvalidResponseError } from "../runtime/http_client.ts";
 import { MeteredSocket } from "../runtime/metered_socket.ts";
 import { OverheadMeter } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
@@ -37,7 +37,7 @@
   /** The connection failed after the server may have received the request. */
   | { readonly tag: "broken"; readonly reason: string }
   /** This VM closed the connection, as the server sends bytes that are no response. */
-  | { readonly tag: "overlong"; readonly reason: string };
+  | { readonly tag: "invalid"; readonly reason: string };
 
 /** Receives the events of an exchange. */
 export interface ExchangeListener {
@@ -166,7 +166,7 @@
     if (this.#overhead.recordRead(bytes)) return true;
     this.#reusable = false;
     this.#socket?.resetAndDestroy();
-    this.#controller?.abort(new OverlongResponseError(OVERLONG));
+    this.#controller?.abort(new InvalidResponseError(OVERLONG));
     return false;
   }
 
@@ -176,9 +176,6 @@
   }
 }
 
-/** A server sent more bytes than a response may have beyond its payload. */
-class OverlongResponseError extends Error {}
-
 /** Callbacks of a handler to its connection. */
 interface HandlerHooks {
   readonly onController: (controller: Dispatcher.DispatchController) => void;
@@ -254,8 +251,8 @@
       this.#listener.onFailure({ tag: "withheld" });
       return;
     }
-    if (err instanceof OverlongResponseError) {
-      this.#listener.onFailure({ tag: "overlong", reason: err.message });
+    if (err instanceof InvalidResponseError) {
+      this.#listener.onFailure({ tag: "invalid", reason: err.message });
       return;
     }
     const { code, message } = err as NodeJS.ErrnoException;
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -233,7 +233,7 @@
   onFailure(failure: ExchangeFailure): void {
     if (this.#done) return;
     this.#finish(
-      failure.tag === "broken" || failure.tag === "overlong"
+      failure.tag === "broken" || failure.tag === "invalid"
         ? { tag: "broken", reason: failure.reason }
         : { tag: "declined" },
     );
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -1,4 +1,4 @@
-/** An undici client with a single connection that tells complete responses from those that were cut. */
+/** An undici client with a single connection that reports only sound and complete responses as such. */
 
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
@@ -8,7 +8,7 @@
   DecoratorHandler,
   type Dispatcher,
 } from "undici";
-import { endsWithConnection } from "./response_framing.ts";
+import { endsWithConnection, hasUnknownCoding } from "./response_framing.ts";
 
 /** Written to detect a reset connection; HTTP servers ignore empty lines before a request. */
 const EMPTY_LINE = "\r\n";
@@ -16,6 +16,9 @@
 /** The connection of a response failed before the response was known to be complete. */
 export class IncompleteResponseError extends Error {}
 
+/** A server sent bytes that are no valid response. */
+export class InvalidResponseError extends Error {}
+
 /** Opens a connection that stays writable once the server has ended it (`allowHalfOpen`). */
 export type HalfOpenConnector = buildConnector.connector;
 
@@ -59,7 +62,7 @@
   ): boolean {
     return super.dispatch(
       options,
-      new CompletenessHandler(handler, {
+      new ResponseCheckHandler(handler, {
         method: options.method,
         connectionEnd: this.#connectionEnd,
       }),
@@ -101,8 +104,8 @@
   }
 }
 
-/** Reports a response as failed instead of complete if its end cannot be trusted. */
-class CompletenessHandler implements Dispatcher.DispatchHandler {
+/** Reports a response as failed if its body or its end cannot be trusted. */
+class ResponseCheckHandler implements Dispatcher.DispatchHandler {
   readonly #inner: Dispatcher.DispatchHandler;
   readonly #method: string;
   readonly #connectionEnd: ConnectionEnd;
@@ -136,6 +139,11 @@
     headers: Record<string, string | string[] | undefined>,
     statusMessage?: string,
   ): void {
+    if (hasUnknownCoding(headers)) {
+      const reason = "response has an unknown transfer coding";
+      controller.abort(new InvalidResponseError(reason));
+      return;
+    }
     const method = this.#method;
     this.#endsWithConnection = endsWithConnection({ method, status, headers });
     this.#inner.onResponseStart?.(controller, status, headers, statusMessage);
--- a/src/runtime/response_framing.ts
+++ b/src/runtime/response_framing.ts
@@ -5,13 +5,21 @@
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const FIRST_FINAL_STATUS = 200;
+const CHUNKED = "chunked";
+
+/**
+ * Whether the body is encoded in a way that the HTTP client does not decode. It ignores all transfer
+ * codings but a last `chunked`, and would pass on encoded bytes as the body.
+ */
+export function hasUnknownCoding(headers: Headers): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && !isChunked(coding);
+}
 
 /** Whether a length or chunks mark the end of the body. */
 export function isFramed(headers: Headers): boolean {
-  const coding = headers["transfer-encoding"];
-  const last = Array.isArray(coding) ? coding.at(-1) : coding;
-  const isChunked = /\bchunked\b/i.test(last ?? "");
-  return isChunked || headers["content-length"] !== undefined;
+  return headers["content-length"] !== undefined ||
+    isChunked(headers["transfer-encoding"]);
 }
 
 /** Whether only the end of the connection marks the end of the response. */
@@ -27,3 +35,8 @@
   }
   return method !== "HEAD" && !isFramed(headers);
 }
+
+/** Takes several values for none that is known, as chunks within chunks are not decoded. */
+function isChunked(coding: string | string[] | undefined): boolean {
+  return typeof coding === "string" && coding.trim().toLowerCase() === CHUNKED;
+}
--- a/tests/malformed_response_test.ts
+++ b/tests/malformed_response_test.ts
@@ -14,6 +14,7 @@
 import { Deadline } from "../src/runtime/deadline.ts";
 import { HttpAgent } from "../src/runtime/http_agent.ts";
 import {
+  ambiguousFramings,
   malformedFields,
   type MalformedResponse,
   malformedStatuses,
@@ -149,4 +150,5 @@
 
   checkAll("status", malformedStatuses(SOUND));
   checkAll("field of the head or of a trailer", malformedFields(SOUND));
+  checkAll("framing of the body", ambiguousFramings(SOUND));
 });
