Refuse responses that carry the id of another attempt beside their own

Callers saw: a response with two attempt ids, the first their own and the second of another attempt, was passed on, both ids included, as if it were known to be theirs.

Cause: only the first value of the header was compared.

Change: several values that differ are compared as a list, which equals no id. A repeated id is accepted.

Evidence: backend_attempt_test, "should reject a response that also carries the id of another attempt", in both orders; failed before in the order own id first ("answered" instead of "broken"), passes now.

--- a/src/backends/backend_attempt_test.ts
+++ b/src/backends/backend_attempt_test.ts
@@ -177,6 +177,21 @@
     assert.equal((await send()).tag, "broken");
   });
 
+  // Guards against a response that is passed on by the first of its ids, while the other is of another attempt.
+  it("should reject a response that also carries the id of another attempt", async () => {
+    const ids = [ATTEMPT_ID, "0123456789abcdef"];
+    for (const [first = "", second = ""] of [ids, ids.toReversed()]) {
+      const { send } = await fixture(({ socket }) => {
+        const extra =
+          `Fieldrack-Attempt-Id: ${second}\r\nContent-Length: 2\r\n`;
+        socket.write(`${head({ attempt: first, extra })}\r\nok`);
+      });
+      assert.equal((await send()).tag, "broken");
+      connections?.close();
+      await server?.close();
+    }
+  });
+
   it("should not treat the rejection of another request as its own", async () => {
     const refusal = head({
       status: "503 Service Unavailable",
--- a/src/platform/header_wire.ts
+++ b/src/platform/header_wire.ts
@@ -191,7 +191,7 @@
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): BackendHead {
   return {
-    attempt: firstValue(headers[ATTEMPT]),
+    attempt: distinctValues(headers[ATTEMPT]),
     notProcessed: headers[NOT_RUN] !== undefined,
     hasSeal: headers[SEAL] !== undefined,
     confidence: parseNonNegative(firstValue(headers[CONFIDENCE])),
@@ -273,6 +273,13 @@
   }
 }
 
+/** Several values that differ are returned as a list, which equals no single one. */
+function distinctValues(
+  value: string | string[] | undefined,
+): string | undefined {
+  return Array.isArray(value) ? [...new Set(value)].join(", ") : value;
+}
+
 function firstValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
