Keep and exchange only what is decoded of the objects in the store

Operators of other systems reported it: one odd entry of another writer among those of the servers, here one with 20,000 levels in any field, known or not. Once the store was restored from a copy, a RangeError ended the process of each VM that read it; and a VM that was cut off the store got nothing from the others any more: no server, no configuration, so callers there got 503 and 404.

Cause: the cache of a kind kept objects as the store holds them. A restore compares them, by a recursive comparison, and the exchange between VMs sends them, by a recursive JSON.stringify.

Change: each kind names what its decoder reads, and only that is kept, compared and exchanged; an object that cannot be decoded keeps its name and revision. Both fields are always sent, as other VMs expect them. The configuration, which the store checks, is kept as it is; other objects of its kind are not.

Ruled out: a limit on the depth, which would take the servers of sound entries with an odd field out of use; numbers too large, ports out of range, no address, a prototype, which held before and keep their tests.

The stand-in of the store can send JSON as it was written.

--- a/src/platform/object_store.ts
+++ b/src/platform/object_store.ts
@@ -24,17 +24,27 @@
     : position.era > than.era;
 }
 
-/** One object of a kind. */
-export interface StoredObject {
-  readonly name: string;
-  /** Store revision of the object's last change. */
-  readonly revision: number;
+/** What an object holds. */
+export interface ObjectContent {
   /** Desired state, as declared by the object's owner. */
   readonly spec: unknown;
   /** Reported state. */
   readonly status: unknown;
 }
 
+/**
+ * Content of an object that cannot be decoded, or whose name says everything. Not undefined, which JSON
+ * lacks: other VMs expect both fields.
+ */
+export const NO_CONTENT: ObjectContent = { spec: null, status: null };
+
+/** One object of a kind. */
+export interface StoredObject extends ObjectContent {
+  readonly name: string;
+  /** Store revision of the object's last change. */
+  readonly revision: number;
+}
+
 /** An object as returned by a call, with the era in which the store answered. */
 export interface ObjectAnswer extends StoredObject {
   readonly era: number;
--- a/src/platform/roll_out_wire.ts
+++ b/src/platform/roll_out_wire.ts
@@ -8,6 +8,7 @@
   RollOutState,
 } from "../core/servers/roll_out_order.ts";
 import { type DecodeError, toDecodeError } from "./decode_error.ts";
+import { NO_CONTENT, type ObjectContent } from "./object_store.ts";
 
 /** Kind of roll-outs in the store. */
 export const ROLL_OUT_KIND = "rollouts";
@@ -25,10 +26,18 @@
   TargetVersion: z.string().optional(),
 }).nullish();
 
+/** Returns the fields that `decodeRollOut` reads; none if the object cannot be decoded. */
+export function normalizeRollOut(content: ObjectContent): ObjectContent {
+  const spec = orderSchema.safeParse(content.spec);
+  const status = statusSchema.safeParse(content.status);
+  if (!spec.success || !status.success) return NO_CONTENT;
+  return { spec: spec.data, status: status.data ?? null };
+}
+
 /** Decodes a roll-out order and its progress. */
 export function decodeRollOut(
   name: string,
-  { spec, status }: { spec: unknown; status: unknown },
+  { spec, status }: ObjectContent,
 ): Result<RollOutOrder, DecodeError> {
   const order = orderSchema.safeParse(spec);
   if (!order.success) {
--- a/src/platform/server_wire.ts
+++ b/src/platform/server_wire.ts
@@ -10,6 +10,7 @@
 import { fail, ok, type Result } from "../core/result.ts";
 import type { ServerRecord } from "../core/servers/server_record.ts";
 import { type DecodeError, toDecodeError } from "./decode_error.ts";
+import type { ObjectContent } from "./object_store.ts";
 
 /** Kind of the entries of backend servers in the store. */
 export const SERVER_KIND = "servers";
@@ -40,6 +41,12 @@
   born: z.int().min(0).optional().catch(undefined),
 });
 
+/** Returns the fields of an entry that `decodeServer` reads; none if it cannot be decoded. */
+export function normalizeServer({ spec }: ObjectContent): ObjectContent {
+  const { data = null } = serverSchema.safeParse(spec);
+  return { spec: data, status: null };
+}
+
 /** Decodes an entry; the name of its object is the instance id. */
 export function decodeServer(
   name: string,
--- a/src/platform/server_wire_test.ts
+++ b/src/platform/server_wire_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { decodeServer } from "./server_wire.ts";
+import { decodeServer, normalizeServer } from "./server_wire.ts";
 
 const ENTRY = {
   Service: "tracker",
@@ -72,3 +72,28 @@
     );
   });
 });
+
+describe("normalizeServer", () => {
+  // Guards against VMs that decode what another VM sends them differently from what the store holds.
+  it("should keep what is decoded, also when sent to another VM, and nothing else", () => {
+    const specs = [
+      ENTRY,
+      { ...ENTRY, born: "now" },
+      { ...ENTRY, WarmupLeftMs: undefined },
+      ...MALFORMED_ENTRIES.map(([, spec]) => spec),
+    ];
+    for (const spec of specs) {
+      const normalized = normalizeServer({ spec, status: "odd" });
+      const sent = JSON.parse(JSON.stringify(normalized));
+      assert.deepEqual(Object.keys(sent), ["spec", "status"]);
+      assert.equal(sent.status, null);
+      assert.equal("Sequence" in (sent.spec ?? {}), false);
+      const expected = decodeServer("i-1", spec);
+      const decoded = decodeServer("i-1", sent.spec);
+      assert.equal(decoded.ok, expected.ok);
+      if (decoded.ok && expected.ok) {
+        assert.deepEqual(decoded.value, expected.value);
+      }
+    }
+  });
+});
--- a/src/standins/object_store_standin.ts
+++ b/src/standins/object_store_standin.ts
@@ -7,6 +7,7 @@
 } from "fastify";
 import { listenHttp } from "../runtime/listen.ts";
 import { pause } from "../runtime/pause.ts";
+import { stringifyWithRawJson } from "./raw_json.ts";
 import { type StoredObject, VersionedObjects } from "./versioned_objects.ts";
 
 /** Objects per page of a list. */
@@ -71,6 +72,7 @@
       }
       done(null, payload);
     });
+    this.#http.setReplySerializer(stringifyWithRawJson);
     const base = "/-/objects/:kind";
     this.#http.get(base, (req, reply) => this.#listOrWatch(req, reply));
     this.#http.post(base, (req, reply) => this.#create(req, reply));
--- a/src/store/canary_follower.ts
+++ b/src/store/canary_follower.ts
@@ -6,6 +6,7 @@
 import type { Canary } from "../core/rollout/canary.ts";
 import {
   describeStoreError,
+  type ObjectContent,
   type ObjectStore,
   type StoredObject,
 } from "../platform/object_store.ts";
@@ -26,6 +27,12 @@
   share: z.number().min(0).max(1),
 });
 
+/** Returns the fields of a canary; none if it cannot be decoded. */
+function normalizeCanary({ spec }: ObjectContent): ObjectContent {
+  const { data = null } = canarySchema.safeParse(spec);
+  return { spec: data, status: null };
+}
+
 interface Deps {
   readonly objectStore: ObjectStore;
   readonly storeHealth: StoreHealthMonitor;
@@ -49,6 +56,7 @@
     this.#deps = deps;
     this.follower = new KindFollower(deps, {
       kind: CANARY_KIND,
+      normalize: normalizeCanary,
       listener: this,
     });
   }
--- a/src/store/evacuation_follower.ts
+++ b/src/store/evacuation_follower.ts
@@ -7,7 +7,11 @@
   decodeEvacuation,
   EVACUATION_KIND,
 } from "../platform/evacuation_wire.ts";
-import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
+import {
+  NO_CONTENT,
+  type ObjectStore,
+  type StoredObject,
+} from "../platform/object_store.ts";
 import type { DeploymentBounds } from "../platform/vm_settings_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -54,6 +58,7 @@
     this.#deps = deps;
     this.follower = new KindFollower(deps, {
       kind: EVACUATION_KIND,
+      normalize: () => NO_CONTENT,
       listener: this,
       restoreHold: { outdatedMs: OPERATOR_HOLD_MS, lostMs: OPERATOR_HOLD_MS },
     });
--- a/src/store/kind_follower.ts
+++ b/src/store/kind_follower.ts
@@ -16,7 +16,7 @@
 import { pause } from "../runtime/pause.ts";
 import type { KindChanges } from "./kind_cache.ts";
 import type { KindListener } from "./kind_listener.ts";
-import { KindReplica, type RestoreHold } from "./kind_replica.ts";
+import { KindReplica, type KindReplicaOptions } from "./kind_replica.ts";
 import { readsStore, retryDelayMs, type StoreAccess } from "./store_access.ts";
 import type { SeenRevisions } from "./seen_revisions.ts";
 import type { StoreEraMonitor } from "./store_era_monitor.ts";
@@ -83,11 +83,7 @@
 
   constructor(
     deps: KindFollowerDeps,
-    { kind, listener, restoreHold, timestampMs }: {
-      kind: string;
-      listener: KindListener;
-      /** By default, listeners are told at once what a restored store holds. */
-      restoreHold?: RestoreHold;
+    { timestampMs, ...options }: Omit<KindReplicaOptions, "logger"> & {
       /** Clock for the start times of lists; the monotonic clock by default. */
       timestampMs?: () => number;
     },
@@ -95,10 +91,10 @@
     this.#deps = deps;
     this.#createdMs = deps.clock.monotonicMs();
     this.#timestampMs = timestampMs ?? (() => deps.clock.monotonicMs());
-    this.kind = kind;
-    this.#listener = listener;
+    this.kind = options.kind;
+    this.#listener = options.listener;
     const { logger } = deps;
-    this.#replica = new KindReplica({ kind, listener, restoreHold, logger });
+    this.#replica = new KindReplica({ ...options, logger });
     deps.storeEraMonitor.onRestored(() => {
       if (this.#isWatchPending) this.#watch.abort();
     });
--- a/src/store/kind_follower_test.ts
+++ b/src/store/kind_follower_test.ts
@@ -130,6 +130,7 @@
     const put = ({ name, spec }: StoredObject) => void states.set(name, spec);
     return new KindFollower(deps, {
       kind,
+      normalize: (object) => object,
       listener: {
         listed: (objects) => objects.forEach(put),
         changed: put,
--- a/src/store/kind_replica.ts
+++ b/src/store/kind_replica.ts
@@ -1,6 +1,7 @@
 /** Replica of one kind of the store, which tells a listener of each change. */
 
 import type {
+  ObjectContent,
   StoredObject,
   StoreEvent,
   StoreListing,
@@ -26,6 +27,11 @@
 /** Properties of a replica. */
 export interface KindReplicaOptions {
   readonly kind: string;
+  /**
+   * Returns the content that the listener decodes. An odd object of another writer may hold more, for
+   * example fields nested too deeply to be compared, or sent to other VMs.
+   */
+  readonly normalize: (object: StoredObject) => ObjectContent;
   readonly listener: KindListener;
   /** By default, the listener is told at once what a restored store holds. */
   readonly restoreHold?: RestoreHold | undefined;
@@ -74,17 +80,26 @@
 
   /** Applies a complete list. */
   applyList(listing: StoreListing): void {
-    this.#update(() => this.#cache.applyList(listing));
+    const objects = this.#normalize(listing.objects);
+    this.#update(() => this.#cache.applyList({ ...listing, objects }));
   }
 
   /** Applies the events that a watch has returned. */
   applyEvents(events: readonly StoreEvent[], until: StorePosition): void {
-    this.#update(() => this.#cache.applyEvents(events, until));
+    const normalized = events.map(({ object, deleted }) => ({
+      object: this.#normalizeOne(object),
+      deleted,
+    }));
+    this.#update(() => this.#cache.applyEvents(normalized, until));
   }
 
   /** Applies changes from another VM. */
   applyChanges(changes: KindChanges): void {
-    this.#update(() => this.#cache.applyChanges(changes));
+    const objects = this.#normalize(changes.objects);
+    const removed = this.#normalize(changes.removed);
+    this.#update(() =>
+      this.#cache.applyChanges({ ...changes, objects, removed })
+    );
   }
 
   /** Drops the changes that are held back. */
@@ -92,6 +107,15 @@
     this.#held.stop();
   }
 
+  #normalize(objects: readonly StoredObject[]): StoredObject[] {
+    return objects.map((object) => this.#normalizeOne(object));
+  }
+
+  #normalizeOne(object: StoredObject): StoredObject {
+    const { name, revision } = object;
+    return { name, revision, ...this.#options.normalize(object) };
+  }
+
   #update(apply: () => AppliedChanges | undefined): void {
     const before = this.position;
     const applied = apply();
--- a/src/store/missed_change_detector_test.ts
+++ b/src/store/missed_change_detector_test.ts
@@ -106,6 +106,7 @@
     const add = ({ name }: StoredObject) => void names.add(name);
     return new KindFollower(deps, {
       kind,
+      normalize: (object) => object,
       listener: {
         listed: (objects) => objects.forEach(add),
         changed: add,
--- a/src/store/roll_out_follower.ts
+++ b/src/store/roll_out_follower.ts
@@ -17,6 +17,7 @@
 import {
   decodeRollOut,
   encodeRollOutStatus,
+  normalizeRollOut,
   ROLL_OUT_KIND,
 } from "../platform/roll_out_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -65,6 +66,7 @@
     this.#deps = deps;
     this.follower = new KindFollower(deps, {
       kind: ROLL_OUT_KIND,
+      normalize: normalizeRollOut,
       listener: this,
       restoreHold: RESTORE_HOLD,
     });
--- a/src/store/routing_follower.ts
+++ b/src/store/routing_follower.ts
@@ -3,6 +3,7 @@
 import type { RouteTable } from "../core/routes/route_table.ts";
 import {
   describeStoreError,
+  NO_CONTENT,
   type ObjectStore,
   type StoredObject,
   type StoreListing,
@@ -85,6 +86,9 @@
     this.#inForce = new ConfigurationInForce(deps.logger);
     this.follower = new KindFollower(deps, {
       kind: CONFIGURATION_KIND,
+      // The store itself checks configurations, which are kept as they are.
+      normalize: (object) =>
+        object.name === CONFIGURATION_NAME ? object : NO_CONTENT,
       listener: this,
       timestampMs: () => deps.suspendAwareClock.nowMs(),
     });
--- a/src/store/server_follower.ts
+++ b/src/store/server_follower.ts
@@ -14,7 +14,11 @@
 } from "../core/servers/server_record.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
 import type { ObjectStore, StoredObject } from "../platform/object_store.ts";
-import { decodeServer, SERVER_KIND } from "../platform/server_wire.ts";
+import {
+  decodeServer,
+  normalizeServer,
+  SERVER_KIND,
+} from "../platform/server_wire.ts";
 import type { Clock } from "../runtime/clock.ts";
 import { BurstLog } from "../runtime/burst_log.ts";
 import type { Logger } from "../runtime/logger.ts";
@@ -74,6 +78,7 @@
     this.#deps = deps;
     this.follower = new KindFollower(deps, {
       kind: SERVER_KIND,
+      normalize: normalizeServer,
       listener: this,
       restoreHold: RESTORE_HOLD,
     });
