Refuse responses of servers whose status line names an unsupported HTTP version

Callers saw: a response whose status line begins with HTTP/0.9 or HTTP/2.0 was passed on.

Cause: the parser accepts these versions on a connection that speaks HTTP/1.1, and undici does not report the version.

Change: connections to servers and to other VMs check the first bytes of each response, which they are shown for their limit anyway; such a response is invalid. An interim response is checked in place of the one that follows it.

Evidence: tests/malformed_response_test.ts, seven versions whole and byte by byte: two were passed on in each of the two tests, the parser refuses the others; now none. http_version_check_test: chunks of any size, empty lines before the status line.

--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from "undici";
 import { parseAddress } from "../runtime/address.ts";
 import { HttpClient, InvalidResponseError } from "../runtime/http_client.ts";
+import { HttpVersionCheck } from "../runtime/http_version_check.ts";
 import { MeteredSocket } from "../runtime/metered_socket.ts";
 import { OverheadMeter } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
@@ -52,6 +53,7 @@
 }
 
 const OVERLONG = "server sends bytes that are no response";
+const UNSUPPORTED_VERSION = "response has an unsupported HTTP version";
 
 /** Sends one request at a time over an undici client with a single connection. */
 export class BackendConnection {
@@ -62,6 +64,7 @@
   #socket: Socket | undefined;
   #idleSinceMs = 0;
   readonly #overhead = new OverheadMeter();
+  readonly #version = new HttpVersionCheck();
 
   /** `onLost` is called when the connection ends while idle. */
   constructor(
@@ -105,6 +108,7 @@
   send(req: BackendRequest, listener: ExchangeListener): void {
     this.#busy = true;
     this.#overhead.reset();
+    this.#version.expectResponse();
     try {
       this.#client.dispatch(
         {
@@ -157,16 +161,19 @@
   #meter(socket: Socket): void {
     this.#socket = socket;
     if (socket instanceof MeteredSocket) {
-      socket.meterReads((bytes) => this.#mayProcess(bytes));
+      socket.meterReads((chunk) => this.#mayProcess(chunk));
     }
   }
 
   /** Whether bytes that were read may belong to a response; resets the connection if they cannot. */
-  #mayProcess(bytes: number): boolean {
-    if (this.#overhead.recordRead(bytes)) return true;
+  #mayProcess(chunk: Buffer): boolean {
+    const isWithinLimit = this.#overhead.recordRead(chunk.length);
+    const isSupported = this.#version.accepts(chunk);
+    if (isWithinLimit && isSupported) return true;
+    const reason = isSupported ? OVERLONG : UNSUPPORTED_VERSION;
     this.#reusable = false;
     this.#socket?.resetAndDestroy();
-    this.#controller?.abort(new InvalidResponseError(OVERLONG));
+    this.#controller?.abort(new InvalidResponseError(reason));
     return false;
   }
 
--- a/src/runtime/metered_socket.ts
+++ b/src/runtime/metered_socket.ts
@@ -1,9 +1,10 @@
-/** A TCP socket whose reader can be told how much it reads. */
+/** A TCP socket whose reader can be told what it reads. */
 
+import type { Buffer } from "node:buffer";
 import { Socket, type SocketConstructorOpts } from "node:net";
 
-/** Called with the number of bytes read; returns whether they may be processed. */
-export type ReadListener = (bytes: number) => boolean;
+/** Called with the bytes read; returns whether they may be processed. */
+export type ReadListener = (chunk: Buffer) => boolean;
 
 /**
  * Reports each read before its bytes are processed. A parser reads as long as bytes are available, so
@@ -24,6 +25,6 @@
   override read(size?: number): unknown {
     const chunk = super.read(size);
     if (chunk === null || this.#listener === undefined) return chunk;
-    return this.#listener(chunk.length) ? chunk : null;
+    return this.#listener(chunk) ? chunk : null;
   }
 }
--- a/tests/malformed_response_test.ts
+++ b/tests/malformed_response_test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against bytes of a faulty server that reach a client as a response although they are none: a
- * status of 000, a control byte in the name of a field, or a body whose end is not clear.
+ * status of 000, a control byte in the name of a field, a body whose end is not clear, or an HTTP version
+ * that this program does not support.
  */
 
 import assert from "node:assert/strict";
@@ -19,6 +20,7 @@
   type MalformedResponse,
   malformedStatuses,
   type SoundHead,
+  unsupportedVersions,
 } from "./fixtures/malformed_heads.ts";
 import { RawServer } from "./fixtures/raw_server.ts";
 import {
@@ -126,7 +128,10 @@
     return [`${name}: ${res.value.status} ${res.value.body.bytes()}`];
   }
 
-  function checkAll(title: string, responses: readonly MalformedResponse[]) {
+  function checkGateway(
+    title: string,
+    responses: readonly MalformedResponse[],
+  ): void {
     for (const [how, write] of Object.entries(WRITERS)) {
       it(`should not be passed on by a gateway: ${title}, ${how}`, async () => {
         const passedOn: string[] = [];
@@ -136,7 +141,15 @@
         }
         assert.deepEqual(passedOn, []);
       });
+    }
+  }
 
+  function checkAll(
+    title: string,
+    responses: readonly MalformedResponse[],
+  ): void {
+    checkGateway(title, responses);
+    for (const [how, write] of Object.entries(WRITERS)) {
       it(`should not be passed on by an entry: ${title}, ${how}`, async () => {
         const passedOn: string[] = [];
         for (const malformed of responses) {
@@ -151,4 +164,5 @@
   checkAll("status", malformedStatuses(SOUND));
   checkAll("field of the head or of a trailer", malformedFields(SOUND));
   checkAll("framing of the body", ambiguousFramings(SOUND));
+  checkGateway("HTTP version", unsupportedVersions(SOUND));
 });
