Read what has arrived before checking whether servers have stalled

What servers and callers saw: requests whose server had responded were sent to a second one, and streams continued there, where the gateway had no processor time as the response arrived.

Cause: after such a pause, the event loop runs timers before it polls the connections. The periodic check of attempts ran first, found a server that had sent nothing for longer than its timeout, and aborted the attempt whose response lay in the socket. A frozen VM does the same.

Change: the check waits until the loop has polled, as the check of connects does already.

Not changed: bodies of callers (15 s) and deadlines of requests, whose timers run first as well.

--- a/src/gateway/request_server.ts
+++ b/src/gateway/request_server.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import { ConnectionGuard } from "../runtime/connection_guard.ts";
 import { listenHttp } from "../runtime/listen.ts";
+import { nextTurn } from "../runtime/next_turn.ts";
 import { RepeatedTask } from "../runtime/repeated_task.ts";
 import type { Logger } from "../runtime/logger.ts";
 import type { RoutingFollower } from "../store/routing_follower.ts";
@@ -147,10 +148,11 @@
     await this.#http.close();
   }
 
-  #checkRuns(): Promise<void> {
+  async #checkRuns(): Promise<void> {
+    // After a pause of this process, timers run before bytes that have arrived meanwhile are read.
+    await nextTurn();
     const nowMs = this.#deps.clock.monotonicMs();
     for (const run of this.#runs) run.check(nowMs);
-    return Promise.resolve();
   }
 
   #checkBodies(): Promise<void> {
