--- a/src/backends/backend_attempt.ts
+++ b/src/backends/backend_attempt.ts
@@ -8,12 +8,12 @@
   decodeBackendHead,
 } from "../platform/header_wire.ts";
 import { decodeServerNotice } from "../platform/server_notice_wire.ts";
+import type { ResponseHeaders } from "../runtime/response_framing.ts";
 import type {
   BackendConnection,
   BackendRequest,
   ExchangeFailure,
   ExchangeListener,
-  ResponseHeaders,
 } from "./backend_connection.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { ResponseBody } from "./response_body.ts";
--- a/src/backends/backend_connection.ts
+++ b/src/backends/backend_connection.ts
@@ -7,6 +7,7 @@
 import { HttpClient, InvalidResponseError } from "../runtime/http_client.ts";
 import { HttpVersionCheck } from "../runtime/http_version_check.ts";
 import { MeteredSocket } from "../runtime/metered_socket.ts";
+import type { ResponseHeaders } from "../runtime/response_framing.ts";
 import { OverheadMeter } from "./response_limits.ts";
 import type { ServerConnector } from "./server_connector.ts";
 
@@ -24,11 +25,6 @@
   readonly body: Buffer | undefined;
 }
 
-/** Headers of a response, by lower-case name. */
-export type ResponseHeaders = Readonly<
-  Record<string, string | string[] | undefined>
->;
-
 /** Why an exchange ended without a complete response. */
 export type ExchangeFailure =
   /** No byte of the request was written. */
--- a/src/gateway/peer_forwarder.ts
+++ b/src/gateway/peer_forwarder.ts
@@ -5,7 +5,6 @@
   BackendConnection,
   type ExchangeFailure,
   type ExchangeListener,
-  type ResponseHeaders,
 } from "../backends/backend_connection.ts";
 import {
   BODY_TOO_LARGE,
@@ -27,6 +26,7 @@
   FORWARD_DECLINED_HEADER,
   FORWARD_ORIGIN_HEADER,
 } from "../protocol/forward_schema.ts";
+import type { ResponseHeaders } from "../runtime/response_framing.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { Dispatch, DispatchRecord } from "./dispatch_record.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
