Keep WebAssembly in the baseline compiler at gateways and entries

Even a process with a handful of requests had taken 125 MB there.

Cause: V8 optimizes undici's response parser (llhttp, WebAssembly) in the background. That takes 37 MB of zones for 0.2 s, at a moment that depends on the machine; measured with v8.getHeapStatistics (malloced_memory 0.5 to 42 MB while the main thread is idle). Where it coincides with bodies that fill their share, or where malloc keeps the memory, the process exceeds its VM.

Change: V8's flags --no-wasm-tier-up and --no-wasm-dynamic-tiering, set before the first connection.

Ruled out: malloc's arenas and huge pages, the number of cores, the size of the young generation: 5 to 20 MB each, none of them with the 20 MB of an idle process.

--- a/src/cli/entry_command.ts
+++ b/src/cli/entry_command.ts
@@ -5,6 +5,7 @@
 import { EntryProcess } from "../entry/entry_process.ts";
 import { readSettings } from "../files/settings_file.ts";
 import { ProcessLogger } from "../runtime/logger.ts";
+import { disableWasmOptimization } from "../runtime/wasm_compiler.ts";
 import { ExitCode } from "./exit_code.ts";
 import { printError, printJson, printProblems } from "./output.ts";
 
@@ -35,6 +36,7 @@
       process.exitCode = ExitCode.Failed;
       return;
     }
+    disableWasmOptimization();
     const { id, data_centre } = loaded.value.settings.entry;
     const logger = new ProcessLogger({ entry: id, data_centre });
     const entry = new EntryProcess({ ...loaded.value, logger });
--- a/src/cli/gateway_command.ts
+++ b/src/cli/gateway_command.ts
@@ -13,6 +13,7 @@
 } from "../platform/vm_settings_wire.ts";
 import { LineWriter, openNonBlocking } from "../runtime/line_writer.ts";
 import { ProcessLogger } from "../runtime/logger.ts";
+import { disableWasmOptimization } from "../runtime/wasm_compiler.ts";
 import { ExitCode } from "./exit_code.ts";
 import { printError } from "./output.ts";
 
@@ -58,6 +59,7 @@
     printError(settings.error);
     process.exit(ExitCode.Failed);
   }
+  disableWasmOptimization();
   const { vm, dataCentre } = settings.value;
   const logger = new ProcessLogger(
     { vm, data_centre: dataCentre },
