Keep the young generation of a small VM's heap at its size

The shares of the memory leave too little for it on VMs of less than 300 MB.

The warm-up of the code cache runs as a larger VM, as V8 checks the flags of a cache. The name of the module follows its content.

VMs of 300 MB and more are as before.

--- a/scripts/gateway_warm_up.ts
+++ b/scripts/gateway_warm_up.ts
@@ -26,6 +26,8 @@
 const POLL_INTERVAL_MS = 100;
 const HOSTNAME = "warm.example";
 const API_KEY = "warm-key";
+/** Memory of a VM that is not small. */
+const LARGE_VM_MB = 1_000;
 /** Listening addresses of one gateway: callers, readiness, other VMs, and address lists. */
 const LISTENERS_PER_GATEWAY = 4;
 
@@ -89,6 +91,8 @@
       Registry: at(3),
     },
     SeedNodes: [`127.0.0.1:${seeds[2]}`],
+    // On a small VM the gateway would change a flag, and V8 rejects a code cache of other flags.
+    Limits: { MemoryMb: LARGE_VM_MB },
     Platform: { Address: store },
   });
 }
--- a/src/cli/entry_command.ts
+++ b/src/cli/entry_command.ts
@@ -5,7 +5,7 @@
 import { EntryProcess } from "../entry/entry_process.ts";
 import { readSettings } from "../files/settings_file.ts";
 import { ProcessLogger } from "../runtime/logger.ts";
-import { disableWasmOptimization } from "../runtime/wasm_compiler.ts";
+import { disableWasmOptimization } from "../runtime/v8_flags.ts";
 import { ExitCode } from "./exit_code.ts";
 import { printError, printJson, printProblems } from "./output.ts";
 
--- a/src/cli/gateway_command.ts
+++ b/src/cli/gateway_command.ts
@@ -5,6 +5,7 @@
 import type { CommandModule } from "yargs";
 import { fail, type Result } from "../core/result.ts";
 import { GatewayProcess } from "../gateway/gateway_process.ts";
+import { limitProcessMemory } from "../gateway/process_memory.ts";
 import { describeDecodeError } from "../platform/decode_error.ts";
 import {
   decodeVmSettings,
@@ -13,7 +14,6 @@
 } from "../platform/vm_settings_wire.ts";
 import { LineWriter, openNonBlocking } from "../runtime/line_writer.ts";
 import { ProcessLogger } from "../runtime/logger.ts";
-import { disableWasmOptimization } from "../runtime/wasm_compiler.ts";
 import { ExitCode } from "./exit_code.ts";
 import { printError } from "./output.ts";
 
@@ -59,7 +59,7 @@
     printError(settings.error);
     process.exit(ExitCode.Failed);
   }
-  disableWasmOptimization();
+  limitProcessMemory(settings.value);
   const { vm, dataCentre } = settings.value;
   const logger = new ProcessLogger(
     { vm, data_centre: dataCentre },
--- a/src/core/limits/vm_shares.ts
+++ b/src/core/limits/vm_shares.ts
@@ -3,6 +3,10 @@
 const BYTES_PER_MB = 1_000_000;
 /** Descriptors of a process that are not for sockets. */
 export const FILE_DESCRIPTORS = 200;
+/** Memory of the program itself under load: its code, its heap and its connections. */
+const PROGRAM_MB = 120;
+/** Share of the memory that clients can make a VM hold. */
+export const CLIENTS_SHARE = 0.6;
 /** Sockets of a listener in any case, however few descriptors a VM has. */
 const MIN_CONNECTIONS = 8;
 
@@ -97,6 +101,11 @@
   return memoryMb * BYTES_PER_MB * VM_SHARES[name].share;
 }
 
+/** Returns whether the shares leave less memory than the program takes under load. */
+export function isSmallVm({ memoryMb }: Pick<VmSize, "memoryMb">): boolean {
+  return memoryMb * (1 - CLIENTS_SHARE) < PROGRAM_MB;
+}
+
 /** Returns a share of the sockets. */
 export function socketShare(
   { descriptors }: Pick<VmSize, "descriptors">,
--- a/src/core/limits/vm_shares_test.ts
+++ b/src/core/limits/vm_shares_test.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { memoryShare, socketShare, VM_SHARES } from "./vm_shares.ts";
+import {
+  CLIENTS_SHARE,
+  isSmallVm,
+  memoryShare,
+  socketShare,
+  VM_SHARES,
+} from "./vm_shares.ts";
 
 const VM = { memoryMb: 350, descriptors: 4_100 };
 /** Listeners for readiness, addresses and metrics. */
@@ -13,7 +19,8 @@
       .reduce((sum, { share }) => sum + share, 0);
     const others = 1 + CONTROL_LISTENERS;
     const all = memory + (others - 1) * VM_SHARES.other_bytes_ahead.share;
-    assert.ok(all <= 0.6);
+    assert.equal(CLIENTS_SHARE, 0.6);
+    assert.ok(all <= CLIENTS_SHARE);
     const sockets = socketShare(VM, "caller_connections") +
       socketShare(VM, "peer_connections") +
       CONTROL_LISTENERS * socketShare(VM, "control_connections");
@@ -33,4 +40,9 @@
     assert.equal(socketShare(VM, "caller_connections"), 1_365);
     assert.equal(socketShare({ descriptors: 1 }, "caller_connections"), 8);
   });
+
+  it("should regard a VM as small whose memory hardly holds the program as well", () => {
+    assert.equal(isSmallVm({ memoryMb: 220 }), true);
+    assert.equal(isSmallVm(VM), false);
+  });
 });
--- a/src/runtime/wasm_compiler.ts
+++ b/src/runtime/v8_flags.ts
@@ -1,4 +1,4 @@
-/** Settings of V8's WebAssembly compiler. */
+/** Flags of V8 that limit the memory of a process. */
 
 import { setFlagsFromString } from "node:v8";
 
@@ -9,3 +9,9 @@
   // V8 takes 40 MB to optimize undici's response parser, in the background at any time after the start.
   for (const flag of BASELINE_ONLY) setFlagsFromString(flag);
 }
+
+/** Keeps the young generation of the heap at the size that it has now. */
+export function disableYoungGenerationGrowth(): void {
+  // By default it grows from a few MB to 48 MB, which --max-old-space-size does not include.
+  setFlagsFromString("--semi-space-growth-factor=1");
+}
--- a/tests/serial/crowd_bodies_test.ts
+++ b/tests/serial/crowd_bodies_test.ts
@@ -29,6 +29,8 @@
 /** Path of requests whose bodies are never complete. */
 const UNFINISHED_PATH = "/stock/unfinished";
 const SMALL_BODY_BYTES = 16 * KIB;
+/** Enough for the young generation of the heap to grow to its full size. */
+const ORDINARY_REQUESTS = 1_000;
 const CHUNKED = `${HOST_ONLY}transfer-encoding: chunked\r\n`;
 /** Head of a request with a chunked body, for each kind of listener. */
 const CHUNKED_HEADS: readonly (readonly [Listener, string])[] = [
@@ -156,4 +158,29 @@
       await gateway.stop();
     }
   });
+
+  // Guards against shares that leave too little memory for the program once its heap has grown.
+  it("should serve many requests beside large bodies that have stalled", async (t) => {
+    const gateway = new LimitedGateway();
+    let crowd: Crowd | undefined;
+    try {
+      await gateway.start();
+      crowd = new Crowd({
+        address: gateway.address("callers"),
+        connections: 100,
+        prefix: chunkedHead(),
+        unit: LARGE_CHUNK,
+        repeat: MAX_BODY_BYTES / LARGE_CHUNK_BYTES - 1,
+      });
+      await crowd.settled();
+      for (let n = 0; n < ORDINARY_REQUESTS; n++) {
+        assert.equal(await gateway.call(), 200);
+      }
+      t.diagnostic(gateway.describe());
+      gateway.assertWithinLimits();
+    } finally {
+      await crowd?.disperse();
+      await gateway.stop();
+    }
+  });
 });
