Send no requests to a release that a completed roll-out has replaced

Cause: all servers whose release is neither ordered nor halted were taken as stable. The list of servers follows their end only later.

Change: the gate remembers the release that was completed last, and takes others as stable only if none of its servers is left.

--- a/src/core/rollout/release_gate.ts
+++ b/src/core/rollout/release_gate.ts
@@ -28,6 +28,8 @@
   readonly #initialReleases = new Set<string>();
   readonly #canaries = new Map<ServiceId, Canary>();
   readonly #halted = new Map<string, ReleaseKey>();
+  /** Release of the last completed roll-out of each service. */
+  readonly #completed = new Map<ServiceId, ReleaseId>();
 
   /** Sets the order of a service or updates its state. */
   setOrder(order: RollOutOrder): void {
@@ -36,12 +38,16 @@
     if (order.state === "rolled_back" && stateRelease !== undefined) {
       this.halt({ service, release: stateRelease });
     }
+    if (order.state === "completed" && stateRelease !== undefined) {
+      this.#completed.set(service, stateRelease);
+    }
     this.#orders.set(order.service, order);
   }
 
   /** Removes the order of a service. */
   removeOrder(service: ServiceId): void {
     this.#orders.delete(service);
+    this.#completed.delete(service);
   }
 
   /** Returns the order of a service, if there is one. */
@@ -111,7 +117,21 @@
     }
     const halted = (decided && order.state === "rolled_back") ||
       this.isHalted(order);
-    return { stable: others, canary: halted ? [] : ordered };
+    return {
+      stable: this.#withoutReplaced(service, others),
+      canary: halted ? [] : ordered,
+    };
+  }
+
+  /** Servers of the release that was completed last, unless none is left. */
+  #withoutReplaced(
+    service: ServiceId,
+    servers: readonly ServerRecord[],
+  ): readonly ServerRecord[] {
+    // Servers of the release before it are being stopped, possibly into the next order.
+    const completed = this.#completed.get(service);
+    const current = servers.filter(({ release }) => release === completed);
+    return current.length > 0 ? current : servers;
   }
 
   /** Without an order: servers of releases past the hold period, or of the initial release. */
