--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -19,7 +19,7 @@
 /** Documents, each a part of its own that sound requests and those with the bad part share. */
 const DOCUMENTS = 200;
 
-const route = (service) => ({ Name: "chat", Hostname: "ficu95.example", PathPrefix: "/lohu930/", RouteType: "streaming", Service: service, TimeoutMs: CHAT.timeoutMs, TargetLatencyMs: 4000, GapTargetMs: 1200, MaxAttempts: 3, Priority: 2, StreamResumption: true, SessionAffinity: true });
+const route = (service) => ({ Name: "chat", Hostname: "ficu95.example", PathPrefix: "/lohu930/", RouteType: "streaming", Service: service, TimeoutMs: CHAT.timeoutMs, TargetLatencyMs: 4000, GapTargetMs: 1200, MaxAttempts: 1, Priority: 2, SessionAffinity: true });
 const llm = (name) => ({ Name: name, MaxConnections: 360, HealthPath: "/healthz", Engine: { Slots: 64, KvCapacityTokens: 439367, Models: [{ Name: "daka510000", Cost: 1 }] } });
 const services = [llm("inspect-llm"), llm("inspect-llm-2")];
 
