--- a/review/lib-2/play.mjs
+++ b/review/lib-2/play.mjs
@@ -259,8 +259,8 @@
   /** Ends everything, writes the record and exits with the verdict. */
   async end(folder, { code, text }) {
     this.note(text);
-    for (const close of this.#closers) await close();
     for (const gateway of this.gateways) await gateway.stop();
+    for (const close of this.#closers) await close();
     this.store.close();
     writeFileSync(join(folder, "record.txt"), `${this.#record.join("\n")}\n`);
     if (process.env.KEEP_LOGS) console.log(this.#folder);
@@ -285,6 +285,10 @@
 /** Runs a case; ends with 2 if it could not run. */
 export async function runCase(folder, script) {
   const play = new Play();
+  const stop = (reason) => play.end(folder, { code: 2, text: `could not run: ${reason}` });
+  process.once("SIGTERM", () => stop("took too long"));
+  process.once("uncaughtException", (err) => stop(err.stack));
+  process.once("unhandledRejection", (err) => stop(err?.stack ?? err));
   try {
     await play.end(folder, await script(play));
   } catch (err) {
