--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -2,6 +2,9 @@
 
 import { createServer } from "node:http";
 
+/** Most bytes of the objects in a page of a list, if it holds more than one. */
+const PAGE_BYTES = 1048576;
+
 /** Objects of all kinds with one counter of revisions; lists, watches, conditional writes. */
 export class Store {
   #kinds = new Map();
@@ -106,9 +109,16 @@
     const all = [...(this.#kinds.get(kind)?.values() ?? [])]
       .filter(({ Metadata }) => Metadata.Name > after)
       .sort((a, b) => a.Metadata.Name < b.Metadata.Name ? -1 : 1);
+    const page = [];
+    let bytes = 0;
+    for (const object of all) {
+      bytes += Buffer.byteLength(JSON.stringify(object));
+      if (page.length === 500 || (page.length > 0 && bytes > PAGE_BYTES)) break;
+      page.push(object);
+    }
     send(200, {
-      Entries: all.slice(0, 500),
-      HasMore: all.length > 500,
+      Entries: page,
+      HasMore: all.length > page.length,
       StoreRevision: this.#revision,
     });
   }
