--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,9 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 118 node review/7/case.mjs
+timeout -k 5 112 node review/7/case.mjs
+case $? in
+  0) exit 0 ;;
+  71) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -1,7 +1,7 @@
 /** A client: one attempt, each with an id of its own. */
 
 import { Agent, request } from "node:http";
-import { HOST, KEY } from "./play.mjs";
+import { HOST, KEY, record } from "./play.mjs";
 
 let serial = 0;
 
@@ -21,12 +21,15 @@
   onData = () => {},
 }) {
   const startedMs = performance.now();
+  record(`sent ${attempt} ${method} ${path} to ${gateway.name}`);
   return new Promise((done) => {
     let isDone = false;
     const finish = (result) => {
       if (isDone) return;
       isDone = true;
       clearTimeout(timer);
+      const { status, text, error } = result;
+      record(`answered ${attempt}: ${error ?? "whole"}, status ${status}, ${text.length} B`);
       done({ attempt, ms: performance.now() - startedMs, ...result });
     };
     const req = request({
--- a/review/lib-2/play.mjs
+++ b/review/lib-2/play.mjs
@@ -47,6 +47,16 @@
 
 export const pause = (ms) => new Promise((done) => setTimeout(done, ms));
 
+/** Exit code of a script whose rule was broken; 1 is also that of a script which can't be loaded. */
+const BROKEN_CODE = 71;
+
+let currentPlay;
+
+/** Writes a line of the record of the case that runs. */
+export function record(text) {
+  currentPlay?.note(text);
+}
+
 /** Whether the disruption takes place. */
 export const TROUBLE = process.env.TROUBLE !== "0";
 
@@ -266,7 +276,8 @@
     if (process.env.KEEP_LOGS) console.log(this.#folder);
     else rmSync(this.#folder, { recursive: true, force: true });
     console.log(text);
-    process.exit(code);
+    // `run.sh` turns this into 1, and all codes but 0 into 2.
+    process.exit(code === 1 ? BROKEN_CODE : code);
   }
 }
 
@@ -285,6 +296,7 @@
 /** Runs a case; ends with 2 if it could not run. */
 export async function runCase(folder, script) {
   const play = new Play();
+  currentPlay = play;
   const stop = (reason) => play.end(folder, { code: 2, text: `could not run: ${reason}` });
   process.once("SIGTERM", () => stop("took too long"));
   process.once("uncaughtException", (err) => stop(err.stack));
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -1,7 +1,7 @@
 /** A small backend server: HTTP/1.1 as PROTOCOL tells it, with its entry in the store. */
 
 import { createServer } from "node:net";
-import { freePort, HEARTBEAT_MS } from "./play.mjs";
+import { freePort, HEARTBEAT_MS, record } from "./play.mjs";
 
 /** Parses requests of one connection and passes each, with its body, to the handler in turn. */
 function serveConnection(socket, handle) {
@@ -151,6 +151,7 @@
         "Fieldrack-Attempt-Id": attempt,
       }, "");
     }
+    record(`run ${attempt} at ${this.id}`);
     await this.answer(req, this);
   }
 }
