Read each byte of an incomplete event once, however it is cut into chunks

Cause: EventSplitter.push joined all bytes of the incomplete event with each new chunk and searched all of them for its end, so that the work grew with the square of the event's length.

Change: the incomplete event is collected in blocks (BlockBuffer, as bodies are), and its end is sought in the new chunk only; that the buffered bytes end with a line feed is all that an end across the border needs. An event's length keeps its limit. Sound events of any length and cut pass unchanged.

Ruled out: a lower limit on the framing or the size of an event, which bounds the damage and not the growth; a list of chunks, each of which would keep the 64 KB that it was read with.

--- a/src/backends/event_splitter.ts
+++ b/src/backends/event_splitter.ts
@@ -1,8 +1,10 @@
 /** Splits a stream of server-sent events so that only complete events are forwarded. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
+import { BlockBuffer } from "../runtime/block_buffer.ts";
 import { MAX_EVENT_BYTES } from "./response_limits.ts";
 
+const LF = 0x0a;
 const EVENT_END = "\n\n";
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/g;
 const DATA_LINE = /(?:^|\n)(?:data|id):/;
@@ -14,9 +16,17 @@
   readonly lastId: string | undefined;
 }
 
-/** Buffers an incomplete event until the rest of it is received. */
+/**
+ * Buffers an incomplete event until the rest of it is received. Each byte is searched and copied
+ * once, however the event is cut into chunks.
+ */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = new BlockBuffer({
+    maxBytes: Infinity,
+    reserve: () => true,
+  });
+  /** Whether the incomplete event ends with a line feed, so that another one would complete it. */
+  #endsWithLineFeed = false;
   #bytesWithoutData = 0;
 
   /** Whether an event, or a series of events without data, is longer than any proper one. */
@@ -31,16 +41,36 @@
 
   /** Adds received bytes; returns the events that are now complete, if any. */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const bytes = this.#pending.length === 0
-      ? chunk
-      : Buffer.concat([this.#pending, chunk]);
-    const end = bytes.lastIndexOf(EVENT_END);
-    if (end < 0) {
-      this.#pending = bytes;
-      return undefined;
+    const end = this.#lastEventEnd(chunk);
+    const complete = end === 0
+      ? undefined
+      : this.#takePendingWith(chunk.subarray(0, end));
+    const rest = chunk.subarray(end);
+    if (rest.length > 0) {
+      this.#pending.append(rest);
+      this.#endsWithLineFeed = rest.at(-1) === LF;
     }
-    const complete = bytes.subarray(0, end + EVENT_END.length);
-    this.#pending = bytes.subarray(end + EVENT_END.length);
+    return complete === undefined ? undefined : this.#describe(complete);
+  }
+
+  /** Returns the offset behind the last event that ends within the chunk; 0 if none does. */
+  #lastEventEnd(chunk: Buffer): number {
+    const at = chunk.lastIndexOf(EVENT_END);
+    if (at >= 0) return at + EVENT_END.length;
+    return this.#endsWithLineFeed && chunk[0] === LF ? 1 : 0;
+  }
+
+  /** Returns the buffered bytes followed by the end of their event, and clears the buffer. */
+  #takePendingWith(end: Buffer): Buffer {
+    this.#endsWithLineFeed = false;
+    if (this.#pending.length === 0) return end;
+    this.#pending.append(end);
+    const bytes = this.#pending.bytes();
+    this.#pending.clear();
+    return bytes;
+  }
+
+  #describe(complete: Buffer): CompleteEvents {
     const text = complete.toString("latin1");
     this.#bytesWithoutData = DATA_LINE.test(text)
       ? 0
