Find what crashes servers in time that is linear in the prompt parts

Cause: each part that a completion cleared threw the findings away and built them anew for the next one; and buildHypotheses intersected the keys of all reports for each key. Further, the log compared the findings before and after each single report, of which one crash may bring hundreds.

Change: reports keep the parts that are still suspected, with an index by part. A completion removes its parts there, and the findings are built once, when asked for. Keys that always come together form a group, refined report by report; only keys under which three servers crashed take part, as fewer never name a culprit. The log follows once a turn. VMs tell completions only if these have cleared a part. Texts with all keys (log lines, the body of a refusal) name the first ones.

Evidence: the tests count lookups in sets and maps, not time.

Ruled out: a larger bound alone; building with each report incrementally, which the log's change makes needless.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -23,7 +23,8 @@
 export const MAX_REPORT_SERVERS = 32;
 
 /** One server crash attributed to one request. Times are from the monotonic clock. */
-export interface Crash extends RequestSuspects {
+export interface ServerCrash {
+  readonly request: RequestKey;
   /** Undefined where the route needs no API key. */
   readonly account: AccountId | undefined;
   /** Incarnation of the server that ended; the same on every VM that observed the crash. */
@@ -41,6 +42,9 @@
   readonly serviceSize: number;
 }
 
+/** A server crash and the prompt parts that may have caused it. */
+export interface Crash extends ServerCrash, RequestSuspects {}
+
 /**
  * A request that crashes servers does so as it begins to run, while a bystander, or a request on
  * a server that crashes by itself, may be at any stage. Wide enough for slow servers and VMs.
@@ -64,29 +68,13 @@
   return endedMs - (firstByteMs ?? 0) <= CRASH_WINDOW_MS;
 }
 
-/** Limits the length of a report, as VMs reject longer ones; the latest servers tell the order. */
-export function boundReport(crash: Crash): Crash {
-  return {
-    ...crash,
-    parts: crash.parts.slice(0, MAX_REPORT_PARTS),
-    after: crash.after.slice(-MAX_REPORT_SERVERS),
-  };
-}
-
-/** Merges two reports of one crash, each from a VM with its own copy of the request there. */
-export function mergeReports(a: Crash, b: Crash): Crash {
+/** Merges what two VMs report of one crash, each with its own copy of the request there. */
+export function mergeCrashes(a: ServerCrash, b: ServerCrash): ServerCrash {
   return {
     ...a,
-    parts: [...new Set([...a.parts, ...b.parts])],
-    after: [...new Set([...a.after, ...b.after])],
+    after: [...new Set([...a.after, ...b.after])].slice(-MAX_REPORT_SERVERS),
     beganMs: Math.max(a.beganMs, b.beganMs),
     endedMs: Math.min(a.endedMs, b.endedMs),
     serviceSize: Math.max(a.serviceSize, b.serviceSize),
   };
 }
-
-/** Whether a merged report tells more of the order or the parts than one of its sources. */
-export function addsTo(known: Crash, merged: Crash): boolean {
-  return merged.after.length > known.after.length ||
-    merged.parts.length > known.parts.length;
-}
--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -6,8 +6,8 @@
  */
 
 import type { ServerIncarnation } from "../ids.ts";
-import type { Crash, SuspectKey } from "./crash.ts";
-import type { Hypothesis } from "./crash_hypotheses.ts";
+import type { ServerCrash } from "./crash.ts";
+import { type Hypothesis, isSubset } from "./crash_hypotheses.ts";
 
 /** Maximum number of servers that one request may crash, as required by the users. */
 export const CRASH_LIMIT = 3;
@@ -90,13 +90,6 @@
     crashes.every(({ life }) => explained.has(life));
 }
 
-function isSubset(
-  keys: ReadonlySet<SuspectKey>,
-  of: ReadonlySet<SuspectKey>,
-): boolean {
-  return [...keys].every((key) => of.has(key));
-}
-
 /**
  * Counts crashes in sequence, each under a run that began after the previous crash. Servers that
  * fail together are no evidence against a request that ran on all of them, such as one that many
@@ -106,13 +99,13 @@
  * have not crashed, so that it had no other.
  */
 export function countSequentialCrashes(
-  crashes: readonly Crash[],
+  crashes: readonly ServerCrash[],
   { isRepeatKnown = false }: { isRepeatKnown?: boolean } = {},
 ): number {
   const serviceSize = Math.max(0, ...crashes.map((one) => one.serviceSize));
   const mayRepeatServer = serviceSize < CRASH_LIMIT;
   const byEndTime = [...crashes].sort((a, b) => a.endedMs - b.endedMs);
-  const sequence: Crash[] = [];
+  const sequence: ServerCrash[] = [];
   for (const crash of byEndTime) {
     const last = sequence.at(-1);
     if (last !== undefined && !beganAfter(crash, last)) continue;
@@ -129,7 +122,7 @@
  * Whether a run began after an earlier crash: either the VM that sent the request knew of that
  * crash, or the crash is so long ago that the delay of the reports cannot have reversed the order.
  */
-function beganAfter(crash: Crash, earlier: Crash): boolean {
+function beganAfter(crash: ServerCrash, earlier: ServerCrash): boolean {
   return crash.after.includes(earlier.life) ||
     crash.beganMs - earlier.endedMs >= MAX_REPORT_DELAY_MS;
 }
--- a/src/core/crashes/crash_attribution_test.ts
+++ b/src/core/crashes/crash_attribution_test.ts
@@ -4,6 +4,7 @@
 import { type Crash, mayHaveCausedCrash } from "./crash.ts";
 import { countSequentialCrashes, findCulprits } from "./crash_attribution.ts";
 import { buildHypotheses } from "./crash_hypotheses.ts";
+import { CrashReport } from "./crash_report.ts";
 
 const SERVICE_SIZE = 8;
 
@@ -29,7 +30,9 @@
 
 /** Ids of the culprits: the request, or the parts that its requests have in common. */
 function culpritsOf(...reports: (readonly Crash[])[]): string[] {
-  const hypotheses = buildHypotheses(reports.flat(), () => false);
+  const hypotheses = buildHypotheses(
+    reports.flat().map((one) => new CrashReport(one, one.parts)),
+  );
   return findCulprits(hypotheses).map(({ id }) => id).sort();
 }
 
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -10,26 +10,23 @@
   ServerIncarnation,
 } from "../ids.ts";
 import {
-  addsTo,
-  boundReport,
   type Crash,
-  mergeReports,
+  MAX_REPORT_PARTS,
   type RequestSuspects,
+  type ServerCrash,
 } from "./crash.ts";
 import { CRASH_LIMIT, findCulprits } from "./crash_attribution.ts";
-import {
-  buildHypotheses,
-  groupByPart,
-  type Hypothesis,
-} from "./crash_hypotheses.ts";
+import { buildHypotheses, type Hypothesis } from "./crash_hypotheses.ts";
+import { CrashReport } from "./crash_report.ts";
 import { type PartCompletion, PartCompletions } from "./part_completions.ts";
 import { quarantineEndMs, TrialRights } from "./quarantine.ts";
+import { SuspectedParts } from "./suspected_parts.ts";
 
 /** Retention of requests that took part in the crashes of a culprit, since their last update. */
 const RETENTION_MS = 21_600_000;
 /** The same for other requests: most of them are bystanders. */
 const BYSTANDER_RETENTION_MS = 600_000;
-/** Maximum number of tracked requests; bounds memory to about 0.5 MB. */
+/** Maximum number of tracked requests; bounds memory to about 0.5 MB, without their parts. */
 const MAX_REQUESTS = 1_000;
 /** Maximum number of crashes kept per request; more would not change the attribution. */
 const MAX_CRASHES_PER_REQUEST = 64;
@@ -70,26 +67,21 @@
 interface CrashRecord {
   readonly request: RequestKey;
   readonly account: AccountId | undefined;
-  readonly crashes: Map<ServerIncarnation, Crash>;
+  readonly crashes: Map<ServerIncarnation, CrashReport>;
   /** Time of the last successful run; earlier crashes do not count. */
   successMs: number;
   /** When this VM last received new information on the request. */
   learnedAtMs: number;
 }
 
-interface Findings {
-  readonly culprits: readonly Hypothesis[];
-  /** Crashes by each part of the requests that ran then. */
-  readonly crashesByPart: ReadonlyMap<PartKey, readonly Crash[]>;
-}
-
 /** Tracks requests under which servers ended, and which requests to quarantine. */
 export class CrashHistory {
   readonly #records = new Map<RequestKey, CrashRecord>();
+  readonly #suspectedParts = new SuspectedParts();
   readonly #completions = new PartCompletions();
   readonly #trials = new TrialRights();
-  /** Derived from the records; undefined after they have changed. */
-  #findings: Findings | undefined;
+  /** Derived from the records when asked for; undefined after they have changed. */
+  #culprits: readonly Hypothesis[] | undefined;
 
   /** Whether no crash is recorded, so that lookups can be skipped. */
   get isEmpty(): boolean {
@@ -103,23 +95,25 @@
 
   /** What crashes servers, whether or not it is quarantined now. */
   get culprits(): readonly Hypothesis[] {
-    return this.#currentFindings.culprits;
+    this.#culprits ??= this.#findCulprits();
+    return this.#culprits;
   }
 
   /** Records a server crash; returns whether it was not known before. */
-  recordCrash(crash: Crash, nowMs: number): boolean {
+  recordCrash({ parts, ...crash }: Crash, nowMs: number): boolean {
     const record = this.#recordOf(crash, nowMs);
     const known = record.crashes.get(crash.life);
     if (known === undefined && crash.endedMs <= record.successMs) return false;
-    const merged = boundReport(
-      known === undefined ? crash : mergeReports(known, crash),
-    );
-    record.crashes.set(crash.life, merged);
+    const report = known ?? new CrashReport(crash);
+    record.crashes.set(crash.life, report);
     // A repeated report may still add to the known order of the crashes.
+    const addsToOrder = known?.merge(crash) ?? true;
+    const addsParts = this.#addParts(parts.slice(0, MAX_REPORT_PARTS), {
+      report,
+      nowMs,
+    });
     if (known === undefined) this.#trimCrashes(record);
-    if (known === undefined || addsTo(known, merged)) {
-      this.#findings = undefined;
-    }
+    if (addsToOrder || addsParts) this.#culprits = undefined;
     if (known !== undefined) return false;
     record.learnedAtMs = nowMs;
     return true;
@@ -131,22 +125,26 @@
     if (record === undefined || atMs <= record.successMs) return false;
     record.successMs = atMs;
     const cleared = [...record.crashes.values()]
-      .filter(({ endedMs }) => endedMs <= atMs);
+      .filter(({ crash }) => crash.endedMs <= atMs);
     if (cleared.length === 0) return false;
-    for (const { life } of cleared) record.crashes.delete(life);
+    for (const report of cleared) this.#removeReport(record, report);
     record.learnedAtMs = nowMs;
-    this.#findings = undefined;
     return true;
   }
 
   /** Records the completion of a request with a part; returns whether that cleared the part. */
   recordCompletion(completion: PartCompletion, nowMs: number): boolean {
     const { part } = completion;
-    if (!this.#currentFindings.crashesByPart.has(part)) return false;
-    const suspected = this.#suspectedCrashes(part);
-    if (!this.#completions.record(completion, nowMs)) return false;
-    if (this.#suspectedCrashes(part).length === suspected.length) return false;
-    this.#findings = undefined;
+    const isSuspected = this.#suspectedParts.has(part);
+    if (!isSuspected && !this.#completions.has(part)) return false;
+    if (!this.#completions.record(completion)) return false;
+    const cleared = [...this.#suspectedParts.reportsOf(part)].filter((
+      { crash },
+    ) => this.#completions.isCleared(part, crash.endedMs));
+    if (cleared.length === 0) return false;
+    for (const report of cleared) this.#suspectedParts.clear(part, report);
+    this.#completions.markCleared(part, nowMs);
+    this.#culprits = undefined;
     return true;
   }
 
@@ -172,23 +170,27 @@
   }
 
   /** Known crashes of servers under a request since its last successful run. */
-  crashesOf(request: RequestKey): readonly Crash[] {
-    return [...this.#records.get(request)?.crashes.values() ?? []];
+  crashesOf(request: RequestKey): readonly ServerCrash[] {
+    return this.#reportsOf(request).map(({ crash }) => crash);
   }
 
   /** Known crashes of servers under a request or its parts, the latest last. */
-  crashesUnder({ request, parts }: RequestSuspects): readonly Crash[] {
-    return [
-      ...this.crashesOf(request),
-      ...parts.flatMap((part) => this.#suspectedCrashes(part)),
-    ].sort((a, b) => a.endedMs - b.endedMs);
+  crashesUnder({ request, parts }: RequestSuspects): readonly ServerCrash[] {
+    const reports = new Set(this.#reportsOf(request));
+    for (const part of parts) {
+      for (const report of this.#suspectedParts.reportsOf(part)) {
+        reports.add(report);
+      }
+    }
+    return [...reports].map(({ crash }) => crash)
+      .sort((a, b) => a.endedMs - b.endedMs);
   }
 
   /** Crashes of all requests that this VM has new information on since `sinceMs`. */
   crashesSince(sinceMs: number): Crash[] {
-    return this.#updatedSince(sinceMs).flatMap(({ crashes }) => [
-      ...crashes.values(),
-    ]);
+    return this.#updatedSince(sinceMs).flatMap(({ crashes }) =>
+      [...crashes.values()].map((report) => report.toCrash())
+    );
   }
 
   /** Successful runs of requests that this VM has new information on since `sinceMs`. */
@@ -205,19 +207,16 @@
 
   /** Removes requests past their retention. */
   removeExpired(nowMs: number): void {
-    const before = this.#records.size;
+    this.#completions.removeExpired(nowMs);
     const guilty = new Set(
       this.culprits.flatMap(({ crashes }) => crashes.map(({ life }) => life)),
     );
-    for (const [request, { crashes, learnedAtMs }] of this.#records) {
+    for (const record of this.#records.values()) {
+      const { crashes, learnedAtMs } = record;
       const isGuilty = [...crashes.keys()].some((life) => guilty.has(life));
       const keepMs = isGuilty ? RETENTION_MS : BYSTANDER_RETENTION_MS;
-      if (nowMs - learnedAtMs > keepMs) this.#records.delete(request);
+      if (nowMs - learnedAtMs > keepMs) this.#removeRecord(record);
     }
-    if (this.#records.size === before) return;
-    this.#findings = undefined;
-    const { crashesByPart } = this.#currentFindings;
-    this.#completions.keepOnly(new Set(crashesByPart.keys()));
   }
 
   #statusOf(culprit: Hypothesis, nowMs: number): QuarantineStatus {
@@ -238,11 +237,22 @@
     return { tag: "quarantined", leftMs, crashes: crashes.length, parts };
   }
 
-  /** Crashes that a part may have caused, as no completion clears it of them. */
-  #suspectedCrashes(part: PartKey): Crash[] {
-    return (this.#currentFindings.crashesByPart.get(part) ?? []).filter((
-      { endedMs },
-    ) => !this.#completions.isCleared(part, endedMs));
+  /** Adds suspected parts to a report; returns whether any is new there. */
+  #addParts(
+    parts: readonly PartKey[],
+    { report, nowMs }: { report: CrashReport; nowMs: number },
+  ): boolean {
+    let isAnyNew = false;
+    for (const part of parts) {
+      if (this.#completions.isCleared(part, report.crash.endedMs)) {
+        this.#completions.markCleared(part, nowMs);
+      } else if (this.#suspectedParts.add(part, report)) isAnyNew = true;
+    }
+    return isAnyNew;
+  }
+
+  #reportsOf(request: RequestKey): readonly CrashReport[] {
+    return [...this.#records.get(request)?.crashes.values() ?? []];
   }
 
   #updatedSince(sinceMs: number): CrashRecord[] {
@@ -251,7 +261,7 @@
     );
   }
 
-  #recordOf({ request, account }: Crash, nowMs: number): CrashRecord {
+  #recordOf({ request, account }: ServerCrash, nowMs: number): CrashRecord {
     const known = this.#records.get(request);
     if (known !== undefined) return known;
     if (this.#records.size >= MAX_REQUESTS) this.#evictOne();
@@ -278,31 +288,38 @@
       .sort((a, b) =>
         a.crashes.size - b.crashes.size || a.learnedAtMs - b.learnedAtMs
       );
-    if (least !== undefined) this.#records.delete(least.request);
+    if (least !== undefined) this.#removeRecord(least);
   }
 
-  #trimCrashes({ crashes }: CrashRecord): void {
+  #trimCrashes(record: CrashRecord): void {
+    const { crashes } = record;
     if (crashes.size <= MAX_CRASHES_PER_REQUEST) return;
     const oldest = [...crashes.values()]
-      .sort((a, b) => a.endedMs - b.endedMs)[0];
-    if (oldest !== undefined) crashes.delete(oldest.life);
+      .sort((a, b) => a.crash.endedMs - b.crash.endedMs)[0];
+    if (oldest !== undefined) this.#removeReport(record, oldest);
+  }
+
+  #removeRecord(record: CrashRecord): void {
+    for (const report of record.crashes.values()) {
+      this.#removeReport(record, report);
+    }
+    this.#records.delete(record.request);
+    this.#culprits = undefined;
   }
 
-  get #currentFindings(): Findings {
-    this.#findings ??= this.#find();
-    return this.#findings;
+  #removeReport(record: CrashRecord, report: CrashReport): void {
+    record.crashes.delete(report.crash.life);
+    this.#suspectedParts.removeReport(report);
+    this.#culprits = undefined;
   }
 
-  #find(): Findings {
+  #findCulprits(): readonly Hypothesis[] {
     const reports = [...this.#records.values()].flatMap(({ crashes }) => [
       ...crashes.values(),
     ]);
-    const lives = new Set(reports.map(({ life }) => life));
-    const isCleared = (part: PartKey, { endedMs }: Crash) =>
-      this.#completions.isCleared(part, endedMs);
-    const culprits = lives.size < CRASH_LIMIT
+    const lives = new Set(reports.map(({ crash }) => crash.life));
+    return lives.size < CRASH_LIMIT
       ? []
-      : findCulprits(buildHypotheses(reports, isCleared));
-    return { culprits, crashesByPart: groupByPart(reports) };
+      : findCulprits(buildHypotheses(reports));
   }
 }
--- a/src/core/crashes/crash_history_parts_test.ts
+++ b/src/core/crashes/crash_history_parts_test.ts
@@ -35,12 +35,12 @@
 }
 
 /** A request with these parts had just begun on the server that crashed last. */
-function report(parts: readonly string[]): void {
+function report(parts: readonly string[], account = "shop"): void {
   const n = crashes;
   const one: Crash = {
     request: `r-${n}-${parts}` as RequestKey,
     parts: parts as PartKey[],
-    account: "shop" as AccountId,
+    account: account as AccountId,
     life: `i-${n}` as ServerIncarnation,
     address: `10.0.0.${n % 8}:1`,
     after: [],
@@ -74,7 +74,67 @@
   nowMs += SETTLED_MS;
 }
 
+function manyParts(name: string, count: number): string[] {
+  return Array.from({ length: count }, (_, n) => `${name}-${n}`);
+}
+
+/** Counts the lookups in sets and maps, and the additions to them, while a task runs. */
+function countOperations(task: () => void): number {
+  let count = 0;
+  const methods = [
+    [Set.prototype, "has"],
+    [Set.prototype, "add"],
+    [Map.prototype, "get"],
+    [Map.prototype, "set"],
+  ] as const;
+  const restore = methods.map(([prototype, name]) => {
+    const target = prototype as unknown as Record<string, unknown>;
+    const original = target[name] as (...args: unknown[]) => unknown;
+    target[name] = function (this: unknown, ...args: unknown[]): unknown {
+      count += 1;
+      return original.apply(this, args);
+    };
+    return () => target[name] = original;
+  });
+  try {
+    task();
+  } finally {
+    for (const one of restore) one();
+  }
+  return count;
+}
+
+/** Work on three crashes under many requests with these parts, and on a sound request with them. */
+function countWork(parts: readonly string[], task: "crash" | "complete") {
+  const crashAll = () => {
+    for (let n = 0; n < 3; n++) {
+      nowMs += 2_000;
+      crash(...parts, BAD);
+      for (let beside = 0; beside < 10; beside++) {
+        report([...parts, `own-${n}-${beside}`]);
+      }
+    }
+    assert.ok(history.culprits.length <= 1);
+  };
+  if (task === "crash") return countOperations(crashAll);
+  crashAll();
+  return countOperations(() => {
+    complete(...parts);
+    assert.deepEqual(history.culprits.map(({ id }) => id), [BAD]);
+  });
+}
+
 describe("crash history of prompt parts", () => {
+  for (const task of ["crash", "complete"] as const) {
+    // Guards against CONFIG: hundreds of parts took seconds, as each was compared with all others.
+    it(`should do work for each part that does not grow with their number, on "${task}"`, () => {
+      const few = countWork(manyParts("part", 15), task);
+      history = new CrashHistory();
+      const many = countWork(manyParts("part", 60), task);
+      assert.ok(many <= 6 * few, `${few} for 15, ${many} for 60`);
+    });
+  }
+
   it("should quarantine new requests with a part after three crashes", () => {
     crashThree("shared", BAD);
     assert.equal(statusOf("shared", BAD), "quarantined");
--- a/src/core/crashes/crash_hypotheses.ts
+++ b/src/core/crashes/crash_hypotheses.ts
@@ -1,88 +1,168 @@
 /** Groups crash reports by what their requests have in common. */
 
-import type { PartKey, ServerIncarnation } from "../ids.ts";
-import { type Crash, mergeReports, type SuspectKey } from "./crash.ts";
+import type { ServerIncarnation } from "../ids.ts";
+import { mergeCrashes, type ServerCrash, type SuspectKey } from "./crash.ts";
+import { CRASH_LIMIT } from "./crash_attribution.ts";
+import type { CrashReport } from "./crash_report.ts";
+
+/** Maximum number of hypotheses; bounds the work to compare them with each other. */
+const MAX_HYPOTHESES = 128;
+
+/** Maximum number of keys named in a description. */
+const MAX_KEYS_NAMED = 16;
 
 /** A possible cause of crashes: requests that hold all its keys. */
 export interface Hypothesis {
   /** Identifies the hypothesis by its keys. */
   readonly id: string;
   readonly keys: ReadonlySet<SuspectKey>;
-  readonly crashes: readonly Crash[];
+  readonly crashes: readonly ServerCrash[];
   /** Whether these are prompt parts, and not one request. */
   readonly isParts: boolean;
   /** Whether some of the reports hold further parts, which may be the cause instead. */
   readonly isAmbiguous: boolean;
 }
 
-interface KeyReports {
-  /** Keys that all reports with this key have in common. */
-  common: ReadonlySet<SuspectKey>;
-  /** Largest number of parts in one report. */
-  maxParts: number;
-  readonly crashes: Map<ServerIncarnation, Crash>;
+/** Keys that occur in the same reports. */
+interface KeyGroup {
+  readonly keys: Set<SuspectKey>;
+  readonly reports: Set<CrashReport>;
 }
 
 /**
- * Returns one hypothesis for each set of keys that always come together. Keys that have not been
- * seen apart cannot be told apart, so that only a request with all of them is suspected.
+ * Returns one hypothesis for each set of keys that always come together and under which enough
+ * servers crashed. Keys that have not been
+ * seen apart cannot be told apart, so that only a request with all of them is suspected. The work
+ * is linear in the number of keys of all reports, as each request may have many.
  */
 export function buildHypotheses(
-  reports: readonly Crash[],
-  isCleared: (part: PartKey, crash: Crash) => boolean,
+  reports: readonly CrashReport[],
 ): Hypothesis[] {
-  const byKey = new Map<SuspectKey, KeyReports>();
+  const frequent = frequentKeys(reports);
+  const groupsByReport = groupKeys(reports, frequent);
+  const groups = new Set([...groupsByReport.values()].flat());
+  // A culprit takes part in each crash that it causes, and soon in more than others do.
+  return [...groups]
+    .map((group) => ({ group, crashes: countCrashes(group) }))
+    .sort((a, b) => b.crashes - a.crashes)
+    .slice(0, MAX_HYPOTHESES)
+    .map(({ group }) => hypothesisOf(group, groupsByReport));
+}
+
+/** Returns the keys under which enough servers crashed. */
+function frequentKeys(reports: readonly CrashReport[]): Set<SuspectKey> {
+  const byLife = new Map<ServerIncarnation, CrashReport[]>();
   for (const report of reports) {
-    const parts = report.parts.filter((part) => !isCleared(part, report));
-    const keys = new Set<SuspectKey>([report.request, ...parts]);
-    for (const key of keys) addReport(byKey, { key, keys, report });
+    const { life } = report.crash;
+    const same = byLife.get(life);
+    if (same === undefined) byLife.set(life, [report]);
+    else same.push(report);
+  }
+  const counts = new Map<SuspectKey, number>();
+  for (const same of byLife.values()) {
+    for (const key of new Set(same.flatMap(keysOf))) {
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
   }
-  const hypotheses = new Map<string, Hypothesis>();
-  for (const { common, maxParts, crashes: byLife } of byKey.values()) {
-    const id = [...common].sort().join(" ");
-    const crashes = [...byLife.values()];
-    const isParts = crashes.every(({ request }) => !common.has(request));
-    const isAmbiguous = isParts && maxParts > common.size;
-    hypotheses.set(id, { id, keys: common, crashes, isParts, isAmbiguous });
+  const frequent = new Set<SuspectKey>();
+  for (const [key, count] of counts) {
+    if (count >= CRASH_LIMIT) frequent.add(key);
   }
-  return [...hypotheses.values()];
+  return frequent;
 }
 
-function addReport(
-  byKey: Map<SuspectKey, KeyReports>,
-  { key, keys, report }: {
-    key: SuspectKey;
-    keys: ReadonlySet<SuspectKey>;
-    report: Crash;
-  },
-): void {
-  const known = byKey.get(key);
-  const partCount = keys.size - 1;
-  if (known === undefined) {
-    const crashes = new Map([[report.life, report]]);
-    byKey.set(key, { common: keys, maxParts: partCount, crashes });
-    return;
-  }
-  known.maxParts = Math.max(known.maxParts, partCount);
-  known.common = new Set([...known.common].filter((one) => keys.has(one)));
-  const same = known.crashes.get(report.life);
-  known.crashes.set(
-    report.life,
-    same === undefined ? report : mergeReports(same, report),
-  );
+function countCrashes({ reports }: KeyGroup): number {
+  return new Set([...reports].map(({ crash }) => crash.life)).size;
 }
 
-/** Returns the crash reports by each part of their requests. */
-export function groupByPart(
-  reports: readonly Crash[],
-): ReadonlyMap<PartKey, readonly Crash[]> {
-  const groups = new Map<PartKey, Crash[]>();
+function keysOf({ crash, parts }: CrashReport): SuspectKey[] {
+  return [crash.request, ...parts];
+}
+
+/** Returns the groups of the frequent keys in each report, by partition refinement. */
+function groupKeys(
+  reports: readonly CrashReport[],
+  frequent: ReadonlySet<SuspectKey>,
+): ReadonlyMap<CrashReport, readonly KeyGroup[]> {
+  const groupOf = new Map<SuspectKey, KeyGroup>();
   for (const report of reports) {
-    for (const part of report.parts) {
-      const group = groups.get(part);
-      if (group === undefined) groups.set(part, [report]);
-      else group.push(report);
+    const keysByGroup = new Map<KeyGroup | undefined, SuspectKey[]>();
+    for (const key of keysOf(report)) {
+      if (!frequent.has(key)) continue;
+      const group = groupOf.get(key);
+      const keys = keysByGroup.get(group);
+      if (keys === undefined) keysByGroup.set(group, [key]);
+      else keys.push(key);
+    }
+    for (const [group, keys] of keysByGroup) {
+      if (group?.keys.size === keys.length) {
+        group.reports.add(report);
+        continue;
+      }
+      const reports = new Set([...group?.reports ?? [], report]);
+      const split: KeyGroup = { keys: new Set(keys), reports };
+      for (const key of keys) {
+        group?.keys.delete(key);
+        groupOf.set(key, split);
+      }
     }
   }
-  return groups;
+  const groupsByReport = new Map<CrashReport, KeyGroup[]>();
+  for (const group of new Set(groupOf.values())) {
+    for (const report of group.reports) {
+      const groups = groupsByReport.get(report);
+      if (groups === undefined) groupsByReport.set(report, [group]);
+      else groups.push(group);
+    }
+  }
+  return groupsByReport;
+}
+
+function hypothesisOf(
+  group: KeyGroup,
+  groupsByReport: ReadonlyMap<CrashReport, readonly KeyGroup[]>,
+): Hypothesis {
+  const reports = [...group.reports];
+  // Keys in all reports of the group are in its first one, too.
+  const [first] = reports;
+  const candidates = first === undefined ? [] : groupsByReport.get(first) ?? [];
+  const implied = candidates.filter((other) =>
+    other === group || isSubset(group.reports, other.reports)
+  );
+  const keys = new Set(implied.flatMap((other) => [...other.keys]));
+  const byLife = new Map<ServerIncarnation, ServerCrash>();
+  for (const { crash } of reports) {
+    const same = byLife.get(crash.life);
+    const merged = same === undefined ? crash : mergeCrashes(same, crash);
+    byLife.set(crash.life, merged);
+  }
+  const isParts = reports.every(({ crash }) => !keys.has(crash.request));
+  const isAmbiguous = isParts &&
+    reports.some(({ parts, isTruncated }) =>
+      isTruncated || parts.size > keys.size
+    );
+  return {
+    id: [...keys].sort().join(" "),
+    keys,
+    crashes: [...byLife.values()],
+    isParts,
+    isAmbiguous,
+  };
+}
+
+/** Whether a set holds all members of another one. */
+export function isSubset<T>(
+  members: ReadonlySet<T>,
+  of: ReadonlySet<T>,
+): boolean {
+  if (members.size > of.size) return false;
+  for (const member of members) if (!of.has(member)) return false;
+  return true;
+}
+
+/** Names the keys of a hypothesis for logs, the first ones if there are many. */
+export function describeKeys({ keys }: Hypothesis): string {
+  const named = [...keys].sort().slice(0, MAX_KEYS_NAMED).join(" ");
+  const more = keys.size - MAX_KEYS_NAMED;
+  return more > 0 ? `${named} and ${more} more` : named;
 }
--- a/src/core/crashes/crash_hypotheses_test.ts
+++ b/src/core/crashes/crash_hypotheses_test.ts
@@ -4,6 +4,7 @@
 import type { Crash } from "./crash.ts";
 import { findCulprits } from "./crash_attribution.ts";
 import { buildHypotheses } from "./crash_hypotheses.ts";
+import { CrashReport } from "./crash_report.ts";
 
 const SERVICE_SIZE = 8;
 
@@ -27,11 +28,10 @@
   reports: readonly Crash[],
   cleared: readonly string[] = [],
 ): string[] {
-  const hypotheses = buildHypotheses(
-    reports,
-    (part) => cleared.includes(part),
+  const suspected = reports.map((one) =>
+    new CrashReport(one, one.parts.filter((part) => !cleared.includes(part)))
   );
-  return findCulprits(hypotheses).map(({ id }) => id).sort();
+  return findCulprits(buildHypotheses(suspected)).map(({ id }) => id).sort();
 }
 
 describe("hypotheses on crashes under several requests", () => {
--- a/src/core/crashes/part_completions.ts
+++ b/src/core/crashes/part_completions.ts
@@ -9,6 +9,10 @@
 const CLEARED_AFTER_MS = 5_000;
 /** Minimum time between two recorded completions of one part. */
 const RECORD_INTERVAL_MS = 500;
+/** Retention of a part that has not completed since. */
+const RETENTION_MS = 600_000;
+/** Maximum number of parts; bounds memory to about 1 MB. */
+const MAX_PARTS = 8_192;
 
 /** A request with this part has completed. */
 export interface PartCompletion {
@@ -16,18 +20,30 @@
   readonly atMs: number;
 }
 
-/** The latest completion of each part. */
+interface Latest {
+  atMs: number;
+  /** When the completion last cleared the part here, which other VMs must know; -Infinity if it did not. */
+  clearedAtMs: number;
+}
+
+/** The latest completion of each part that was ever under suspicion. */
 export class PartCompletions {
-  readonly #latest = new Map<
-    PartKey,
-    { readonly atMs: number; readonly learnedAtMs: number }
-  >();
+  /** The longest without a completion first. */
+  readonly #latest = new Map<PartKey, Latest>();
+
+  /** Whether any completion of a part is recorded. */
+  has(part: PartKey): boolean {
+    return this.#latest.has(part);
+  }
 
   /** Records a completion; returns false if it adds nothing to one that is recorded. */
-  record({ part, atMs }: PartCompletion, nowMs: number): boolean {
-    const knownMs = this.#latest.get(part)?.atMs ?? -Infinity;
-    if (atMs - knownMs < RECORD_INTERVAL_MS) return false;
-    this.#latest.set(part, { atMs, learnedAtMs: nowMs });
+  record({ part, atMs }: PartCompletion): boolean {
+    const known = this.#latest.get(part);
+    if (atMs - (known?.atMs ?? -Infinity) < RECORD_INTERVAL_MS) return false;
+    this.#latest.delete(part);
+    const clearedAtMs = known?.clearedAtMs ?? -Infinity;
+    this.#latest.set(part, { atMs, clearedAtMs });
+    if (this.#latest.size > MAX_PARTS) this.#removeOldest();
     return true;
   }
 
@@ -37,17 +53,32 @@
     return latest !== undefined && crashedMs <= latest.atMs + CLEARED_AFTER_MS;
   }
 
-  /** Completions that this VM has learnt of since `sinceMs`. */
+  /** Records that a part was cleared of a crash, of which other VMs may still suspect it. */
+  markCleared(part: PartKey, nowMs: number): void {
+    const latest = this.#latest.get(part);
+    if (latest !== undefined) latest.clearedAtMs = nowMs;
+  }
+
+  /** Completions by which this VM has cleared parts since `sinceMs`. */
   since(sinceMs: number): PartCompletion[] {
     return [...this.#latest]
-      .filter(([, { learnedAtMs }]) => learnedAtMs >= sinceMs)
+      .filter(([, { clearedAtMs }]) =>
+        Number.isFinite(clearedAtMs) && clearedAtMs >= sinceMs
+      )
       .map(([part, { atMs }]) => ({ part, atMs }));
   }
 
-  /** Forgets all parts that are no longer under suspicion. */
-  keepOnly(parts: ReadonlySet<PartKey>): void {
+  /** Removes parts past their retention. */
+  removeExpired(nowMs: number): void {
+    for (const [part, { atMs }] of this.#latest) {
+      if (nowMs - atMs > RETENTION_MS) this.#latest.delete(part);
+    }
+  }
+
+  #removeOldest(): void {
     for (const part of this.#latest.keys()) {
-      if (!parts.has(part)) this.#latest.delete(part);
+      this.#latest.delete(part);
+      return;
     }
   }
 }
--- a/src/core/crashes/quarantine.ts
+++ b/src/core/crashes/quarantine.ts
@@ -1,6 +1,6 @@
 /** How long culprits of crashes are quarantined, and when one request may try them again. */
 
-import type { Crash } from "./crash.ts";
+import type { ServerCrash } from "./crash.ts";
 import type { Hypothesis } from "./crash_hypotheses.ts";
 
 /**
@@ -31,7 +31,7 @@
     QUARANTINE_MS * 2 ** Math.min(trials, MAX_DOUBLINGS);
 }
 
-function lastCrashMs(crashes: readonly Crash[]): number {
+function lastCrashMs(crashes: readonly ServerCrash[]): number {
   return Math.max(...crashes.map(({ endedMs }) => endedMs));
 }
 
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -2,6 +2,9 @@
 
 import type { PartKey } from "./ids.ts";
 
+/** Maximum number of prompt parts named in a message, as a prompt may have hundreds. */
+const MAX_PARTS_NAMED = 8;
+
 /** Outcomes of a request that ends without a complete response of a backend server. */
 export type Refusal =
   | { readonly tag: "no_configuration" }
@@ -152,7 +155,9 @@
 /** Describes what crashed servers, with the ids of prompt parts as callers know them. */
 export function describeCulprit(parts: readonly PartKey[]): string {
   if (parts.length === 0) return "this request";
-  const ids = parts.map((key) => key.slice(key.indexOf("/") + 1));
+  const ids = parts.slice(0, MAX_PARTS_NAMED)
+    .map((key) => key.slice(key.indexOf("/") + 1));
+  if (parts.length > ids.length) ids.push(`${parts.length - ids.length} more`);
   return ids.length === 1
     ? `requests with the prompt part ${ids[0]}, as this one has`
     : `requests with the prompt parts ${ids.join(" and ")}, as this one has`;
--- a/src/fleet/crash_gossip.ts
+++ b/src/fleet/crash_gossip.ts
@@ -2,7 +2,10 @@
 
 import type { Crash } from "../core/crashes/crash.ts";
 import type { CrashHistory } from "../core/crashes/crash_history.ts";
-import type { Hypothesis } from "../core/crashes/crash_hypotheses.ts";
+import {
+  describeKeys,
+  type Hypothesis,
+} from "../core/crashes/crash_hypotheses.ts";
 import type { EntryId, PartKey } from "../core/ids.ts";
 import {
   MAX_DIGEST_COMPLETIONS,
@@ -51,6 +54,10 @@
 export class CrashGossip {
   readonly #deps: Deps;
   readonly #recipients = new Map<EntryId, Recipient>();
+  /** Culprits as last logged. */
+  #classified: readonly Hypothesis[] = [];
+  /** Source of the reports since then. */
+  #changedBy: Source | undefined;
   #onUrgent: (here: boolean) => void = () => {};
   #onCrash: (crash: Crash) => void = () => {};
 
@@ -83,22 +90,19 @@
 
   /** The same at the start of this VM, when all others read the store as well. */
   recordLoaded(crashes: readonly Crash[]): void {
-    const { crashHistory, clock } = this.#deps;
-    const before = crashHistory.culprits;
-    this.#add(crashes, clock.monotonicMs());
-    this.#logClassificationChanges(before, "store");
+    this.#add(crashes, this.#deps.clock.monotonicMs());
+    this.#logClassificationChanges("store");
   }
 
   /** Records the completion of a request with these prompt parts on this VM. */
   recordCompletion(parts: readonly PartKey[]): void {
     const { crashHistory, clock } = this.#deps;
     const nowMs = clock.monotonicMs();
-    const before = crashHistory.culprits;
     const cleared = parts.filter((part) =>
       crashHistory.recordCompletion({ part, atMs: nowMs }, nowMs)
     );
     if (cleared.length === 0) return;
-    this.#logClassificationChanges(before, "own");
+    this.#logClassificationChanges("own");
     this.#onUrgent(true);
   }
 
@@ -107,7 +111,6 @@
     if (ends.length + goodEnds.length + completions.length === 0) return;
     const { crashHistory, clock } = this.#deps;
     const nowMs = clock.monotonicMs();
-    const before = crashHistory.culprits;
     for (const { request, ageMs } of goodEnds) {
       crashHistory.recordSuccess({ request, atMs: nowMs - ageMs }, nowMs);
     }
@@ -122,7 +125,7 @@
     const cleared = completions.filter(({ part, ageMs }) =>
       crashHistory.recordCompletion({ part, atMs: nowMs - ageMs }, nowMs)
     );
-    this.#logClassificationChanges(before, from);
+    this.#logClassificationChanges(from);
     if (this.#areUrgent(added) || cleared.length > 0) this.#onUrgent(false);
   }
 
@@ -178,10 +181,8 @@
   }
 
   #record(crashes: readonly Crash[], from: Source): void {
-    const { crashHistory, clock } = this.#deps;
-    const before = crashHistory.culprits;
-    const added = this.#add(crashes, clock.monotonicMs());
-    this.#logClassificationChanges(before, from);
+    const added = this.#add(crashes, this.#deps.clock.monotonicMs());
+    this.#logClassificationChanges(from);
     if (this.#areUrgent(added)) this.#onUrgent(true);
   }
 
@@ -203,25 +204,37 @@
     );
   }
 
-  #logClassificationChanges(before: readonly Hypothesis[], from: Source): void {
-    const { culprits } = this.#deps.crashHistory;
-    if (culprits === before) return;
-    for (const culprit of without(culprits, before)) {
-      this.#logClassification(culprit, from);
-    }
-    for (const { id } of without(before, culprits)) {
-      this.#deps.logger.info("No longer classified as crashing servers", {
-        keys: id,
-        told_by: from,
-      });
-    }
+  /**
+   * Logs the changes once this turn of the event loop has ended. Many requests may report the crash of
+   * one server, and what follows from all their reports is found only once.
+   */
+  #logClassificationChanges(from: Source): void {
+    const isScheduled = this.#changedBy !== undefined;
+    this.#changedBy = from;
+    if (isScheduled) return;
+    setImmediate(() => {
+      const source = this.#changedBy ?? from;
+      this.#changedBy = undefined;
+      const before = this.#classified;
+      this.#classified = this.#deps.crashHistory.culprits;
+      for (const culprit of without(this.#classified, before)) {
+        this.#logClassification(culprit, source);
+      }
+      for (const culprit of without(before, this.#classified)) {
+        this.#deps.logger.info("No longer classified as crashing servers", {
+          keys: describeKeys(culprit),
+          told_by: source,
+        });
+      }
+    });
   }
 
-  #logClassification({ id, crashes }: Hypothesis, from: Source): void {
+  #logClassification(culprit: Hypothesis, from: Source): void {
     const { clock, logger } = this.#deps;
+    const { crashes } = culprit;
     const nowMs = clock.monotonicMs();
     logger.warn("Requests are classified as crashing servers", {
-      keys: id,
+      keys: describeKeys(culprit),
       account: crashes[0]?.account,
       told_by: from,
       crashes: crashes.length,
--- a/src/gateway/crash_detector.ts
+++ b/src/gateway/crash_detector.ts
@@ -1,12 +1,19 @@
 /** Detects requests that were starting to run on a backend server when it crashed. */
 
 import type { ServerExitCheck } from "../backends/server_exit_check.ts";
-import { type Crash, mayHaveCausedCrash } from "../core/crashes/crash.ts";
+import {
+  type Crash,
+  mayHaveCausedCrash,
+  type ServerCrash,
+} from "../core/crashes/crash.ts";
 import type {
   CrashHistory,
   QuarantineStatus,
 } from "../core/crashes/crash_history.ts";
-import type { Hypothesis } from "../core/crashes/crash_hypotheses.ts";
+import {
+  describeKeys,
+  type Hypothesis,
+} from "../core/crashes/crash_hypotheses.ts";
 import { UnwatchedRuns } from "../core/crashes/unwatched_runs.ts";
 import type { AccountId, ServerIncarnation, ServiceId } from "../core/ids.ts";
 import type { ServerDirectory } from "../core/servers/server_directory.ts";
@@ -60,6 +67,8 @@
   readonly attempt: BrokenAttempt;
 }
 
+/** Maximum number of prompt parts named in one log line. */
+const MAX_PARTS_LOGGED = 32;
 /** Time between the trials of two VMs; far longer than a trial and the reports of it take. */
 const TRIAL_INTERVAL_MS = 3_000;
 
@@ -106,14 +115,14 @@
     crashHistory.startTrial(culprit, nowMs);
     logger.info("Trying whether a quarantined request still crashes servers", {
       request: identity.key,
-      keys: culprit.id,
+      keys: describeKeys(culprit),
       crashes: culprit.crashes.length,
     });
     return true;
   }
 
   /** Known crashes during a request or others with its prompt parts, the latest last. */
-  crashesUnder({ identity }: MonitoredRequest): readonly Crash[] {
+  crashesUnder({ identity }: MonitoredRequest): readonly ServerCrash[] {
     const { crashHistory } = this.#deps;
     if (crashHistory.isEmpty) return [];
     return crashHistory.crashesUnder(identity.suspects);
@@ -231,7 +240,8 @@
       request,
       attempt: monitored.attemptId,
       service: monitored.service,
-      parts: monitored.identity.parts.join(","),
+      parts: monitored.identity.parts.slice(0, MAX_PARTS_LOGGED).join(","),
+      part_count: monitored.identity.parts.length,
       server: life,
       address,
       release: server.release,
--- a/src/store/crash_registry.ts
+++ b/src/store/crash_registry.ts
@@ -5,9 +5,12 @@
  */
 
 import * as z from "zod";
-import type { Crash } from "../core/crashes/crash.ts";
+import type { Crash, SuspectKey } from "../core/crashes/crash.ts";
 import type { CrashHistory } from "../core/crashes/crash_history.ts";
-import type { Hypothesis } from "../core/crashes/crash_hypotheses.ts";
+import {
+  describeKeys,
+  type Hypothesis,
+} from "../core/crashes/crash_hypotheses.ts";
 import type {
   AccountId,
   PartKey,
@@ -201,7 +204,7 @@
     if (isStored) this.#storedCrashes.set(name, crashes.length);
     logger.info("Write of what crashes servers completed", {
       object: name,
-      keys: culprit.id,
+      keys: describeKeys(culprit),
       crashes: crashes.length,
       written: result.ok,
       reason: result.ok ? undefined : describeStoreError(result.error),
@@ -214,10 +217,10 @@
     const latest = [...crashes]
       .sort((a, b) => a.endedMs - b.endedMs)
       .slice(-MAX_STORED_CRASHES);
-    const parts = new Set(crashes.flatMap((crash) => crash.parts));
+    const requests = new Set<SuspectKey>(crashes.map((one) => one.request));
     return {
       account: crashes[0]?.account,
-      parts: [...parts].filter((part) => keys.has(part)),
+      parts: [...keys].filter((key) => !requests.has(key)),
       crashes: latest.map((crash) => ({
         request: crash.request,
         life: crash.life,
--- a/src/store/crash_registry_test.ts
+++ b/src/store/crash_registry_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import type { Crash } from "../core/crashes/crash.ts";
+import type { Crash, ServerCrash } from "../core/crashes/crash.ts";
 import { CrashHistory } from "../core/crashes/crash_history.ts";
 import type {
   AccountId,
@@ -88,7 +88,7 @@
 
 function crashAt(
   endedMs: number,
-  { request, before }: { request: RequestKey; before: readonly Crash[] },
+  { request, before }: { request: RequestKey; before: readonly ServerCrash[] },
 ): Crash {
   const n = before.length + 1;
   return {
