Suspect prompt parts that crash servers wherever they stand

Cause: bounds that keep what stands first. RequestIdentity took the first 32 parts of a prompt, boundReport and the digest's schema the first 64 of a report.

Change: a request is suspected by all of its parts. A digest is bounded by its characters: a crash takes several entries of at most 64 parts, which programs of before accept and merge; what does not fit is told in the next digests.

A test is replaced: "should bound the number and the length of prompt parts" held the fault itself (32 of 1,000 parts).

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -17,8 +17,6 @@
   readonly parts: readonly PartKey[];
 }
 
-/** Maximum number of prompt parts in a report; copies of a request may name different ones. */
-export const MAX_REPORT_PARTS = 64;
 /** Maximum number of preceding crashes in a report; the order needs only the latest. */
 export const MAX_REPORT_SERVERS = 32;
 
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -9,12 +9,7 @@
   RequestKey,
   ServerIncarnation,
 } from "../ids.ts";
-import {
-  type Crash,
-  MAX_REPORT_PARTS,
-  type RequestSuspects,
-  type ServerCrash,
-} from "./crash.ts";
+import type { Crash, RequestSuspects, ServerCrash } from "./crash.ts";
 import { CRASH_LIMIT, findCulprits } from "./crash_attribution.ts";
 import { buildHypotheses, type Hypothesis } from "./crash_hypotheses.ts";
 import { CrashReport } from "./crash_report.ts";
@@ -108,7 +103,7 @@
     record.crashes.set(crash.life, report);
     // A repeated report may still add to the known order of the crashes.
     const addsToOrder = known?.merge(crash) ?? true;
-    const addsParts = this.#addParts(parts.slice(0, MAX_REPORT_PARTS), {
+    const addsParts = this.#addParts(parts, {
       report,
       nowMs,
     });
@@ -248,6 +243,7 @@
         this.#completions.markCleared(part, nowMs);
       } else if (this.#suspectedParts.add(part, report)) isAnyNew = true;
     }
+    if (isAnyNew) this.#suspectedParts.trim();
     return isAnyNew;
   }
 
--- a/src/core/crashes/crash_history_parts_test.ts
+++ b/src/core/crashes/crash_history_parts_test.ts
@@ -125,6 +125,40 @@
 }
 
 describe("crash history of prompt parts", () => {
+  for (const count of [35, 200, 700, 1_800]) {
+    // Guards against BUDGET: a part behind 32 others was never suspected, wherever it stood.
+    it(`should quarantine a part behind ${count} that all requests share`, () => {
+      const shared = manyParts("shared", count);
+      crashThree(...shared, BAD);
+      complete(...shared);
+      assert.equal(statusOf(...manyParts("other", 5), BAD), "quarantined");
+      assert.equal(statusOf(...shared, "own"), "free");
+    });
+
+    it(`should quarantine a part behind ${count} of its own request`, () => {
+      for (let n = 0; n < 3; n++) {
+        nowMs += 2_000;
+        crash("shared", ...manyParts(`own-${n}`, count), BAD);
+      }
+      complete("shared");
+      assert.deepEqual(history.culprits.map(({ id }) => id), [BAD]);
+      assert.equal(statusOf("shared", ...manyParts("own-0", 5)), "free");
+    });
+  }
+
+  it("should quarantine two parts in turn behind many others", () => {
+    const shared = manyParts("shared", 100);
+    for (let n = 0; n < 6; n++) {
+      nowMs += 2_000;
+      crash(...shared, n % 2 === 0 ? "bad1" : "bad2");
+      complete(...shared);
+    }
+    assert.deepEqual(
+      history.culprits.map(({ id }) => id).sort(),
+      ["bad1", "bad2"],
+    );
+  });
+
   for (const task of ["crash", "complete"] as const) {
     // Guards against CONFIG: hundreds of parts took seconds, as each was compared with all others.
     it(`should do work for each part that does not grow with their number, on "${task}"`, () => {
@@ -135,6 +169,25 @@
     });
   }
 
+  // Guards against BUDGET: one caller with prompts of many parts displaced those of another.
+  it("should quarantine a part beside another account's prompts of many parts", () => {
+    for (let n = 0; n < 5; n++) {
+      nowMs += 2_000;
+      crash("shared", BAD);
+      for (let beside = 0; beside < 40; beside++) {
+        const parts = manyParts(`hostile-${n}-${beside}`, 1_800);
+        report(parts, "hostile");
+      }
+      complete("shared");
+    }
+    nowMs += SETTLED_MS;
+    assert.equal(statusOf(BAD), "quarantined");
+    assert.equal(statusOf("shared"), "free");
+    const entries = history.crashesSince(-Infinity)
+      .reduce((sum, { parts }) => sum + parts.length, 0);
+    assert.ok(entries <= 20_000, `${entries} parts are kept`);
+  });
+
   it("should quarantine new requests with a part after three crashes", () => {
     crashThree("shared", BAD);
     assert.equal(statusOf("shared", BAD), "quarantined");
--- a/src/fleet/crash_gossip.ts
+++ b/src/fleet/crash_gossip.ts
@@ -6,14 +6,17 @@
   describeKeys,
   type Hypothesis,
 } from "../core/crashes/crash_hypotheses.ts";
+import type { PartCompletion } from "../core/crashes/part_completions.ts";
 import type { EntryId, PartKey } from "../core/ids.ts";
 import {
   MAX_DIGEST_COMPLETIONS,
+  MAX_DIGEST_CRASHES,
   type VmDigest,
 } from "../protocol/digest_schema.ts";
 import { advertisedAgeMs } from "../protocol/store_schema.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { Logger } from "../runtime/logger.ts";
+import { packCrashes } from "./crash_report_packer.ts";
 
 /**
  * A crash is sent for at least this long after this VM learnt of it. Two VMs of a mesh exchange
@@ -27,8 +30,6 @@
 const URGENT_CRASHES = 2;
 /** Maximum number of servers named in one log line. */
 const MAX_SERVERS_LOGGED = 16;
-/** Maximum number of crashes in one message; later messages carry the rest. */
-const MAX_CRASHES_SENT = 1_000;
 
 /** Crash part of a digest. */
 export type CrashDigest = VmDigest["crashes"];
@@ -58,6 +59,8 @@
   #classified: readonly Hypothesis[] = [];
   /** Source of the reports since then. */
   #changedBy: Source | undefined;
+  /** Number of digests so far. */
+  #rounds = 0;
   #onUrgent: (here: boolean) => void = () => {};
   #onCrash: (crash: Crash) => void = () => {};
 
@@ -156,23 +159,18 @@
       return { ends: [], goodEnds: [], completions: [] };
     }
     const nowMs = clock.monotonicMs();
-    const ends = crashHistory.crashesSince(sinceMs)
-      .sort((a, b) => b.endedMs - a.endedMs)
-      .slice(0, MAX_CRASHES_SENT)
-      .map(({ beganMs, endedMs, ...crash }) => ({
-        ...crash,
-        beganAgeMs: advertisedAgeMs(nowMs - beganMs),
-        endedAgeMs: advertisedAgeMs(nowMs - endedMs),
-      }));
+    this.#rounds += 1;
+    const ends = packCrashes(crashHistory.crashesSince(sinceMs), {
+      nowMs,
+      round: this.#rounds,
+    });
     const goodEnds = crashHistory.successesSince(sinceMs)
-      .slice(0, MAX_CRASHES_SENT)
+      .slice(0, MAX_DIGEST_CRASHES)
       .map(({ request, atMs }) => ({
         request,
         ageMs: advertisedAgeMs(nowMs - atMs),
       }));
-    const completions = crashHistory.completionsSince(sinceMs)
-      .sort((a, b) => b.atMs - a.atMs)
-      .slice(0, MAX_DIGEST_COMPLETIONS)
+    const completions = this.#shareOf(crashHistory.completionsSince(sinceMs))
       .map(({ part, atMs }) => ({
         part,
         ageMs: advertisedAgeMs(nowMs - atMs),
@@ -180,6 +178,14 @@
     return { ends, goodEnds, completions };
   }
 
+  /** Returns the completions for one digest; those that do not fit are in the next ones. */
+  #shareOf(completions: readonly PartCompletion[]): readonly PartCompletion[] {
+    if (completions.length <= MAX_DIGEST_COMPLETIONS) return completions;
+    const start = (this.#rounds * MAX_DIGEST_COMPLETIONS) % completions.length;
+    return [...completions.slice(start), ...completions.slice(0, start)]
+      .slice(0, MAX_DIGEST_COMPLETIONS);
+  }
+
   #record(crashes: readonly Crash[], from: Source): void {
     const added = this.#add(crashes, this.#deps.clock.monotonicMs());
     this.#logClassificationChanges(from);
--- a/src/fleet/crash_gossip_test.ts
+++ b/src/fleet/crash_gossip_test.ts
@@ -128,3 +128,23 @@
     assert.ok(first.culprits.includes(BAD));
   });
 });
+
+describe("crashes under prompts of many parts", () => {
+  // Guards against BUDGET: VMs were told of the first 64 parts only.
+  it("should be known to VMs that only hear of them, wherever the part stands", () => {
+    const [first, second] = ["a", "b"].map((id) => new Vm(id));
+    assert.ok(first && second);
+    const shared = Array.from(
+      { length: 700 },
+      (_, n) => `tracker/${n}` as PartKey,
+    );
+    for (let n = 4; n <= 6; n++) {
+      nowMs += INTERVAL_MS;
+      first.gossip.recordLocal({ ...crash(n), parts: [...shared, BAD] });
+      first.tell(second);
+    }
+    second.gossip.recordCompletion(shared);
+    second.tell(first);
+    assert.deepEqual([first.culprits, second.culprits], [[BAD], [BAD]]);
+  });
+});
--- a/src/gateway/request_identity.ts
+++ b/src/gateway/request_identity.ts
@@ -13,8 +13,6 @@
 /** Hexadecimal digits of a key: 128 bits make collisions between requests negligible. */
 const KEY_LENGTH = 32;
 
-/** Maximum number of prompt parts by which a request is suspected, as callers choose the number. */
-const MAX_PARTS = 32;
 /** Longer ids of prompt parts are replaced by a digest, as callers choose them. */
 const MAX_PART_ID_LENGTH = 64;
 
@@ -74,7 +72,7 @@
 }
 
 function partKeysOf({ service, parts }: RequestPrompt): readonly PartKey[] {
-  const keys = parts.slice(0, -1).slice(0, MAX_PARTS).map(({ id }) => {
+  const keys = parts.slice(0, -1).map(({ id }) => {
     const short = id.length > MAX_PART_ID_LENGTH
       ? shortDigest([id], KEY_LENGTH)
       : id;
--- a/src/gateway/request_identity_test.ts
+++ b/src/gateway/request_identity_test.ts
@@ -51,9 +51,14 @@
     assert.deepEqual(partsOf("a", "b", "a", "own"), ["llm/a", "llm/b"]);
   });
 
-  it("should bound the number and the length of prompt parts", () => {
-    const many = Array.from({ length: 1_000 }, (_, n) => `${n}`);
-    assert.equal(partsOf(...many).length, 32);
+  // Guards against BUDGET: a part behind 32 others crashed servers and was never suspected.
+  it("should hold a prompt part behind any number of others", () => {
+    const many = Array.from({ length: 1_800 }, (_, n) => `${n}`);
+    const expected = many.map((id) => `llm/${id}`);
+    assert.deepEqual(partsOf(...many, "own"), expected);
+  });
+
+  it("should bound the length of prompt parts", () => {
     const [long = ""] = partsOf("x".repeat(10_000), "own");
     assert.ok(long.length < 100);
     assert.notEqual(long, partsOf("x".repeat(10_001), "own")[0]);
--- a/src/protocol/digest_schema.ts
+++ b/src/protocol/digest_schema.ts
@@ -13,7 +13,6 @@
   ServerIncarnation,
   ServiceId,
 } from "../core/ids.ts";
-import { MAX_REPORT_PARTS } from "../core/crashes/crash.ts";
 import type { Evidence } from "../core/rollout/evidence.ts";
 import type { ServerReport } from "../core/servers/server_report.ts";
 import { memberSchema } from "./peer_schema.ts";
@@ -24,7 +23,11 @@
 /** Far more than the number of servers of one service. */
 export const MAX_DIGEST_RATE_LIMITS = 1_000;
 
-/** Far more than the number of prompt parts that are suspected at the same time. */
+/** Maximum number of entries on server crashes. */
+export const MAX_DIGEST_CRASHES = 1_000;
+/** Maximum number of prompt parts in one of them; a crash with more takes several. */
+export const MAX_DIGEST_CRASH_PARTS = 64;
+/** Maximum number of completed prompt parts. */
 export const MAX_DIGEST_COMPLETIONS = 1_000;
 
 /** Far more than the number of objects that one VM writes within seconds. */
@@ -63,7 +66,9 @@
 /** A server incarnation that ended shortly after a request had started to run on it. */
 const crashSchema = z.object({
   request: id<RequestKey>(),
-  parts: z.array(id<PartKey>()).max(MAX_REPORT_PARTS).readonly().default([]),
+  parts: z.array(id<PartKey>()).max(MAX_DIGEST_CRASH_PARTS).readonly().default(
+    [],
+  ),
   account: id<AccountId>().optional(),
   life: id<ServerIncarnation>(),
   address: z.string(),
@@ -75,10 +80,10 @@
 
 /** Requests that may crash servers and of which the receiver may not have been notified. */
 const crashesSchema = z.object({
-  ends: z.array(crashSchema).max(1_000),
+  ends: z.array(crashSchema).max(MAX_DIGEST_CRASHES),
   /** Requests that completed successfully after they were suspected. */
   goodEnds: z.array(z.object({ request: id<RequestKey>(), ageMs: z.number() }))
-    .max(1_000),
+    .max(MAX_DIGEST_CRASHES),
   /** Prompt parts of requests that completed, which therefore crash no server. */
   completions: z.array(z.object({ part: id<PartKey>(), ageMs: z.number() }))
     .max(MAX_DIGEST_COMPLETIONS).default([]),
--- a/tests/crashing_part_test.ts
+++ b/tests/crashing_part_test.ts
@@ -29,6 +29,14 @@
   badParts: () => ["shared", "bad"],
 };
 
+/** Ids of further prompt parts. */
+function partIds(name: string, count: number): readonly string[] {
+  return Array.from({ length: count }, (_, n) => `${name}${n}`);
+}
+
+/** Parts of a long conversation, which sound requests have as well. */
+const BACKGROUND = partIds("background", 35);
+
 const PLAYS: Readonly<Record<string, PartCrashOptions>> = {
   "streams at one gateway": { ...STREAMS, gateways: 1 },
   "streams at 7 gateways": STREAMS,
@@ -40,6 +48,18 @@
     companionParts: ["companion"],
   },
   "the part first": { ...STREAMS, badParts: () => ["bad", "second"] },
+  // A part behind 32 others was never suspected.
+  "a part behind 35 that sound requests share": {
+    ...STREAMS,
+    gateways: 3,
+    badParts: () => ["shared", ...BACKGROUND, "bad"],
+    companionParts: BACKGROUND,
+  },
+  "a part behind 700 of its own request": {
+    ...STREAMS,
+    gateways: 3,
+    badParts: (n) => ["shared", ...partIds(`own${n}-`, 700), "bad"],
+  },
   "few requests": { ...STREAMS, badPerS: 0.7, badMs: FEW_BAD_MS },
   "many requests that may run once": {
     ...STREAMS,
