Keep requests with the part that crashes servers when many ran beside it

What callers saw: by reading and in a test, a part that is never found (BUDGET) where each crash ends hundreds of requests of one account: the table of requests keeps 1,000.

Cause: when it is full, the request with the fewest crashes of its own goes, the oldest first. Requests with the same part are all different, one crash each, so that the earlier ones with the part went before the bystanders of the last crash.

Change: what counts are the crashes under the request or under the part of it with the most; requests are evicted a hundred at a time, as this takes a look at all parts.

--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -15,7 +15,7 @@
 import { CrashReport } from "./crash_report.ts";
 import { type PartCompletion, PartCompletions } from "./part_completions.ts";
 import { quarantineEndMs, TrialRights } from "./quarantine.ts";
-import { SuspectedParts } from "./suspected_parts.ts";
+import { countCrashes, SuspectedParts } from "./suspected_parts.ts";
 
 /** Retention of requests that took part in the crashes of a culprit, since their last update. */
 const RETENTION_MS = 21_600_000;
@@ -23,6 +23,8 @@
 const BYSTANDER_RETENTION_MS = 600_000;
 /** Maximum number of tracked requests; bounds memory to about 0.5 MB, without their parts. */
 const MAX_REQUESTS = 1_000;
+/** Requests evicted together, so that the least suspected ones are not looked for each time. */
+const EVICTED_REQUESTS = 100;
 /** Maximum number of crashes kept per request; more would not change the attribution. */
 const MAX_CRASHES_PER_REQUEST = 64;
 /**
@@ -260,7 +262,7 @@
   #recordOf({ request, account }: ServerCrash, nowMs: number): CrashRecord {
     const known = this.#records.get(request);
     if (known !== undefined) return known;
-    if (this.#records.size >= MAX_REQUESTS) this.#evictOne();
+    if (this.#records.size >= MAX_REQUESTS) this.#evictLeastSuspected();
     const record: CrashRecord = {
       request,
       account,
@@ -272,19 +274,45 @@
     return record;
   }
 
-  /** Evicts the least suspicious request of the account with the most tracked requests. */
-  #evictOne(): void {
+  /**
+   * Evicts requests of the account with the most tracked ones: those under which, or under whose
+   * parts, the fewest servers crashed. They were bystanders most likely.
+   */
+  #evictLeastSuspected(): void {
     const counts = new Map<AccountId | undefined, number>();
     for (const { account } of this.#records.values()) {
       counts.set(account, (counts.get(account) ?? 0) + 1);
     }
     const [largest] = [...counts].sort((a, b) => b[1] - a[1])[0] ?? [];
-    const [least] = [...this.#records.values()]
+    const crashesByPart = new Map<PartKey, number>();
+    const evicted = [...this.#records.values()]
       .filter(({ account }) => account === largest)
+      .map((record) => ({
+        record,
+        crashes: this.#countCrashes(record, crashesByPart),
+      }))
       .sort((a, b) =>
-        a.crashes.size - b.crashes.size || a.learnedAtMs - b.learnedAtMs
-      );
-    if (least !== undefined) this.#removeRecord(least);
+        a.crashes - b.crashes || a.record.learnedAtMs - b.record.learnedAtMs
+      )
+      .slice(0, EVICTED_REQUESTS);
+    for (const { record } of evicted) this.#removeRecord(record);
+  }
+
+  /** Number of servers that crashed under a request, or under the part of it with the most. */
+  #countCrashes(
+    { crashes }: CrashRecord,
+    crashesByPart: Map<PartKey, number>,
+  ): number {
+    let most = crashes.size;
+    for (const { parts } of crashes.values()) {
+      for (const part of parts) {
+        const count = crashesByPart.get(part) ??
+          countCrashes(this.#suspectedParts.reportsOf(part));
+        crashesByPart.set(part, count);
+        most = Math.max(most, count);
+      }
+    }
+    return most;
   }
 
   #trimCrashes(record: CrashRecord): void {
--- a/src/core/crashes/crash_history_parts_test.ts
+++ b/src/core/crashes/crash_history_parts_test.ts
@@ -169,6 +169,21 @@
     });
   }
 
+  // Guards against BUDGET: requests that ran beside a part displaced the earlier ones with it.
+  it("should quarantine a part whose servers crash under hundreds of other requests", () => {
+    for (let n = 0; n < 6; n++) {
+      nowMs += 2_000;
+      crash("shared", BAD);
+      for (let beside = 0; beside < 400; beside++) {
+        report(["shared", `own-${n}-${beside}`]);
+      }
+      complete("shared");
+    }
+    nowMs += SETTLED_MS;
+    assert.equal(statusOf(BAD), "quarantined");
+    assert.equal(statusOf("shared"), "free");
+  });
+
   // Guards against BUDGET: one caller with prompts of many parts displaced those of another.
   it("should quarantine a part beside another account's prompts of many parts", () => {
     for (let n = 0; n < 5; n++) {
