--- a/tests/malformed_response_test.ts
+++ b/tests/malformed_response_test.ts
@@ -14,6 +14,7 @@
 import type { RequestId } from "../src/core/ids.ts";
 import { Deadline } from "../src/runtime/deadline.ts";
 import { HttpAgent } from "../src/runtime/http_agent.ts";
+import { EarlyServer } from "./fixtures/early_server.ts";
 import {
   ambiguousFramings,
   malformedFields,
@@ -23,6 +24,7 @@
   unsupportedVersions,
 } from "./fixtures/malformed_heads.ts";
 import { RawServer } from "./fixtures/raw_server.ts";
+import { READERS } from "./fixtures/response_readers.ts";
 import {
   answerBytes,
   ATTEMPT,
@@ -166,3 +168,17 @@
   checkAll("framing of the body", ambiguousFramings(SOUND));
   checkGateway("HTTP version", unsupportedVersions(SOUND));
 });
+
+describe("a malformed status", () => {
+  for (const [name, { body, read }] of Object.entries(READERS)) {
+    it(`should not be taken for a response: ${name}`, async () => {
+      const taken: string[] = [];
+      for (const status of malformedStatuses({ headers: "", body })) {
+        const server = new EarlyServer((socket) => socket.end(status.bytes));
+        if (await read(await server.listen())) taken.push(status.name);
+        await server.close();
+      }
+      assert.deepEqual(taken, []);
+    });
+  }
+});
