Give the table of crashed requests a class of its own

Change: CrashRecords keeps and evicts requests; CRASH_LIMIT stands beside the type of a crash, as two modules needed it of each other; a match with a culprit no longer copies its keys.

--- a/src/core/crashes/crash.ts
+++ b/src/core/crashes/crash.ts
@@ -17,6 +17,8 @@
   readonly parts: readonly PartKey[];
 }
 
+/** Maximum number of servers that one request may crash, as required by the users. */
+export const CRASH_LIMIT = 3;
 /** Maximum number of preceding crashes in a report; the order needs only the latest. */
 export const MAX_REPORT_SERVERS = 32;
 
--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -6,11 +6,9 @@
  */
 
 import type { ServerIncarnation } from "../ids.ts";
-import type { ServerCrash } from "./crash.ts";
+import { CRASH_LIMIT, type ServerCrash } from "./crash.ts";
 import { type Hypothesis, isSubset } from "./crash_hypotheses.ts";
 
-/** Maximum number of servers that one request may crash, as required by the users. */
-export const CRASH_LIMIT = 3;
 /**
  * Crashes that name a culprit if some of them hit one server again, for want of another. They are
  * weaker evidence, as that server may be the cause.
--- a/src/core/crashes/crash_history.ts
+++ b/src/core/crashes/crash_history.ts
@@ -3,30 +3,30 @@
  * as a set union, so duplicated, late or reordered reports converge to the same state.
  */
 
-import type {
-  AccountId,
-  PartKey,
-  RequestKey,
-  ServerIncarnation,
-} from "../ids.ts";
-import type { Crash, RequestSuspects, ServerCrash } from "./crash.ts";
-import { CRASH_LIMIT, findCulprits } from "./crash_attribution.ts";
-import { buildHypotheses, type Hypothesis } from "./crash_hypotheses.ts";
+import type { PartKey, RequestKey } from "../ids.ts";
+import {
+  type Crash,
+  CRASH_LIMIT,
+  type RequestSuspects,
+  type ServerCrash,
+  type SuspectKey,
+} from "./crash.ts";
+import { findCulprits } from "./crash_attribution.ts";
+import {
+  buildHypotheses,
+  type Hypothesis,
+  isSubset,
+} from "./crash_hypotheses.ts";
+import { CrashRecords } from "./crash_records.ts";
 import { CrashReport } from "./crash_report.ts";
 import { type PartCompletion, PartCompletions } from "./part_completions.ts";
 import { quarantineEndMs, TrialRights } from "./quarantine.ts";
-import { countCrashes, SuspectedParts } from "./suspected_parts.ts";
+import { SuspectedParts } from "./suspected_parts.ts";
 
 /** Retention of requests that took part in the crashes of a culprit, since their last update. */
 const RETENTION_MS = 21_600_000;
 /** The same for other requests: most of them are bystanders. */
 const BYSTANDER_RETENTION_MS = 600_000;
-/** Maximum number of tracked requests; bounds memory to about 0.5 MB, without their parts. */
-const MAX_REQUESTS = 1_000;
-/** Requests evicted together, so that the least suspected ones are not looked for each time. */
-const EVICTED_REQUESTS = 100;
-/** Maximum number of crashes kept per request; more would not change the attribution. */
-const MAX_CRASHES_PER_REQUEST = 64;
 /**
  * Time to wait for reports of other VMs before a request is quarantined: a bystander looks like
  * the culprit until the culprit's own crash is known. VMs send such reports immediately; the delay
@@ -61,20 +61,10 @@
   readonly atMs: number;
 }
 
-interface CrashRecord {
-  readonly request: RequestKey;
-  readonly account: AccountId | undefined;
-  readonly crashes: Map<ServerIncarnation, CrashReport>;
-  /** Time of the last successful run; earlier crashes do not count. */
-  successMs: number;
-  /** When this VM last received new information on the request. */
-  learnedAtMs: number;
-}
-
 /** Tracks requests under which servers ended, and which requests to quarantine. */
 export class CrashHistory {
-  readonly #records = new Map<RequestKey, CrashRecord>();
   readonly #suspectedParts = new SuspectedParts();
+  readonly #records = new CrashRecords(this.#suspectedParts);
   readonly #completions = new PartCompletions();
   readonly #trials = new TrialRights();
   /** Derived from the records when asked for; undefined after they have changed. */
@@ -98,18 +88,15 @@
 
   /** Records a server crash; returns whether it was not known before. */
   recordCrash({ parts, ...crash }: Crash, nowMs: number): boolean {
-    const record = this.#recordOf(crash, nowMs);
+    const record = this.#records.getOrAdd(crash, nowMs);
     const known = record.crashes.get(crash.life);
     if (known === undefined && crash.endedMs <= record.successMs) return false;
     const report = known ?? new CrashReport(crash);
     record.crashes.set(crash.life, report);
     // A repeated report may still add to the known order of the crashes.
     const addsToOrder = known?.merge(crash) ?? true;
-    const addsParts = this.#addParts(parts, {
-      report,
-      nowMs,
-    });
-    if (known === undefined) this.#trimCrashes(record);
+    const addsParts = this.#addParts(parts, { report, nowMs });
+    if (known === undefined) this.#records.trim(record);
     if (addsToOrder || addsParts) this.#culprits = undefined;
     if (known !== undefined) return false;
     record.learnedAtMs = nowMs;
@@ -124,8 +111,9 @@
     const cleared = [...record.crashes.values()]
       .filter(({ crash }) => crash.endedMs <= atMs);
     if (cleared.length === 0) return false;
-    for (const report of cleared) this.#removeReport(record, report);
+    for (const report of cleared) this.#records.removeReport(record, report);
     record.learnedAtMs = nowMs;
+    this.#culprits = undefined;
     return true;
   }
 
@@ -151,10 +139,8 @@
     nowMs: number,
   ): QuarantineStatus {
     if (this.culprits.length === 0) return { tag: "free" };
-    const own = new Set<string>([request, ...parts]);
-    const matching = this.culprits.filter(({ keys }) =>
-      [...keys].every((key) => own.has(key))
-    );
+    const own = new Set<SuspectKey>([request, ...parts]);
+    const matching = this.culprits.filter(({ keys }) => isSubset(keys, own));
     const statuses = matching.map((one) => this.#statusOf(one, nowMs));
     return statuses.find(({ tag }) => tag === "quarantined") ??
       statuses.find(({ tag }) => tag === "settling") ??
@@ -185,14 +171,14 @@
 
   /** Crashes of all requests that this VM has new information on since `sinceMs`. */
   crashesSince(sinceMs: number): Crash[] {
-    return this.#updatedSince(sinceMs).flatMap(({ crashes }) =>
+    return this.#records.updatedSince(sinceMs).flatMap(({ crashes }) =>
       [...crashes.values()].map((report) => report.toCrash())
     );
   }
 
   /** Successful runs of requests that this VM has new information on since `sinceMs`. */
   successesSince(sinceMs: number): RequestSuccess[] {
-    return this.#updatedSince(sinceMs)
+    return this.#records.updatedSince(sinceMs)
       .filter(({ successMs }) => Number.isFinite(successMs))
       .map(({ request, successMs }) => ({ request, atMs: successMs }));
   }
@@ -208,11 +194,13 @@
     const guilty = new Set(
       this.culprits.flatMap(({ crashes }) => crashes.map(({ life }) => life)),
     );
-    for (const record of this.#records.values()) {
+    for (const record of this.#records.all()) {
       const { crashes, learnedAtMs } = record;
       const isGuilty = [...crashes.keys()].some((life) => guilty.has(life));
       const keepMs = isGuilty ? RETENTION_MS : BYSTANDER_RETENTION_MS;
-      if (nowMs - learnedAtMs > keepMs) this.#removeRecord(record);
+      if (nowMs - learnedAtMs <= keepMs) continue;
+      this.#records.remove(record);
+      this.#culprits = undefined;
     }
   }
 
@@ -253,92 +241,8 @@
     return [...this.#records.get(request)?.crashes.values() ?? []];
   }
 
-  #updatedSince(sinceMs: number): CrashRecord[] {
-    return [...this.#records.values()].filter((record) =>
-      record.learnedAtMs >= sinceMs
-    );
-  }
-
-  #recordOf({ request, account }: ServerCrash, nowMs: number): CrashRecord {
-    const known = this.#records.get(request);
-    if (known !== undefined) return known;
-    if (this.#records.size >= MAX_REQUESTS) this.#evictLeastSuspected();
-    const record: CrashRecord = {
-      request,
-      account,
-      crashes: new Map(),
-      successMs: -Infinity,
-      learnedAtMs: nowMs,
-    };
-    this.#records.set(request, record);
-    return record;
-  }
-
-  /**
-   * Evicts requests of the account with the most tracked ones: those under which, or under whose
-   * parts, the fewest servers crashed. They were bystanders most likely.
-   */
-  #evictLeastSuspected(): void {
-    const counts = new Map<AccountId | undefined, number>();
-    for (const { account } of this.#records.values()) {
-      counts.set(account, (counts.get(account) ?? 0) + 1);
-    }
-    const [largest] = [...counts].sort((a, b) => b[1] - a[1])[0] ?? [];
-    const crashesByPart = new Map<PartKey, number>();
-    const evicted = [...this.#records.values()]
-      .filter(({ account }) => account === largest)
-      .map((record) => ({
-        record,
-        crashes: this.#countCrashes(record, crashesByPart),
-      }))
-      .sort((a, b) =>
-        a.crashes - b.crashes || a.record.learnedAtMs - b.record.learnedAtMs
-      )
-      .slice(0, EVICTED_REQUESTS);
-    for (const { record } of evicted) this.#removeRecord(record);
-  }
-
-  /** Number of servers that crashed under a request, or under the part of it with the most. */
-  #countCrashes(
-    { crashes }: CrashRecord,
-    crashesByPart: Map<PartKey, number>,
-  ): number {
-    let most = crashes.size;
-    for (const { parts } of crashes.values()) {
-      for (const part of parts) {
-        const count = crashesByPart.get(part) ??
-          countCrashes(this.#suspectedParts.reportsOf(part));
-        crashesByPart.set(part, count);
-        most = Math.max(most, count);
-      }
-    }
-    return most;
-  }
-
-  #trimCrashes(record: CrashRecord): void {
-    const { crashes } = record;
-    if (crashes.size <= MAX_CRASHES_PER_REQUEST) return;
-    const oldest = [...crashes.values()]
-      .sort((a, b) => a.crash.endedMs - b.crash.endedMs)[0];
-    if (oldest !== undefined) this.#removeReport(record, oldest);
-  }
-
-  #removeRecord(record: CrashRecord): void {
-    for (const report of record.crashes.values()) {
-      this.#removeReport(record, report);
-    }
-    this.#records.delete(record.request);
-    this.#culprits = undefined;
-  }
-
-  #removeReport(record: CrashRecord, report: CrashReport): void {
-    record.crashes.delete(report.crash.life);
-    this.#suspectedParts.removeReport(report);
-    this.#culprits = undefined;
-  }
-
   #findCulprits(): readonly Hypothesis[] {
-    const reports = [...this.#records.values()].flatMap(({ crashes }) => [
+    const reports = this.#records.all().flatMap(({ crashes }) => [
       ...crashes.values(),
     ]);
     const lives = new Set(reports.map(({ crash }) => crash.life));
--- a/src/core/crashes/crash_hypotheses.ts
+++ b/src/core/crashes/crash_hypotheses.ts
@@ -1,8 +1,12 @@
 /** Groups crash reports by what their requests have in common. */
 
 import type { ServerIncarnation } from "../ids.ts";
-import { mergeCrashes, type ServerCrash, type SuspectKey } from "./crash.ts";
-import { CRASH_LIMIT } from "./crash_attribution.ts";
+import {
+  CRASH_LIMIT,
+  mergeCrashes,
+  type ServerCrash,
+  type SuspectKey,
+} from "./crash.ts";
 import type { CrashReport } from "./crash_report.ts";
 
 /** Maximum number of hypotheses; bounds the work to compare them with each other. */
