--- a/src/core/crashes/crash_hypotheses.ts
+++ b/src/core/crashes/crash_hypotheses.ts
@@ -35,9 +35,8 @@
 
 /**
  * Returns one hypothesis for each set of keys that always come together and under which enough
- * servers crashed. Keys that have not been
- * seen apart cannot be told apart, so that only a request with all of them is suspected. The work
- * is linear in the number of keys of all reports, as each request may have many.
+ * servers crashed. Keys that have not been seen apart cannot be told apart, so that only a request
+ * with all of them is suspected. The work is linear in the number of keys of all reports.
  */
 export function buildHypotheses(
   reports: readonly CrashReport[],
